--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements, run as ``python -m bench NAME``."""
--- /dev/null
+++ b/lentiltally/admin/__init__.py
@@ -0,0 +1,3 @@
+"""The administration API."""
+
+from __future__ import annotations
--- /dev/null
+++ b/lentiltally/agent/__init__.py
@@ -0,0 +1,3 @@
+"""The agent process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/lentiltally/cli/__init__.py
@@ -0,0 +1,3 @@
+"""The command line."""
+
+from __future__ import annotations
--- /dev/null
+++ b/lentiltally/clock.py
@@ -0,0 +1,65 @@
+"""The clock interface that I/O code receives, and its implementations."""
+
+from __future__ import annotations
+
+import time
+from datetime import UTC, datetime, timedelta
+from typing import Protocol
+
+
+class Clock(Protocol):
+    """Source of time for code that does I/O; decision code gets plain numbers."""
+
+    def now(self) -> datetime:
+        """Return the wall time in UTC."""
+        ...
+
+    def monotonic_s(self) -> float:
+        """Return seconds that never go backwards, from an arbitrary origin."""
+        ...
+
+    def sleep(self, duration: timedelta) -> None:
+        """Block the calling thread for the duration."""
+        ...
+
+
+class SystemClock:
+    """The operating system's clock, used by the daemons."""
+
+    def now(self) -> datetime:
+        """Return the wall time in UTC."""
+        return datetime.now(UTC)
+
+    def monotonic_s(self) -> float:
+        """Return the value of the system's monotonic clock in seconds."""
+        return time.monotonic()
+
+    def sleep(self, duration: timedelta) -> None:
+        """Block the calling thread for the duration."""
+        time.sleep(duration.total_seconds())
+
+
+class ManualClock:
+    """A clock that moves only when told to, for tests and measurements."""
+
+    def __init__(self, start: datetime, monotonic_s: float = 0.0) -> None:
+        """Start at the given wall time and monotonic reading."""
+        self._now = start
+        self._monotonic_s = monotonic_s
+
+    def now(self) -> datetime:
+        """Return the current manual wall time."""
+        return self._now
+
+    def monotonic_s(self) -> float:
+        """Return the current manual monotonic reading in seconds."""
+        return self._monotonic_s
+
+    def sleep(self, duration: timedelta) -> None:
+        """Advance the clock instead of blocking."""
+        self.advance(duration)
+
+    def advance(self, duration: timedelta) -> None:
+        """Move both readings forward by the duration."""
+        self._now += duration
+        self._monotonic_s += duration.total_seconds()
--- /dev/null
+++ b/lentiltally/entry/__init__.py
@@ -0,0 +1,3 @@
+"""The entry process."""
+
+from __future__ import annotations
--- /dev/null
+++ b/lentiltally/platform/__init__.py
@@ -0,0 +1,3 @@
+"""Clients of the platform's services."""
+
+from __future__ import annotations
--- /dev/null
+++ b/lentiltally/settings/__init__.py
@@ -0,0 +1,3 @@
+"""Process settings."""
+
+from __future__ import annotations
--- /dev/null
+++ b/lentiltally/wire/__init__.py
@@ -0,0 +1,53 @@
+"""Messages between lentiltally's own processes, their encoding and channels."""
+
+from __future__ import annotations
+
+from lentiltally.wire.channel import ChannelError, Inbox, Outbox, Outboxes
+from lentiltally.wire.codec import PROTOCOL_VERSION, FrameError, decode, encode
+from lentiltally.wire.messages import (
+    AnswerEnd,
+    AnswerEvents,
+    AnswerHead,
+    AnswerWhole,
+    Cancel,
+    ClaimAnswer,
+    ClaimQuery,
+    ConfigFetch,
+    ConfigSnapshot,
+    Execute,
+    Hello,
+    Message,
+    Progress,
+    Refused,
+    Release,
+    Resume,
+    TargetState,
+)
+
+__all__ = [
+    "PROTOCOL_VERSION",
+    "AnswerEnd",
+    "AnswerEvents",
+    "AnswerHead",
+    "AnswerWhole",
+    "Cancel",
+    "ChannelError",
+    "ClaimAnswer",
+    "ClaimQuery",
+    "ConfigFetch",
+    "ConfigSnapshot",
+    "Execute",
+    "FrameError",
+    "Hello",
+    "Inbox",
+    "Message",
+    "Outbox",
+    "Outboxes",
+    "Progress",
+    "Refused",
+    "Release",
+    "Resume",
+    "TargetState",
+    "decode",
+    "encode",
+]
--- /dev/null
+++ b/lentiltally/wire/channel.py
@@ -0,0 +1,192 @@
+"""pynng channels between processes: one inbox each, one outbox for each peer."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable
+from typing import Any
+
+import pynng
+
+from lentiltally.errors import LentiltallyError
+from lentiltally.wire.codec import FrameError, decode, encode
+from lentiltally.wire.messages import Message
+
+_log = logging.getLogger(__name__)
+
+# Messages of many streams share a frame while sends follow each other this closely;
+# after a pause the first message leaves at once.
+COALESCE_S = 0.004
+SEND_TIMEOUT_MS = 2_000
+MAX_WAITING_MESSAGES = 20_000
+# A frame holds at most a request or answer body plus its envelope.
+MAX_FRAME_BYTES = 64 * 1024 * 1024
+
+
+class ChannelError(LentiltallyError):
+    """A message could not be handed to the transport, so it was not sent."""
+
+
+class Inbox:
+    """Receives frames on one address and gives each message to a handler.
+
+    The handler runs on the inbox's thread and must not block.
+    """
+
+    def __init__(self, address: str, handler: Callable[[Message], None]) -> None:
+        """Listen on the address (``tcp://host:port``); ChannelError if it is taken."""
+        self._handler = handler
+        self._socket = pynng.Pull0(recv_max_size=MAX_FRAME_BYTES)
+        try:
+            self._socket.listen(address)
+        except pynng.NNGException as error:
+            self._socket.close()
+            raise ChannelError(
+                f"cannot listen: {error}", step="listen", peer=address
+            ) from error
+        self.address = address
+        self._thread = threading.Thread(target=self._receive, daemon=True, name="inbox")
+
+    def start(self) -> None:
+        """Begin to receive."""
+        self._thread.start()
+
+    def close(self) -> None:
+        """Stop receiving and release the address."""
+        self._socket.close()
+
+    def _receive(self) -> None:
+        while True:
+            try:
+                frame = self._socket.recv()
+            except pynng.Closed:
+                return
+            except pynng.NNGException as error:
+                _log.warning("receive failed", extra={"error": str(error)})
+                continue
+            self._deliver(frame)
+
+    def _deliver(self, frame: bytes) -> None:
+        try:
+            messages = decode(frame)
+        except FrameError as error:
+            _log.warning("frame dropped", extra={"error": str(error)})
+            return
+        for message in messages:
+            try:
+                self._handler(message)
+            except Exception:
+                _log.exception("message handler failed")
+
+
+class Outbox:
+    """Sends messages to one peer, in order, from a thread of its own.
+
+    ``put`` never blocks. The messages that wait while a frame is being sent leave
+    together in the next frame.
+    """
+
+    def __init__(self, address: str) -> None:
+        """Dial the peer in the background; it need not be up yet."""
+        self.address = address
+        self._socket: Any = self._dial()
+        self._waiting: list[Message] = []
+        self._changed = threading.Condition()
+        self._closing = threading.Event()
+        self._thread = threading.Thread(target=self._send, daemon=True, name="outbox")
+        self._thread.start()
+
+    def put(self, message: Message) -> None:
+        """Queue the message; raises ChannelError if the peer has fallen far behind."""
+        with self._changed:
+            if self._closing.is_set() or len(self._waiting) >= MAX_WAITING_MESSAGES:
+                raise ChannelError("peer does not read", step="send", peer=self.address)
+            self._waiting.append(message)
+            self._changed.notify()
+
+    def reconnect(self) -> None:
+        """Replace the connection, because the present one may be silent for good."""
+        old, self._socket = self._socket, self._dial()
+        old.close()
+
+    def close(self) -> None:
+        """Send what waits, as far as the peer takes it, and close."""
+        with self._changed:
+            self._closing.set()
+            self._changed.notify()
+        self._thread.join(timeout=SEND_TIMEOUT_MS / 1000)
+        self._socket.close()
+
+    def _dial(self) -> Any:
+        socket = pynng.Push0(
+            send_timeout=SEND_TIMEOUT_MS,
+            reconnect_time_min=50,
+            reconnect_time_max=1_000,
+        )
+        socket.dial(self.address, block=False)
+        return socket
+
+    def _send(self) -> None:
+        while True:
+            with self._changed:
+                while not self._waiting and not self._closing.is_set():
+                    self._changed.wait()
+                if not self._waiting:
+                    return
+                messages, self._waiting = self._waiting, []
+            self._send_frame(messages)
+            self._closing.wait(COALESCE_S)
+
+    def _send_frame(self, messages: list[Message]) -> None:
+        try:
+            self._socket.send(encode(messages))
+        except pynng.NNGException as error:
+            # Receivers ask again for what they miss, so a lost frame is only reported.
+            _log.warning(
+                "frame lost",
+                extra={
+                    "peer": self.address,
+                    "messages": len(messages),
+                    "error": str(error),
+                },
+            )
+
+
+class Outboxes:
+    """The outboxes of a process, one for each peer address, opened on first use."""
+
+    def __init__(self) -> None:
+        """Start with no peers."""
+        self._by_address: dict[str, Outbox] = {}
+        self._lock = threading.Lock()
+
+    def put(self, address: str, message: Message) -> None:
+        """Queue the message for the peer; raises ChannelError if it can't be taken."""
+        self._get(address).put(message)
+
+    def reconnect(self, address: str) -> None:
+        """Replace the connection to the peer."""
+        self._get(address).reconnect()
+
+    def drop(self, address: str) -> None:
+        """Close the outbox of a peer that is gone."""
+        with self._lock:
+            outbox = self._by_address.pop(address, None)
+        if outbox is not None:
+            outbox.close()
+
+    def close(self) -> None:
+        """Close all outboxes after sending what waits."""
+        with self._lock:
+            outboxes = list(self._by_address.values())
+            self._by_address.clear()
+        for outbox in outboxes:
+            outbox.close()
+
+    def _get(self, address: str) -> Outbox:
+        with self._lock:
+            outbox = self._by_address.get(address)
+            if outbox is None:
+                outbox = self._by_address[address] = Outbox(address)
+            return outbox
--- /dev/null
+++ b/lentiltally/wire/messages.py
@@ -0,0 +1,218 @@
+"""The messages between entries and agents.
+
+Every message about a request carries its attempt id, so that late, duplicated or
+crossed answers are never taken for those of another request.
+"""
+
+from __future__ import annotations
+
+import msgspec
+
+
+class Hello(msgspec.Struct, frozen=True, tag="hello", array_like=True):
+    """An entry introduces itself; the agent answers with its target states."""
+
+    entry: str
+    entry_incarnation: str
+    reply_address: str
+    failure_domain: str
+
+
+class TargetState(msgspec.Struct, frozen=True, tag="state", array_like=True):
+    """What an agent says of one of its targets.
+
+    ``sequence`` grows with each state of one agent incarnation, so that an entry can
+    drop a state that arrives late.
+    """
+
+    agent: str
+    agent_address: str
+    agent_incarnation: str
+    sequence: int
+    target: str
+    kind: str
+    base_model: str
+    failure_domain: str
+    status: str
+    reason: str
+    engine_incarnation: str
+    queued: int
+    running: int
+    batch_places: int
+    adapter_slots: int
+    resident: tuple[int, ...]
+    config_offset: int
+    recent_claims: int = 0
+
+
+class Execute(msgspec.Struct, frozen=True, tag="execute", array_like=True):
+    """An entry hands one attempt to the agent of a target.
+
+    ``agent_incarnation`` names the agent run for which the attempt is meant; any other
+    run refuses it. ``deadline_left_s`` is relative, because hosts' clocks differ.
+    """
+
+    attempt_id: str
+    reply_address: str
+    agent_incarnation: str
+    target: str
+    team: str
+    adapter: str
+    version: str
+    source: str
+    method: str
+    path: str
+    content_type: str
+    body: bytes
+    stream: bool
+    priority: int
+    idempotent: bool
+    claim_id: str
+    fingerprint: str
+    deadline_left_s: float
+    config_offset: int
+    prefix_hash: int = 0
+    is_suspect: bool = False
+
+
+class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
+    """Stop an attempt; if it has not run, refuse it for good."""
+
+    attempt_id: str
+    reply_address: str
+    reason: str
+
+
+class Resume(msgspec.Struct, frozen=True, tag="resume", array_like=True):
+    """Send the answer of an attempt again, from the event with the given index."""
+
+    attempt_id: str
+    reply_address: str
+    next_index: int
+
+
+class Release(msgspec.Struct, frozen=True, tag="release", array_like=True):
+    """The answer was received whole; the agent may forget it."""
+
+    attempt_id: str
+
+
+class ClaimQuery(msgspec.Struct, frozen=True, tag="claim-query", array_like=True):
+    """Ask the agent to which a claim is bound what became of it.
+
+    An agent that has never seen the claim refuses it for good before it answers.
+    """
+
+    query_id: str
+    reply_address: str
+    claim_id: str
+
+
+class AnswerHead(msgspec.Struct, frozen=True, tag="head", array_like=True):
+    """The start of a streamed answer."""
+
+    attempt_id: str
+    status: int
+    content_type: str
+
+
+class AnswerEvents(msgspec.Struct, frozen=True, tag="events", array_like=True):
+    """Server-sent events of a streamed answer, in their encoded form.
+
+    ``first_index`` is the index of the first event, counted from 0; ``count`` is how
+    many events ``data`` holds.
+    """
+
+    attempt_id: str
+    first_index: int
+    count: int
+    data: bytes
+
+
+class AnswerEnd(msgspec.Struct, frozen=True, tag="end", array_like=True):
+    """The end of a streamed answer, which had ``total`` events."""
+
+    attempt_id: str
+    total: int
+    queued: int
+    running: int
+
+
+class AnswerWhole(msgspec.Struct, frozen=True, tag="whole", array_like=True):
+    """An answer in one piece."""
+
+    attempt_id: str
+    status: int
+    content_type: str
+    body: bytes
+    queued: int
+    running: int
+
+
+class Refused(msgspec.Struct, frozen=True, tag="refused", array_like=True):
+    """The attempt has no answer.
+
+    ``executed`` is ``no`` only if the attempt has not run and never will.
+    """
+
+    attempt_id: str
+    executed: str
+    reason: str
+    step: str
+    peer: str
+    retry_after_s: float
+    queued: int = 0
+    running: int = 0
+
+
+class Progress(msgspec.Struct, frozen=True, tag="progress", array_like=True):
+    """Attempts that are alive at the agent, and the index of each one's next event."""
+
+    agent: str
+    agent_incarnation: str
+    attempts: dict[str, int]
+
+
+class ClaimAnswer(msgspec.Struct, frozen=True, tag="claim-answer", array_like=True):
+    """What became of a claim: ``running``, ``finished``, ``refused`` or ``unknown``."""
+
+    query_id: str
+    state: str
+    status: int
+    content_type: str
+    body: bytes
+
+
+class ConfigFetch(msgspec.Struct, frozen=True, tag="config-fetch", array_like=True):
+    """Ask a peer for its configuration while the log can't be read."""
+
+    reply_address: str
+
+
+class ConfigSnapshot(
+    msgspec.Struct, frozen=True, tag="config-snapshot", array_like=True
+):
+    """A peer's configuration: the offset it stands at and the encoded tree."""
+
+    offset: int
+    tree: bytes
+
+
+Message = (
+    Hello
+    | TargetState
+    | Execute
+    | Cancel
+    | Resume
+    | Release
+    | ClaimQuery
+    | AnswerHead
+    | AnswerEvents
+    | AnswerEnd
+    | AnswerWhole
+    | Refused
+    | Progress
+    | ClaimAnswer
+    | ConfigFetch
+    | ConfigSnapshot
+)
--- /dev/null
+++ b/tools/__init__.py
@@ -0,0 +1,1 @@
+"""Development tools: test runner, demo, binary builder."""
