Add stand-ins for the log service and the host list

Contributors need the platform's log and host list on loopback before any process can be started; neither exists outside a deployment.

--- /dev/null
+++ b/standins/host_list.py
@@ -0,0 +1,74 @@
+"""Stand-in for the platform's list of live and leaving hosts."""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+from collections.abc import Sequence
+
+import msgspec
+
+from lentiltally.clock import Clock, SystemClock
+from standins._http import Request, Response, StandIn, error_response, json_response
+
+
+class Host(msgspec.Struct, frozen=True):
+    """One host of the list; ``status`` is ``live`` or ``leaving``."""
+
+    host: str
+    address: str
+    role: str
+    region: str
+    failure_domain: str
+    status: str = "live"
+
+
+class HostListCore:
+    """A list that readers see ``lag_s`` late; safe to use from several threads."""
+
+    def __init__(self, hosts: Sequence[Host], lag_s: float, clock: Clock) -> None:
+        """Start with hosts that are visible at once."""
+        self._lag_s = lag_s
+        self._clock = clock
+        self._lock = threading.Lock()
+        self._versions = deque([(float("-inf"), tuple(hosts))])
+
+    def put(self, hosts: Sequence[Host]) -> None:
+        """Replace the list; readers see it after the lag."""
+        with self._lock:
+            self._versions.append((self._clock.monotonic_s(), tuple(hosts)))
+
+    def visible(self) -> tuple[Host, ...]:
+        """Return the list as it was ``lag_s`` ago."""
+        limit_s = self._clock.monotonic_s() - self._lag_s
+        with self._lock:
+            while len(self._versions) > 1 and self._versions[1][0] <= limit_s:
+                self._versions.popleft()
+            return self._versions[0][1]
+
+
+class HostListStandIn(StandIn):
+    """Serves a HostListCore; ``PUT /hosts`` is for the test equipment."""
+
+    def __init__(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        *,
+        hosts: Sequence[Host] = (),
+        lag_s: float = 1.0,
+        clock: Clock | None = None,
+        threads: int = 16,
+    ) -> None:
+        """Create a list with the given hosts."""
+        super().__init__(host, port, threads)
+        self.core = HostListCore(hosts, lag_s, clock or SystemClock())
+
+    def handle(self, request: Request) -> Response:
+        """Answer GET and PUT of ``/hosts``."""
+        if request.path != "/hosts":
+            return error_response(404, "unknown path")
+        if request.method == "PUT":
+            self.core.put(msgspec.json.decode(request.body, type=list[Host]))
+            return json_response({})
+        return json_response(self.core.visible())
--- /dev/null
+++ b/standins/log_core.py
@@ -0,0 +1,164 @@
+"""The log service without its HTTP layer: streams, offsets and retention."""
+
+from __future__ import annotations
+
+import threading
+from collections import deque
+from datetime import datetime
+
+import msgspec
+
+from lentiltally.clock import Clock
+from standins._rates import TokenBucket
+
+
+class LogSettings(msgspec.Struct, frozen=True):
+    """What the log keeps and takes.
+
+    ``max_records`` and ``max_age_s`` limit what each stream retains; 0 is no limit.
+    ``appends_per_s`` counts append requests over all streams, with a burst of the
+    appends of one second; 0 is no limit.
+    """
+
+    max_records: int = 0
+    max_age_s: float = 0.0
+    appends_per_s: float = 500.0
+
+
+class StoredRecord(msgspec.Struct, frozen=True):
+    """One record as readers see it; ``time_ms`` is the log's own wall time."""
+
+    offset: int
+    time_ms: int
+    value: msgspec.Raw
+
+
+class RateExceededError(Exception):
+    """An append was refused; nothing was written."""
+
+    def __init__(self, retry_after_s: float) -> None:
+        """Say after which time an append can succeed."""
+        super().__init__("append rate exceeded")
+        self.retry_after_s = retry_after_s
+
+
+class TruncatedError(Exception):
+    """The offset is below the first one that the stream retains."""
+
+    def __init__(self, first_offset: int) -> None:
+        """Name the first retained offset."""
+        super().__init__("offset is below the first retained one")
+        self.first_offset = first_offset
+
+
+class _Stream:
+    def __init__(self) -> None:
+        self.first_offset = 0
+        self.records: deque[StoredRecord] = deque()
+
+    @property
+    def next_offset(self) -> int:
+        return self.first_offset + len(self.records)
+
+    def drop_oldest(self) -> None:
+        self.records.popleft()
+        self.first_offset += 1
+
+
+class LogCore:
+    """Streams in memory; safe to use from several threads."""
+
+    def __init__(self, settings: LogSettings, clock: Clock) -> None:
+        """Start without streams; a stream begins with its first append."""
+        self._settings = settings
+        self._clock = clock
+        self._streams: dict[str, _Stream] = {}
+        self._changed = threading.Condition()
+        self._bucket = TokenBucket(settings.appends_per_s, settings.appends_per_s)
+        self._interruptions = 0
+        self.appends: dict[str, int] = {}
+
+    def append(self, name: str, values: list[msgspec.Raw]) -> tuple[int, int]:
+        """Write the values together; return the first and the next offset.
+
+        Raises RateExceededError.
+        """
+        with self._changed:
+            wait_s = self._bucket.take(self._clock.monotonic_s())
+            if wait_s > 0:
+                raise RateExceededError(wait_s)
+            stream = self._streams.setdefault(name, _Stream())
+            first = stream.next_offset
+            time_ms = _milliseconds(self._clock.now())
+            for index, value in enumerate(values):
+                record = StoredRecord(first + index, time_ms, value.copy())
+                stream.records.append(record)
+            self.appends[name] = self.appends.get(name, 0) + 1
+            self._retain(stream)
+            self._changed.notify_all()
+            return first, stream.next_offset
+
+    def read(
+        self, name: str, offset: int, limit: int, wait_s: float
+    ) -> tuple[list[StoredRecord], int]:
+        """Return the records from the offset on, and the first retained offset.
+
+        Waits up to ``wait_s`` for the first record. Raises TruncatedError.
+        """
+        with self._changed:
+            asked_at = self._interruptions
+            self._changed.wait_for(
+                lambda: self._end(name) > offset or self._interruptions != asked_at,
+                wait_s,
+            )
+            stream = self._streams.get(name) or _Stream()
+            self._retain(stream)
+            if offset < stream.first_offset:
+                raise TruncatedError(stream.first_offset)
+            start = offset - stream.first_offset
+            stop = min(start + limit, len(stream.records))
+            records = [stream.records[index] for index in range(start, stop)]
+            return records, stream.first_offset
+
+    def bounds(self, name: str) -> tuple[int, int]:
+        """Return the first retained and the next offset of a stream."""
+        with self._changed:
+            stream = self._streams.get(name) or _Stream()
+            self._retain(stream)
+            return stream.first_offset, stream.next_offset
+
+    def interrupt(self) -> None:
+        """Let all waiting reads return at once."""
+        with self._changed:
+            self._interruptions += 1
+            self._changed.notify_all()
+
+    def summary(self) -> dict[str, dict[str, int]]:
+        """Return the bounds and the number of append requests of each stream."""
+        with self._changed:
+            return {
+                name: {
+                    "first_offset": stream.first_offset,
+                    "next_offset": stream.next_offset,
+                    "appends": self.appends[name],
+                }
+                for name, stream in self._streams.items()
+            }
+
+    def _end(self, name: str) -> int:
+        stream = self._streams.get(name)
+        return stream.next_offset if stream else 0
+
+    def _retain(self, stream: _Stream) -> None:
+        settings = self._settings
+        if settings.max_records:
+            while len(stream.records) > settings.max_records:
+                stream.drop_oldest()
+        if settings.max_age_s:
+            oldest_ms = _milliseconds(self._clock.now()) - settings.max_age_s * 1000
+            while stream.records and stream.records[0].time_ms < oldest_ms:
+                stream.drop_oldest()
+
+
+def _milliseconds(moment: datetime) -> int:
+    return int(moment.timestamp() * 1000)
--- /dev/null
+++ b/standins/log_service.py
@@ -0,0 +1,82 @@
+"""Stand-in for the platform's append-only log, over HTTP."""
+
+from __future__ import annotations
+
+import msgspec
+
+from lentiltally.clock import Clock, SystemClock
+from standins._http import (
+    Request,
+    Response,
+    StandIn,
+    error_response,
+    json_response,
+)
+from standins.log_core import LogCore, LogSettings, RateExceededError, TruncatedError
+
+_MAX_WAIT_MS = 30_000
+_MAX_LIMIT = 10_000
+
+
+class LogStandIn(StandIn):
+    """Serves a LogCore; its records survive every fault, as a durable log's do."""
+
+    def __init__(
+        self,
+        host: str = "127.0.0.1",
+        port: int = 0,
+        *,
+        settings: LogSettings | None = None,
+        clock: Clock | None = None,
+        threads: int = 96,
+    ) -> None:
+        """Create an empty log; every waiting read occupies one thread."""
+        super().__init__(host, port, threads)
+        self.core = LogCore(settings or LogSettings(), clock or SystemClock())
+
+    def handle(self, request: Request) -> Response:
+        """Answer the paths of section 10 of the design page."""
+        parts = request.path.split("/")
+        if len(parts) < 3 or parts[1] != "streams":
+            return error_response(404, "unknown path")
+        name = parts[2]
+        if len(parts) == 3:
+            first, following = self.core.bounds(name)
+            return json_response({"first_offset": first, "next_offset": following})
+        if request.method == "POST":
+            return self._append(name, request.body)
+        return self._read(name, request)
+
+    def journal(self) -> object:
+        """Return the bounds and append counts of all streams."""
+        return self.core.summary()
+
+    def wake(self) -> None:
+        """End all waiting reads."""
+        self.core.interrupt()
+
+    def _append(self, name: str, body: bytes) -> Response:
+        values = msgspec.json.decode(body, type=list[msgspec.Raw])
+        try:
+            first, following = self.core.append(name, values)
+        except RateExceededError as error:
+            response = error_response(429, str(error))
+            response.headers = [("Retry-After", f"{error.retry_after_s:.3f}")]
+            return response
+        return json_response({"first_offset": first, "next_offset": following})
+
+    def _read(self, name: str, request: Request) -> Response:
+        offset = request.number("offset", 0)
+        limit = min(request.number("limit", 1000), _MAX_LIMIT)
+        wait_ms = min(request.number("wait_ms", 0), _MAX_WAIT_MS)
+        try:
+            records, first = self.core.read(name, offset, limit, wait_ms / 1000)
+        except TruncatedError as error:
+            return error_response(410, str(error), first_offset=error.first_offset)
+        return json_response(
+            {
+                "records": records,
+                "first_offset": first,
+                "next_offset": offset + len(records),
+            }
+        )
