--- /dev/null
+++ b/lentiltally/decisions/attempts.py
@@ -0,0 +1,319 @@
+"""The agent's table of attempts: running, finished and refused for good.
+
+A refusal must stay true when a delayed copy of the attempt arrives later, and an
+attempt that ran must not run again. Closed attempts are therefore remembered until
+they are dropped in sequence order; everything at or below the dropped mark of an
+entry incarnation is refused.
+"""
+
+from __future__ import annotations
+
+import enum
+import heapq
+from collections import OrderedDict, deque
+from dataclasses import dataclass, field
+
+from lentiltally.ids import split_attempt_id
+
+# 16,384 closed attempts of about 200 bytes are 3 MB, and cover more than a minute at
+# 250 attempts/s on one agent.
+MAX_CLOSED = 16_384
+MAX_ANSWER_BYTES = 64 * 1024 * 1024
+# An incarnation costs about 400 bytes. At 185 entry restarts a day in a region,
+# 4,096 cover three weeks, longer than any message can be delayed.
+MAX_INCARNATIONS = 4_096
+
+
+class AttemptState(enum.Enum):
+    """What has become of an attempt at this agent."""
+
+    QUEUED = "queued"
+    RUNNING = "running"
+    FINISHED = "finished"
+    RELEASED = "released"
+    REFUSED = "refused"
+
+
+class RefusalReason(enum.Enum):
+    """Why an offered attempt is refused for good."""
+
+    TOMBSTONE = "refused before"
+    OTHER_INCARNATION = "meant for another agent incarnation"
+    BELOW_MARK = "older than the remembered attempts"
+    MALFORMED = "not an attempt id"
+
+
+@dataclass(frozen=True, slots=True)
+class Run:
+    """The attempt is new; queue it."""
+
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class AlreadyKnown:
+    """The attempt was accepted before; ``answer`` is set while it is kept."""
+
+    attempt_id: str
+    state: AttemptState
+    answer: object | None
+
+
+@dataclass(frozen=True, slots=True)
+class RefusedForGood:
+    """The attempt will never run from now on.
+
+    ``may_have_run`` is True where an earlier copy may have run and been forgotten; the
+    refusal must then say ``executed: "unknown"``.
+    """
+
+    attempt_id: str
+    reason: RefusalReason
+    may_have_run: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Refused:
+    """The attempt has not run and never will. ``was_queued`` asks to unqueue it."""
+
+    attempt_id: str
+    was_queued: bool
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """The attempt is running; it can be stopped but not declared as not run."""
+
+    attempt_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class MayHaveRun:
+    """The attempt has run or may have run; ``answer`` is set while it is kept."""
+
+    attempt_id: str
+    answer: object | None
+
+
+OfferResult = Run | AlreadyKnown | RefusedForGood
+RefuseResult = Refused | Running | MayHaveRun
+
+
+@dataclass(slots=True)
+class _Record:
+    state: AttemptState
+    answer: object | None = None
+    size_bytes: int = 0
+
+
+@dataclass(slots=True)
+class _EntryAttempts:
+    """The attempts of one entry incarnation.
+
+    ``low_mark`` is the highest dropped sequence number and ``ran_mark`` the highest
+    dropped one that had run.
+    """
+
+    records: dict[int, _Record] = field(default_factory=dict)
+    closed: list[int] = field(default_factory=list)
+    low_mark: int = 0
+    ran_mark: int = 0
+
+
+class AttemptTable:
+    """All attempts of one agent incarnation."""
+
+    def __init__(
+        self,
+        agent_incarnation: str,
+        *,
+        max_closed: int = MAX_CLOSED,
+        max_answer_bytes: int = MAX_ANSWER_BYTES,
+        max_incarnations: int = MAX_INCARNATIONS,
+    ) -> None:
+        """Start without attempts; the bounds are counts and bytes."""
+        self._agent_incarnation = agent_incarnation
+        self._max_closed = max_closed
+        self._max_answer_bytes = max_answer_bytes
+        self._max_incarnations = max_incarnations
+        self._entries: OrderedDict[str, _EntryAttempts] = OrderedDict()
+        self._closed_order: deque[str] = deque()
+        self._answers: OrderedDict[str, int] = OrderedDict()
+        self._answer_bytes = 0
+
+    def offer(
+        self, attempt_id: str, agent_incarnation_named: str, now_s: float
+    ) -> OfferResult:
+        """Decide about an attempt that an entry hands over.
+
+        A new attempt is recorded as queued. ``now_s`` is accepted for symmetry with
+        other decision code; the table needs no time.
+        """
+        del now_s
+        try:
+            incarnation, sequence = split_attempt_id(attempt_id)
+        except ValueError:
+            return RefusedForGood(attempt_id, RefusalReason.MALFORMED, False)
+        if agent_incarnation_named != self._agent_incarnation:
+            # An attempt meant for an earlier run may have run there.
+            return RefusedForGood(attempt_id, RefusalReason.OTHER_INCARNATION, True)
+        entry = self._entry(incarnation)
+        record = entry.records.get(sequence)
+        if record is None:
+            return self._offer_new(entry, sequence, attempt_id)
+        if record.state is AttemptState.REFUSED:
+            return RefusedForGood(attempt_id, RefusalReason.TOMBSTONE, False)
+        return AlreadyKnown(attempt_id, record.state, record.answer)
+
+    def refuse(self, attempt_id: str) -> RefuseResult:
+        """Refuse an attempt for good if it has not been started.
+
+        An attempt that was never seen gets a tombstone, so that a delayed copy is
+        refused too. Raises ValueError if the text is not an attempt id.
+        """
+        incarnation, sequence = split_attempt_id(attempt_id)
+        entry = self._entry(incarnation)
+        record = entry.records.get(sequence)
+        if record is None:
+            if sequence <= entry.ran_mark:
+                return MayHaveRun(attempt_id, None)
+            if sequence > entry.low_mark:
+                entry.records[sequence] = _Record(AttemptState.QUEUED)
+                self._close(incarnation, entry, sequence, AttemptState.REFUSED)
+            return Refused(attempt_id, was_queued=False)
+        if record.state is AttemptState.QUEUED:
+            self._close(incarnation, entry, sequence, AttemptState.REFUSED)
+            return Refused(attempt_id, was_queued=True)
+        if record.state is AttemptState.REFUSED:
+            return Refused(attempt_id, was_queued=False)
+        if record.state is AttemptState.RUNNING:
+            return Running(attempt_id)
+        return MayHaveRun(attempt_id, record.answer)
+
+    def started(self, attempt_id: str) -> bool:
+        """Mark a queued attempt as running; False means that it must not run."""
+        record = self._record(attempt_id)
+        if record is None or record.state is not AttemptState.QUEUED:
+            return False
+        record.state = AttemptState.RUNNING
+        return True
+
+    def returned(self, attempt_id: str) -> bool:
+        """Take a started attempt back that reached no engine, and refuse it for good.
+
+        Only for work of which not one byte was sent. False if it was not running.
+        """
+        record = self._record(attempt_id)
+        if record is None or record.state is not AttemptState.RUNNING:
+            return False
+        incarnation, sequence = split_attempt_id(attempt_id)
+        entry = self._entry(incarnation)
+        self._close(incarnation, entry, sequence, AttemptState.REFUSED)
+        return True
+
+    def finished(self, attempt_id: str, answer: object, size_bytes: int) -> None:
+        """Keep the answer of a running attempt until release or the bound of bytes."""
+        record = self._record(attempt_id)
+        if record is None or record.state is not AttemptState.RUNNING:
+            return
+        incarnation, sequence = split_attempt_id(attempt_id)
+        record.answer = answer
+        record.size_bytes = size_bytes
+        self._answers[attempt_id] = size_bytes
+        self._answer_bytes += size_bytes
+        self._close(
+            incarnation, self._entries[incarnation], sequence, AttemptState.FINISHED
+        )
+        while self._answer_bytes > self._max_answer_bytes:
+            self._forget_answer(next(iter(self._answers)))
+
+    def released(self, attempt_id: str) -> None:
+        """Forget a finished answer that was received whole; remember that it ran."""
+        record = self._record(attempt_id)
+        if record is None or record.state is not AttemptState.FINISHED:
+            return
+        self._forget_answer(attempt_id)
+        record.state = AttemptState.RELEASED
+
+    def state(self, attempt_id: str) -> AttemptState | None:
+        """Return the state of an attempt, or None if it is not remembered."""
+        record = self._record(attempt_id)
+        return None if record is None else record.state
+
+    def answer(self, attempt_id: str) -> object | None:
+        """Return the kept answer of a finished attempt."""
+        record = self._record(attempt_id)
+        return None if record is None else record.answer
+
+    @property
+    def answer_bytes(self) -> int:
+        """Return the bytes of all kept answers."""
+        return self._answer_bytes
+
+    def __len__(self) -> int:
+        """Return the number of remembered attempts."""
+        return sum(len(entry.records) for entry in self._entries.values())
+
+    def _offer_new(
+        self, entry: _EntryAttempts, sequence: int, attempt_id: str
+    ) -> OfferResult:
+        if sequence <= entry.low_mark:
+            return RefusedForGood(
+                attempt_id, RefusalReason.BELOW_MARK, sequence <= entry.ran_mark
+            )
+        entry.records[sequence] = _Record(AttemptState.QUEUED)
+        return Run(attempt_id)
+
+    def _record(self, attempt_id: str) -> _Record | None:
+        incarnation, sequence = split_attempt_id(attempt_id)
+        entry = self._entries.get(incarnation)
+        return None if entry is None else entry.records.get(sequence)
+
+    def _entry(self, incarnation: str) -> _EntryAttempts:
+        entry = self._entries.get(incarnation)
+        if entry is None:
+            entry = self._entries[incarnation] = _EntryAttempts()
+            self._drop_incarnation()
+        self._entries.move_to_end(incarnation)
+        return entry
+
+    def _drop_incarnation(self) -> None:
+        if len(self._entries) <= self._max_incarnations:
+            return
+        newest = next(reversed(self._entries))
+        for incarnation, entry in self._entries.items():
+            if not entry.records and incarnation != newest:
+                del self._entries[incarnation]
+                return
+
+    def _close(
+        self,
+        incarnation: str,
+        entry: _EntryAttempts,
+        sequence: int,
+        state: AttemptState,
+    ) -> None:
+        entry.records[sequence].state = state
+        heapq.heappush(entry.closed, sequence)
+        self._closed_order.append(incarnation)
+        while len(self._closed_order) > self._max_closed:
+            self._drop_lowest(self._closed_order.popleft())
+
+    def _drop_lowest(self, incarnation: str) -> None:
+        entry = self._entries[incarnation]
+        sequence = heapq.heappop(entry.closed)
+        record = entry.records[sequence]
+        self._forget_answer(f"{incarnation}-{sequence}")
+        del entry.records[sequence]
+        entry.low_mark = max(entry.low_mark, sequence)
+        if record.state is not AttemptState.REFUSED:
+            entry.ran_mark = max(entry.ran_mark, sequence)
+
+    def _forget_answer(self, attempt_id: str) -> None:
+        size_bytes = self._answers.pop(attempt_id, None)
+        if size_bytes is None:
+            return
+        self._answer_bytes -= size_bytes
+        record = self._record(attempt_id)
+        if record is not None:
+            record.answer = None
