--- /dev/null
+++ b/lentiltally/agent/kept_answers.py
@@ -0,0 +1,67 @@
+"""Answers that the agent keeps until the entry says that it has them whole."""
+
+from __future__ import annotations
+
+import threading
+
+import msgspec
+
+from lentiltally.wire import (
+    AnswerEnd,
+    AnswerEvents,
+    AnswerHead,
+    AnswerWhole,
+    Message,
+    Refused,
+)
+
+AnswerMessage = AnswerHead | AnswerEvents | AnswerEnd | AnswerWhole | Refused
+
+
+class KeptAnswer:
+    """The messages of one attempt's answer, kept so that they can be sent again."""
+
+    def __init__(self, reply_address: str) -> None:
+        """Start empty; ``reply_address`` is the entry that asked."""
+        self.reply_address = reply_address
+        self.next_index = 0
+        self.size_bytes = 0
+        self.is_finished = False
+        self._messages: list[AnswerMessage] = []
+        self._lock = threading.Lock()
+
+    def add(self, message: AnswerMessage) -> None:
+        """Keep a message that is about to be sent."""
+        with self._lock:
+            self._messages.append(message)
+            if isinstance(message, AnswerEvents):
+                self.next_index = message.first_index + message.count
+                self.size_bytes += len(message.data)
+            elif isinstance(message, AnswerWhole):
+                self.size_bytes += len(message.body)
+            if isinstance(message, (AnswerEnd, AnswerWhole, Refused)):
+                self.is_finished = True
+
+    def since(self, next_index: int) -> list[Message]:
+        """Return what a receiver lacks that has all events below ``next_index``."""
+        with self._lock:
+            return [
+                message
+                for message in self._messages
+                if not isinstance(message, AnswerEvents)
+                or message.first_index + message.count > next_index
+            ]
+
+    def whole(self) -> AnswerWhole | None:
+        """Return the answer if it was given in one piece."""
+        with self._lock:
+            last = self._messages[-1] if self._messages else None
+        return last if isinstance(last, AnswerWhole) else None
+
+    def for_attempt(self, attempt_id: str) -> list[Message]:
+        """Return all messages under another attempt id, for a caller that joins."""
+        with self._lock:
+            return [
+                msgspec.structs.replace(message, attempt_id=attempt_id)
+                for message in self._messages
+            ]
--- /dev/null
+++ b/lentiltally/agent/service_client.py
@@ -0,0 +1,53 @@
+"""The agent's client of a plain service."""
+
+from __future__ import annotations
+
+import msgspec
+import urllib3
+
+from lentiltally.agent._http import new_pool, target_error
+
+CONNECT_TIMEOUT_S = 1.0
+
+
+class ServiceAnswer(msgspec.Struct, frozen=True):
+    """A service's whole answer."""
+
+    status: int
+    content_type: str
+    body: bytes
+
+
+class ServiceClient:
+    """Speaks to one plain service; safe to use from several threads."""
+
+    def __init__(self, url: str, name: str, connections: int, timeout_s: float) -> None:
+        """Open no connection yet; ``name`` is the target's name, used in errors."""
+        self._url = url.rstrip("/")
+        self._name = name
+        self._pool = new_pool(connections)
+        self._timeout = urllib3.Timeout(connect=CONNECT_TIMEOUT_S, read=timeout_s)
+
+    def call(
+        self, method: str, path: str, content_type: str, body: bytes, request_id: str
+    ) -> ServiceAnswer:
+        """Make one call; raises TargetError."""
+        headers = {"X-Request-Id": request_id}
+        if content_type:
+            headers["Content-Type"] = content_type
+        try:
+            response = self._pool.request(
+                method,
+                self._url + path,
+                body=body or None,
+                headers=headers,
+                timeout=self._timeout,
+                redirect=False,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise target_error(error, "call", self._name) from error
+        return ServiceAnswer(
+            response.status,
+            response.headers.get("Content-Type", "application/octet-stream"),
+            response.data,
+        )
--- /dev/null
+++ b/lentiltally/pipeline/refusals.py
@@ -0,0 +1,53 @@
+"""Filter 1: turns refusals and unexpected errors into problem documents."""
+
+from __future__ import annotations
+
+import logging
+import math
+
+from lentiltally.pipeline.exchange import Answer, Exchange, Handler
+from lentiltally.problems import CONTENT_TYPE, Refusal, problem_body
+
+_log = logging.getLogger(__name__)
+
+
+class RefusalFilter:
+    """Answers with a problem document whatever a later filter refuses."""
+
+    def __call__(self, exchange: Exchange, following: Handler) -> Answer:
+        """Pass the exchange on and convert what it raises."""
+        try:
+            return following(exchange)
+        except Refusal as refusal:
+            return refusal_answer(refusal, exchange.request_id)
+        except Exception:
+            # The request may have reached a target before the error.
+            _log.exception("request failed", extra={"request": exchange.request_id})
+            internal = Refusal(
+                500,
+                "internal",
+                "the request failed inside lentiltally",
+                step="pipeline",
+                executed="unknown",
+            )
+            return refusal_answer(internal, exchange.request_id)
+
+
+def refusal_answer(refusal: Refusal, request_id: str) -> Answer:
+    """Return the answer for a refusal and log it."""
+    _log.info(
+        "refused",
+        extra={
+            "request": request_id,
+            "reason": refusal.reason,
+            "executed": refusal.executed,
+            "step": refusal.step,
+            "peer": refusal.peer,
+            "detail": refusal.message,
+        },
+    )
+    headers: list[tuple[str, str]] = [("Content-Type", CONTENT_TYPE)]
+    if refusal.retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, math.ceil(refusal.retry_after_s)))))
+    headers.extend(refusal.headers)
+    return Answer(refusal.status, tuple(headers), problem_body(refusal, request_id))
--- /dev/null
+++ b/lentiltally/problems.py
@@ -0,0 +1,89 @@
+"""Refusals and their RFC 9457 problem documents."""
+
+from __future__ import annotations
+
+from typing import Literal
+
+import msgspec
+
+from lentiltally.errors import LentiltallyError
+
+Executed = Literal["no", "unknown"]
+CONTENT_TYPE = "application/problem+json"
+TYPE_PREFIX = "urn:lentiltally:problem:"
+
+TITLES = {
+    400: "Bad request",
+    401: "Not authorised",
+    403: "Forbidden",
+    404: "Not found",
+    405: "Method not allowed",
+    409: "Conflict",
+    411: "Length required",
+    412: "Precondition failed",
+    413: "Body too large",
+    415: "Unsupported media type",
+    422: "Key used with another body",
+    429: "Over the limit",
+    500: "Internal error",
+    502: "Target failed",
+    503: "Not available",
+    504: "Deadline passed",
+}
+
+
+class Refusal(LentiltallyError):  # noqa: N818 - an answer, not a defect
+    """A request that gets a problem document as its answer.
+
+    ``executed`` is ``no`` only if the request has not run on any target and never
+    will. ``retry_after_s`` is set where sending the request again can help.
+    """
+
+    def __init__(
+        self,
+        status: int,
+        reason: str,
+        detail: str,
+        *,
+        step: str,
+        executed: Executed = "no",
+        peer: str = "",
+        retry_after_s: float | None = None,
+        headers: tuple[tuple[str, str], ...] = (),
+    ) -> None:
+        """Keep what the problem document needs; ``reason`` is a short stable name."""
+        super().__init__(detail, step=step, peer=peer)
+        self.status = status
+        self.reason = reason
+        self.executed = executed
+        self.retry_after_s = retry_after_s
+        self.headers = headers
+
+
+class ProblemDocument(msgspec.Struct, frozen=True, omit_defaults=True):
+    """The body of a refusal, as RFC 9457 describes it."""
+
+    type: str
+    title: str
+    status: int
+    detail: str
+    executed: Executed
+    step: str
+    peer: str = ""
+    instance: str = ""
+
+
+def problem_body(refusal: Refusal, instance: str = "") -> bytes:
+    """Return the encoded problem document; ``instance`` names the request."""
+    return msgspec.json.encode(
+        ProblemDocument(
+            type=TYPE_PREFIX + refusal.reason,
+            title=TITLES.get(refusal.status, "Refused"),
+            status=refusal.status,
+            detail=refusal.message,
+            executed=refusal.executed,
+            step=refusal.step,
+            peer=refusal.peer,
+            instance=instance,
+        )
+    )
