--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -9,45 +9,103 @@
 import signal
 import sys
 import threading
+from collections.abc import Callable
 from pathlib import Path
+from typing import Any
 
 import msgspec
 
 from standins._http import StandIn, serve_until
+from standins.engine import EngineStandIn
+from standins.engine_state import EngineSettings
 from standins.host_list import Host, HostListStandIn
 from standins.log_core import LogSettings
 from standins.log_service import LogStandIn
+from standins.plain_service import PlainServiceStandIn
+from standins.weight_store import WeightStoreSettings, WeightStoreStandIn
+
+Build = Callable[[argparse.Namespace], StandIn]
+
+
+def _engine(options: argparse.Namespace) -> StandIn:
+    settings = _settings(EngineSettings, options)
+    return EngineStandIn(
+        options.host, options.port, settings=settings, threads=options.threads
+    )
+
+
+def _service(options: argparse.Namespace) -> StandIn:
+    return PlainServiceStandIn(
+        options.host,
+        options.port,
+        service_s=options.service_s,
+        threads=options.threads,
+    )
+
+
+def _weights(options: argparse.Namespace) -> StandIn:
+    settings = _settings(WeightStoreSettings, options)
+    return WeightStoreStandIn(
+        options.host, options.port, settings=settings, threads=options.threads
+    )
 
 
 def _log(options: argparse.Namespace) -> StandIn:
-    settings = LogSettings(
-        options.max_records, options.max_age_s, options.appends_per_s
+    settings = _settings(LogSettings, options)
+    return LogStandIn(
+        options.host, options.port, settings=settings, threads=options.threads
     )
-    return LogStandIn(options.host, options.port, settings=settings)
 
 
 def _hosts(options: argparse.Namespace) -> StandIn:
     hosts: list[Host] = []
     if options.hosts is not None:
         hosts = msgspec.json.decode(options.hosts.read_bytes(), type=list[Host])
-    return HostListStandIn(options.host, options.port, hosts=hosts, lag_s=options.lag_s)
+    return HostListStandIn(
+        options.host,
+        options.port,
+        hosts=hosts,
+        lag_s=options.lag_s,
+        threads=options.threads,
+    )
+
+
+def _settings(kind: type[Any], options: argparse.Namespace) -> Any:
+    """Build a settings struct from the options of the same names."""
+    names = {field.name for field in msgspec.structs.fields(kind)}
+    return kind(**{k: v for k, v in vars(options).items() if k in names})
+
+
+def _add_settings(parser: argparse.ArgumentParser, kind: type[Any]) -> None:
+    """Add one option for each field of a settings struct, with its default."""
+    for field in msgspec.structs.fields(kind):
+        name = "--" + field.name.replace("_", "-")
+        if field.type is bool:
+            parser.add_argument(name, action="store_true")
+        else:
+            parser.add_argument(name, type=field.type, default=field.default)
 
 
 def _parser() -> argparse.ArgumentParser:
     parser = argparse.ArgumentParser(prog="python -m standins")
     kinds = parser.add_subparsers(dest="kind", required=True)
-    log = kinds.add_parser("log", help="append-only log service")
-    log.add_argument("--max-records", type=int, default=0)
-    log.add_argument("--max-age-s", type=float, default=0.0)
-    log.add_argument("--appends-per-s", type=float, default=500.0)
-    log.set_defaults(build=_log)
-    hosts = kinds.add_parser("hosts", help="host list")
-    hosts.add_argument("--hosts", type=Path, help="JSON file with the first list")
-    hosts.add_argument("--lag-s", type=float, default=1.0)
-    hosts.set_defaults(build=_hosts)
-    for kind in (log, hosts):
+
+    def add(name: str, text: str, build: Build, threads: int) -> Any:
+        kind = kinds.add_parser(name, help=text)
         kind.add_argument("--host", default="127.0.0.1")
         kind.add_argument("--port", type=int, default=0)
+        kind.add_argument("--threads", type=int, default=threads)
+        kind.set_defaults(build=build)
+        return kind
+
+    _add_settings(add("engine", "model engine", _engine, 64), EngineSettings)
+    _add_settings(add("weights", "weight store", _weights, 64), WeightStoreSettings)
+    _add_settings(add("log", "append-only log service", _log, 96), LogSettings)
+    service = add("service", "plain service", _service, 32)
+    service.add_argument("--service-s", type=float, default=0.0)
+    hosts = add("hosts", "host list", _hosts, 16)
+    hosts.add_argument("--hosts", type=Path, help="JSON file with the first list")
+    hosts.add_argument("--lag-s", type=float, default=1.0)
     return parser
 
 
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -104,6 +104,9 @@
 class StandIn:
     """A small HTTP server with fault switches; subclasses answer the requests."""
 
+    #: A request that holds the marker of ``crash_on`` restarts the stand-in at once.
+    crashes_on_receipt = True
+
     def __init__(self, host: str, port: int, threads: int) -> None:
         """Prepare a server for the address; port 0 lets the system choose."""
         self.faults = Faults()
@@ -195,6 +198,11 @@
         if switches.down:
             connection.cut()
             raise ConnectionCutError
+        marker = switches.crash_on.encode()
+        if marker and marker in request.body and self.crashes_on_receipt:
+            self.restart_empty()
+            self.cut_connections()
+            raise ConnectionCutError
         try:
             response = self.handle(request)
         except (msgspec.MsgspecError, ValueError) as error:
--- /dev/null
+++ b/standins/engine_core.py
@@ -0,0 +1,278 @@
+"""The engine without its HTTP layer: batching, adapter slots and orders."""
+
+from __future__ import annotations
+
+import heapq
+import threading
+from collections import deque
+from collections.abc import Callable
+
+import xxhash
+
+from lentiltally.clock import Clock
+from lentiltally.ids import new_incarnation
+from standins.engine_cache import PrefixCache
+from standins.engine_state import (
+    EngineJournal,
+    EngineSettings,
+    Execution,
+    ExecutionEntry,
+    LoadReport,
+    OrderEntry,
+    Outcome,
+    Violation,
+    Work,
+)
+
+
+class EngineCore:
+    """State of one engine; safe to use from several threads.
+
+    ``step()`` makes one token for each running execution. The owner calls it at the
+    speed that the engine is to have.
+    """
+
+    def __init__(
+        self,
+        settings: EngineSettings,
+        clock: Clock,
+        on_crash: Callable[[], None] = lambda: None,
+    ) -> None:
+        """Start empty; ``on_crash`` is called when a request crashes the engine."""
+        self.settings = settings
+        self.cache = PrefixCache(settings.cached_prefixes, clock)
+        self.journal = EngineJournal()
+        #: A request whose body contains this text crashes the engine when it starts.
+        self.crash_on = b""
+        self.base_model_fallback = False
+        self._clock = clock
+        self._on_crash = on_crash
+        self._changed = threading.Condition(threading.RLock())
+        self._sequence = 0
+        self._reports: deque[tuple[float, LoadReport]] = deque()
+        self._reset()
+
+    def _reset(self) -> None:
+        self.incarnation = new_incarnation()
+        self.role = "mixed"
+        self._fencing_token = 0
+        self._loaded: dict[str, str] = {}
+        self._loading: set[str] = set()
+        self._waiting: list[tuple[float, int, Execution]] = []
+        self._queued = 0
+        self._running: list[Execution] = []
+        self._executions: dict[str, Execution] = {}
+        self._ended: deque[Execution] = deque()
+        self._report()
+
+    # Executions
+
+    def submit(self, work: Work) -> Execution | None:
+        """Accept work, or return None if its model is not loaded."""
+        with self._changed:
+            model = self._model_for(work.model)
+            if model is None:
+                return None
+            self._sequence += 1
+            work.request_id = work.request_id or f"unnamed-{self._sequence}"
+            entry = ExecutionEntry(
+                request_id=work.request_id,
+                requested_model=work.model,
+                model=model,
+                body_digest=xxhash.xxh3_128_hexdigest(work.body),
+                incarnation=self.incarnation,
+                arrived_s=self._clock.monotonic_s(),
+            )
+            execution = Execution(work, entry, self._sequence)
+            self.journal.executions.append(entry)
+            self._executions[work.request_id] = execution
+            heapq.heappush(
+                self._waiting, (work.priority, execution.sequence, execution)
+            )
+            self._queued += 1
+            self._admit()
+            self._report()
+            self._changed.notify_all()
+            return execution
+
+    def step(self) -> None:
+        """Make one token for each running execution, then fill free places."""
+        with self._changed:
+            still_running = []
+            for execution in self._running:
+                execution.add_token()
+                if execution.entry.tokens >= execution.work.length:
+                    self._end(execution, "finished")
+                else:
+                    still_running.append(execution)
+            if len(still_running) == len(self._running):
+                return
+            self._running = still_running
+            self._admit()
+            self._report()
+
+    def is_busy(self) -> bool:
+        """Return whether an execution is running."""
+        return bool(self._running)
+
+    def wait_for_work(self, timeout_s: float) -> None:
+        """Wait until an execution is running."""
+        with self._changed:
+            self._changed.wait_for(self.is_busy, timeout_s)
+
+    def find(self, request_id: str) -> Execution | None:
+        """Return the newest execution of a request while it is kept."""
+        return self._executions.get(request_id)
+
+    def cancel(self, request_id: str) -> Execution | None:
+        """Stop the newest execution of a request and return it if it is known."""
+        with self._changed:
+            execution = self._executions.get(request_id)
+            if execution is not None and not execution.ended:
+                self._stop([execution], "cancelled")
+            return execution
+
+    def restart_empty(self) -> None:
+        """Lose adapters, executions, cache and the fencing token, as a restart does.
+
+        The journal is kept, because it belongs to the test equipment.
+        """
+        with self._changed:
+            for execution in (*self._running, *(item[2] for item in self._waiting)):
+                if not execution.ended:
+                    execution.end("cut", self._clock.monotonic_s())
+            self.cache.clear()
+            self._reset()
+
+    # Orders
+
+    def order(self, order: str, name: str, token: int | None) -> OrderEntry:
+        """Record an order; its status is 412 if the engine refuses it as outdated.
+
+        An engine that enforces fencing also refuses orders without a token once it
+        has seen one.
+        """
+        with self._changed:
+            outdated = (token or 0) < self._fencing_token
+            self._fencing_token = max(self._fencing_token, token or 0)
+            now_s = self._clock.monotonic_s()
+            entry = OrderEntry(order, name, token, outdated, self.incarnation, now_s)
+            if outdated and self.settings.enforces_fencing:
+                entry.status = 412
+            self.journal.orders.append(entry)
+            return entry
+
+    def begin_load(self, name: str) -> int:
+        """Reserve a slot; return 200, 400 (no free slot) or 409 (already loaded)."""
+        with self._changed:
+            if name in self._loaded or name in self._loading:
+                return 409
+            if len(self._loaded) + len(self._loading) >= self.settings.adapter_slots:
+                return 400
+            self._loading.add(name)
+            return 200
+
+    def end_load(self, name: str, path: str, incarnation: str, *, loaded: bool) -> bool:
+        """Fill or free the reserved slot; return whether the adapter is loaded now."""
+        with self._changed:
+            if incarnation != self.incarnation:
+                return False
+            self._loading.discard(name)
+            if loaded:
+                self._loaded[name] = path
+                self._report()
+            return loaded
+
+    def unload(self, name: str) -> int:
+        """Free a slot; return 200 or 404. Executions that use the adapter fail."""
+        with self._changed:
+            if self._loaded.pop(name, None) is None:
+                return 404
+            users = [one for one in self._active() if one.model == name]
+            if users:
+                self.journal.violations.append(
+                    Violation(
+                        "unload-in-use",
+                        name,
+                        [one.work.request_id for one in users],
+                        self._clock.monotonic_s(),
+                    )
+                )
+            self._stop(users, "failed")
+            return 200
+
+    def loaded(self) -> dict[str, str]:
+        """Return the path of each loaded adapter."""
+        with self._changed:
+            return dict(self._loaded)
+
+    # Reports
+
+    def load_report(self) -> LoadReport:
+        """Return the load as it was ``load_lag_s`` ago; the token is current."""
+        with self._changed:
+            self._drop_old_reports()
+            old = self._reports[0][1]
+            return LoadReport(
+                old.queued,
+                old.running,
+                old.resident,
+                old.incarnation,
+                self._fencing_token,
+            )
+
+    def _report(self) -> None:
+        report = LoadReport(
+            self._queued, len(self._running), tuple(self._loaded), self.incarnation
+        )
+        self._reports.append((self._clock.monotonic_s(), report))
+        self._drop_old_reports()
+
+    def _drop_old_reports(self) -> None:
+        limit_s = self._clock.monotonic_s() - self.settings.load_lag_s
+        while len(self._reports) > 1 and self._reports[1][0] <= limit_s:
+            self._reports.popleft()
+
+    # Internal steps, called with the lock held
+
+    def _model_for(self, wanted: str) -> str | None:
+        if wanted in self._loaded or wanted == self.settings.base_model:
+            return wanted
+        return self.settings.base_model if self.base_model_fallback else None
+
+    def _active(self) -> list[Execution]:
+        waiting = [item[2] for item in self._waiting if not item[2].ended]
+        return [*self._running, *waiting]
+
+    def _admit(self) -> None:
+        while self._waiting and len(self._running) < self.settings.batch_places:
+            execution = heapq.heappop(self._waiting)[2]
+            if execution.ended:
+                continue
+            self._queued -= 1
+            execution.entry.started_s = self._clock.monotonic_s()
+            execution.entry.outcome = "running"
+            self._running.append(execution)
+            if self.crash_on and self.crash_on in execution.work.body:
+                self.restart_empty()
+                self._on_crash()
+                return
+            self.cache.used(execution.model, execution.work.prompt)
+
+    def _stop(self, executions: list[Execution], outcome: Outcome) -> None:
+        for execution in executions:
+            if execution.entry.started_s is None:
+                self._queued -= 1
+            else:
+                self._running.remove(execution)
+            self._end(execution, outcome)
+        self._admit()
+        self._report()
+
+    def _end(self, execution: Execution, outcome: Outcome) -> None:
+        execution.end(outcome, self._clock.monotonic_s())
+        self._ended.append(execution)
+        if len(self._ended) > self.settings.kept_streams:
+            oldest = self._ended.popleft()
+            if self._executions.get(oldest.work.request_id) is oldest:
+                del self._executions[oldest.work.request_id]
--- a/standins/log_core.py
+++ b/standins/log_core.py
@@ -75,7 +75,7 @@
         self._streams: dict[str, _Stream] = {}
         self._changed = threading.Condition()
         self._bucket = TokenBucket(settings.appends_per_s, settings.appends_per_s)
-        self._interruptions = 0
+        self._closed = False
         self.appends: dict[str, int] = {}
 
     def append(self, name: str, values: list[msgspec.Raw]) -> tuple[int, int]:
@@ -106,9 +106,8 @@
         Waits up to ``wait_s`` for the first record. Raises TruncatedError.
         """
         with self._changed:
-            asked_at = self._interruptions
             self._changed.wait_for(
-                lambda: self._end(name) > offset or self._interruptions != asked_at,
+                lambda: self._closed or self._end(name) > offset,
                 wait_s,
             )
             stream = self._streams.get(name) or _Stream()
@@ -127,10 +126,10 @@
             self._retain(stream)
             return stream.first_offset, stream.next_offset
 
-    def interrupt(self) -> None:
-        """Let all waiting reads return at once."""
+    def set_closed(self, closed: bool) -> None:
+        """Let all reads return at once while the log is closed."""
         with self._changed:
-            self._interruptions += 1
+            self._closed = closed
             self._changed.notify_all()
 
     def summary(self) -> dict[str, dict[str, int]]:
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -34,6 +34,11 @@
         super().__init__(host, port, threads)
         self.core = LogCore(settings or LogSettings(), clock or SystemClock())
 
+    def start(self) -> None:
+        """Listen; the records of an earlier run are still there."""
+        self.core.set_closed(False)
+        super().start()
+
     def handle(self, request: Request) -> Response:
         """Answer the paths of section 10 of the design page."""
         parts = request.path.split("/")
@@ -53,7 +58,7 @@
 
     def wake(self) -> None:
         """End all waiting reads."""
-        self.core.interrupt()
+        self.core.set_closed(True)
 
     def _append(self, name: str, body: bytes) -> Response:
         values = msgspec.json.decode(body, type=list[msgspec.Raw])
