--- /dev/null
+++ b/lentiltally/settings/_rules.py
@@ -0,0 +1,121 @@
+"""Rules that concern several keys of a settings file at once."""
+
+from __future__ import annotations
+
+from collections.abc import Callable, Iterator, Mapping
+from typing import Any, Final
+
+from lentiltally.settings._checker import SettingsError, show
+from lentiltally.settings._keys import RETENTION_MARGIN_S, Role
+
+# A value is missing where its own key was bad, and a rule then has nothing to compare.
+Values = Mapping[str, Any]
+Rule = Callable[[Values], Iterator[SettingsError]]
+_ENGINE_KEYS = ("base_model", "adapter_slots", "batch_places")
+
+
+def _tls_is_whole(table: str) -> Rule:
+    def rule(values: Values) -> Iterator[SettingsError]:
+        names = ("tls_certificate", "tls_key")
+        section = values[table]
+        if not all(name in section for name in names):
+            return
+        missing = [name for name in names if section[name] is None]
+        if len(missing) == 1:
+            reason = "is missing; certificate and key are set together or not at all"
+            yield SettingsError(f"{table}.{missing[0]}", "", reason)
+
+    return rule
+
+
+def _keys_die_before_claims(values: Values) -> Iterator[SettingsError]:
+    lifetime_s = values["idempotency"].get("key_lifetime_s")
+    retention_s = values["log"].get("retention_s")
+    if lifetime_s is None or retention_s is None:
+        return
+    longest_s = retention_s - RETENTION_MARGIN_S
+    if lifetime_s > longest_s:
+        yield SettingsError(
+            "idempotency.key_lifetime_s",
+            show(lifetime_s),
+            f"must be at most log.retention_s minus {RETENTION_MARGIN_S}: {longest_s}",
+        )
+
+
+def _names_are_unique(
+    path: str, entries: tuple[Values, ...]
+) -> Iterator[SettingsError]:
+    seen: dict[str, int] = {}
+    for index, entry in enumerate(entries):
+        name = entry.get("name")
+        if name in seen:
+            reason = f"is also the name of {path}[{seen[name]}]"
+            yield SettingsError(f"{path}[{index}].name", show(name), reason)
+        elif name is not None:
+            seen[name] = index
+
+
+def _token_names(values: Values) -> Iterator[SettingsError]:
+    return _names_are_unique("admin.tokens", values["admin"].get("tokens", ()))
+
+
+def _target_names(values: Values) -> Iterator[SettingsError]:
+    return _names_are_unique("targets", values["targets"])
+
+
+def _some_target(values: Values) -> Iterator[SettingsError]:
+    if not values["targets"]:
+        yield SettingsError("targets", "", "is missing; an agent needs a target")
+
+
+def _engine_figures(values: Values) -> Iterator[SettingsError]:
+    for index, target in enumerate(values["targets"]):
+        for name in _ENGINE_KEYS:
+            path, value = f"targets[{index}].{name}", target.get(name)
+            if target.get("kind") == "engine" and name in target and value is None:
+                yield SettingsError(path, "", "is missing; engines need it")
+            if target.get("kind") == "service" and value is not None:
+                yield SettingsError(path, show(value), "is for engines only")
+
+
+def _logged_answers_fit(values: Values) -> Iterator[SettingsError]:
+    limits = values["limits"]
+    largest, logged = (
+        limits.get("max_answer_bytes"),
+        limits.get("logged_answer_bytes"),
+    )
+    if largest is not None and logged is not None and logged > largest:
+        reason = f"must be at most limits.max_answer_bytes: {largest}"
+        yield SettingsError("limits.logged_answer_bytes", show(logged), reason)
+
+
+def _listeners_differ(values: Values) -> Iterator[SettingsError]:
+    seen: dict[str, str] = {}
+    for table in ("channel", "callers", "admin", "health"):
+        address = values.get(table, {}).get("listen")
+        if address is None:
+            continue
+        bare = address.removeprefix("tcp://")
+        if bare in seen:
+            reason = f"is also the address of {seen[bare]}"
+            yield SettingsError(f"{table}.listen", show(address), reason)
+        seen.setdefault(bare, f"{table}.listen")
+
+
+_BOTH: Final[tuple[Rule, ...]] = (_listeners_differ, _logged_answers_fit)
+RULES: Final[Mapping[Role, tuple[Rule, ...]]] = {
+    "entry": (
+        *_BOTH,
+        _tls_is_whole("callers"),
+        _tls_is_whole("admin"),
+        _keys_die_before_claims,
+        _token_names,
+    ),
+    "agent": (*_BOTH, _some_target, _target_names, _engine_figures),
+}
+
+
+def broken_rules(values: Values, role: Role) -> Iterator[SettingsError]:
+    """Yield an error for every rule that the values of a checked file break."""
+    for rule in RULES[role]:
+        yield from rule(values)
--- /dev/null
+++ b/tests/settings/settings.feature
@@ -0,0 +1,89 @@
+Feature: Settings files
+
+  Scenario Outline: Settings report every bad key of a file, not only the first
+    # Guards against a rollout that fails once for each mistake.
+    Given settings of the <role> sample
+    When settings are read after these changes
+      | path                          | value         |
+      | process.drain_s               | -1            |
+      | process.regoin                | "x"           |
+      | channel.listen                | "tcp://a:1"   |
+      | logging.level                 | "loud"        |
+      | metrics.port                  | true          |
+      | limits                        | 5             |
+      | log.retention_s               | nan           |
+    Then settings report
+      | path              | reason                                |
+      | process.drain_s   | at least 0 s                          |
+      | process.regoin    | unknown key; did you mean "region"?   |
+      | channel.listen    | must be an IP number, not a host name |
+      | logging.level     | must be "debug" or "info"             |
+      | metrics.port      | must be an integer                    |
+      | limits            | must be a table                       |
+      | log.retention_s   | finite number                         |
+
+    Examples:
+      | role  |
+      | entry |
+      | agent |
+
+  Scenario: Settings of an entry are checked across keys
+    # Guards against claims that expire before the keys they answer for.
+    Given settings of the entry sample
+    When settings are read after these changes
+      | path                          | value                                  |
+      | idempotency.key_lifetime_s    | 85801                                  |
+      | callers.tls_key               | "key.pem"                              |
+      | admin.listen                  | "127.0.0.1:8080"                       |
+      | admin.tokens                  | [{name="a", sha256="short", scopes=[]}]|
+      | targets                       | [{name="x"}]                           |
+    Then settings report
+      | path                          | reason                                      |
+      | idempotency.key_lifetime_s    | at most log.retention_s minus 600: 85800    |
+      | callers.tls_certificate       | set together or not at all                  |
+      | admin.listen                  | also the address of callers.listen          |
+      | admin.tokens[0].sha256        | 64 lower-case hex digits                    |
+      | admin.tokens[0].scopes        | must have at least 1 entries                |
+      | targets                       | unknown key                                 |
+
+  Scenario: Settings of an agent are checked across keys
+    # Guards against an engine that is never chosen because its figures are missing.
+    Given settings of the agent sample
+    When settings are read after these changes
+      | path    | value                                                                             |
+      | targets | [{name="x", kind="engine", url="ftp://h"}, {name="x", kind="service", url="http://127.0.0.1:1", batch_places=2}] |
+    Then settings report
+      | path                     | reason                        |
+      | targets[0].url           | must be an http://            |
+      | targets[0].base_model    | engines need it               |
+      | targets[0].adapter_slots | engines need it               |
+      | targets[0].batch_places  | engines need it               |
+      | targets[1].name          | also the name of targets[0]   |
+      | targets[1].batch_places  | for engines only              |
+
+  Scenario: Settings never show the secret of minted keys
+    # Guards against a secret in the terminal or in the log of a deployment.
+    Given settings of the entry sample
+    When settings with a secret are read, whole and under mistyped names
+    Then settings show the secret nowhere
+
+  Scenario: Settings of the other role are refused
+    # Guards against a host that starts the wrong daemon.
+    Given settings of the agent sample
+    When settings are read as those of an entry
+    Then settings report "process.role" among the bad keys
+
+  Scenario Outline: Settings report a file that can't be read
+    # Guards against a traceback instead of a reason.
+    When settings file <content> is read
+    Then settings report "<reason>" for the file
+
+    Examples:
+      | content    | reason               |
+      | missing    | No such file         |
+      | latin-1    | must be UTF-8        |
+      | not TOML   | is not valid TOML    |
+
+  Scenario: Settings of any TOML text are accepted or reported
+    # Guards against a checker that crashes and hides the bad keys.
+    Then settings checker raises only error groups for 150 random texts
