--- a/lentiltally/agent/engine_client.py
+++ b/lentiltally/agent/engine_client.py
@@ -44,7 +44,7 @@
     last_id: str
 
 
-class OrderRefused(TargetError):
+class OrderRefusedError(TargetError):
     """The engine refused an order; ``status`` is its HTTP status."""
 
     def __init__(self, message: str, *, step: str, peer: str, status: int) -> None:
@@ -89,7 +89,13 @@
         """Run a request and return its whole answer; raises TargetError."""
         headers = {**JSON_HEADERS, "X-Request-Id": request_id}
         response = self._request(
-            "POST", path, body, headers, self._first, "run", preload=True
+            "POST",
+            path,
+            body=body,
+            headers=headers,
+            timeout=self._first,
+            step="run",
+            preload=True,
         )
         envelope = _envelope(response.data) if response.status == 200 else _Envelope()
         return EngineAnswer(
@@ -108,7 +114,13 @@
         if last_id:
             headers["Last-Event-ID"] = last_id
         response = self._request(
-            "POST", path, body, headers, self._silence, "stream", preload=False
+            "POST",
+            path,
+            body=body,
+            headers=headers,
+            timeout=self._silence,
+            step="stream",
+            preload=False,
         )
         return EngineStream(response, self._name)
 
@@ -117,10 +129,10 @@
         self._request(
             "POST",
             f"/v1/cancel/{request_id}",
-            b"",
-            {},
-            urllib3.Timeout(REPORT_TIMEOUT_S),
-            "cancel",
+            body=b"",
+            headers={},
+            timeout=urllib3.Timeout(REPORT_TIMEOUT_S),
+            step="cancel",
             preload=True,
         )
 
@@ -136,7 +148,7 @@
         return self._report("/load")
 
     def load_adapter(self, adapter: str, source: str, token: int) -> None:
-        """Order a load; raises OrderRefused or TargetError.
+        """Order a load; raises OrderRefusedError or TargetError.
 
         An adapter that is loaded already counts as done.
         """
@@ -144,7 +156,7 @@
         self._order("/v1/load_lora_adapter", body, token, HTTP_CONFLICT)
 
     def unload_adapter(self, adapter: str, token: int) -> None:
-        """Order an unload; raises OrderRefused or TargetError.
+        """Order an unload; raises OrderRefusedError or TargetError.
 
         An adapter that is not loaded counts as done.
         """
@@ -159,14 +171,14 @@
         response = self._request(
             "POST",
             path,
-            msgspec.json.encode(body),
-            headers,
-            timeout,
-            "order",
+            body=msgspec.json.encode(body),
+            headers=headers,
+            timeout=timeout,
+            step="order",
             preload=True,
         )
         if response.status not in (200, done_status):
-            raise OrderRefused(
+            raise OrderRefusedError(
                 f"{path} answered {response.status}",
                 step="order",
                 peer=self._name,
@@ -175,7 +187,15 @@
 
     def _report(self, path: str) -> dict[str, Any]:
         timeout = urllib3.Timeout(REPORT_TIMEOUT_S)
-        response = self._request("GET", path, None, {}, timeout, "report", preload=True)
+        response = self._request(
+            "GET",
+            path,
+            body=None,
+            headers={},
+            timeout=timeout,
+            step="report",
+            preload=True,
+        )
         try:
             document = msgspec.json.decode(response.data)
         except msgspec.MsgspecError as error:
@@ -193,11 +213,11 @@
         self,
         method: str,
         path: str,
+        *,
         body: bytes | None,
         headers: dict[str, str],
         timeout: urllib3.Timeout,
         step: str,
-        *,
         preload: bool,
     ) -> urllib3.BaseHTTPResponse:
         try:
--- a/lentiltally/agent/engine_run.py
+++ b/lentiltally/agent/engine_run.py
@@ -28,7 +28,7 @@
 Emit = Callable[[AnswerMessage], None]
 
 
-class EngineMismatch(TargetError):
+class EngineMismatchError(TargetError):
     """The engine answered with another model or incarnation than was expected."""
 
 
@@ -58,7 +58,7 @@
         return self._next_index
 
     def run(self) -> None:
-        """Run the attempt to its end; raises TargetError or EngineMismatch."""
+        """Run the attempt to its end; raises TargetError or EngineMismatchError."""
         if self._execute.stream:
             self._run_stream()
         else:
@@ -78,7 +78,7 @@
                 if self._is_done:
                     return
                 error = self._error("the stream ended before its last event", True)
-            except EngineMismatch:
+            except EngineMismatchError:
                 raise
             except TargetError as failure:
                 error = failure
@@ -144,7 +144,7 @@
     def _check(self, model: str, incarnation: str) -> None:
         if model == self._model and incarnation == self._incarnation:
             return
-        raise EngineMismatch(
+        raise EngineMismatchError(
             f"answered by {model!r} of engine run {incarnation!r}, not by "
             f"{self._model!r} of {self._incarnation!r}",
             step="run",
--- /dev/null
+++ b/lentiltally/agent/engine_target.py
@@ -0,0 +1,197 @@
+"""What is particular to a model engine: slots, orders, incarnation."""
+
+from __future__ import annotations
+
+import logging
+import threading
+
+from lentiltally.agent._http import TargetError
+from lentiltally.agent.engine_client import EngineClient
+from lentiltally.agent.engine_run import EngineMismatchError, EngineRun
+from lentiltally.agent.orders import OrderSender
+from lentiltally.agent.permits import Permits
+from lentiltally.agent.runner import Job, TargetRunner, queue_settings
+from lentiltally.agent.shared import AgentState
+from lentiltally.decisions.adapter_slots import AdapterSlots, Pinned
+from lentiltally.decisions.ownership import Ownership
+from lentiltally.decisions.work_queue import WorkQueue
+from lentiltally.settings import TargetSettings
+from lentiltally.wire import Execute
+
+_log = logging.getLogger(__name__)
+
+POLL_S = 1.0
+# Weight sources are remembered for the adapters that wait; more than that is pruned.
+MAX_SOURCES = 1_000
+
+
+class EngineTarget:
+    """One engine: its adapter slots, their orders and its incarnation."""
+
+    def __init__(
+        self, settings: TargetSettings, state: AgentState, permits: Permits
+    ) -> None:
+        """Open no connection yet."""
+        self.name = settings.name
+        self.queue = WorkQueue(settings.batch_places or 1, queue_settings(settings))
+        self.ownership = Ownership(
+            settings.name, state.name, state.incarnation, state.clock.monotonic_s()
+        )
+        self._state = state
+        self._slots = AdapterSlots(settings.adapter_slots or 1)
+        self._sources: dict[str, str] = {}
+        self._client = EngineClient(
+            settings.url,
+            settings.name,
+            (settings.batch_places or 1) + 4,
+            settings.first_byte_timeout_s,
+            settings.silence_timeout_s,
+        )
+        self._runner: TargetRunner | None = None
+        self._broadcast = threading.Event()
+        self._stopped = threading.Event()
+        self._failed: list[str] = []
+        self._orders = OrderSender(
+            target=settings.name,
+            client=self._client,
+            queue=self.queue,
+            slots=self._slots,
+            ownership=self.ownership,
+            permits=permits,
+            sources=self._sources,
+            lock=state.lock,
+            clock=state.clock,
+            metrics=state.metrics,
+            on_change=self._order_ended,
+        )
+        self._thread = threading.Thread(
+            target=self._poll, daemon=True, name=f"poll-{settings.name}"
+        )
+
+    @property
+    def incarnation(self) -> str:
+        """The engine's incarnation as last seen."""
+        return self._slots.engine_incarnation
+
+    def start(self, runner: TargetRunner) -> None:
+        """Begin to poll the engine and to send orders."""
+        self._runner = runner
+        self._thread.start()
+        self._orders.start()
+
+    def stop(self) -> None:
+        """Stop polling and sending orders."""
+        self._stopped.set()
+        self._orders.stop()
+
+    def is_ready(self) -> bool:
+        """Return whether the engine's list of adapters was read."""
+        return bool(self._slots.engine_incarnation)
+
+    def resident(self) -> frozenset[str]:
+        """Return the adapters that are certainly loaded."""
+        return self._slots.resident
+
+    def accepted(self, execute: Execute) -> None:
+        """Remember where the adapter's weights are."""
+        model = f"{execute.team}/{execute.adapter}@{execute.version}"
+        self._sources.pop(model, None)
+        self._sources[model] = execute.source
+        if len(self._sources) > MAX_SOURCES:
+            del self._sources[next(iter(self._sources))]
+
+    def pin(self, job: Job) -> bool:
+        """Pin the adapter for the job; called with the lock held."""
+        return isinstance(self._slots.pin(job.item.adapter), Pinned)
+
+    def unpin(self, job: Job) -> None:
+        """End the job's pin; called with the lock held."""
+        self._slots.unpin(job.item.adapter)
+
+    def work_waits(self) -> None:
+        """Wake the sender of orders."""
+        self._orders.wake()
+
+    def run(self, job: Job, runner: TargetRunner) -> None:
+        """Run the job; raises TargetError."""
+        run = EngineRun(
+            self._client,
+            job.execute,
+            self.incarnation,
+            lambda message: runner.emit(job, message),
+        )
+        run.run()
+
+    def cancel(self, job: Job) -> None:
+        """Ask the engine to stop a running job."""
+        try:
+            self._client.cancel(job.item.attempt_id)
+        except TargetError as error:
+            _log.info("cancel failed", extra={"error": str(error)})
+
+    def failed(self, job: Job, error: TargetError) -> None:
+        """Find out whether the engine has restarted, which the job may have caused."""
+        if isinstance(error, EngineMismatchError):
+            self._state.metrics.count("answer_mismatches")
+        with self._state.lock:
+            self._failed.append(job.execute.fingerprint)
+        self._read_listing()
+
+    def _poll(self) -> None:
+        while not self._stopped.is_set():
+            self._read_listing()
+            self._read_token()
+            self._orders.wake()
+            self._stopped.wait(POLL_S)
+
+    def _read_listing(self) -> None:
+        with self._state.lock:
+            mark = self._slots.listing_started()
+        try:
+            listing = self._client.listing()
+        except TargetError as error:
+            _log.info("engine not reached", extra={"error": str(error)})
+            return
+        with self._state.lock:
+            was = self._slots.engine_incarnation
+            if was and was != listing.incarnation:
+                self._restarted(was, listing.incarnation)
+            else:
+                self._clear_failed()
+            self._slots.engine_listed(listing.incarnation, listing.adapters, mark)
+        if was != listing.incarnation and self._runner is not None:
+            self._runner.changed()
+
+    def _restarted(self, was: str, now: str) -> None:
+        _log.warning(
+            "engine restarted",
+            extra={"target": self.name, "was": was, "engine_incarnation": now},
+        )
+        self._state.metrics.count("engine_restarts")
+        record = self._state.quarantine.crashed(self.name, was)
+        self._failed.clear()
+        if record is not None:
+            self._state.record_quarantine(record)
+
+    def _clear_failed(self) -> None:
+        """Note that the failed jobs did not crash the engine, since its run goes on."""
+        for fingerprint in self._failed:
+            self._state.quarantine.ended(self.name, fingerprint, finished=False)
+        self._failed.clear()
+
+    def _read_token(self) -> None:
+        asked_at_s = self._state.clock.monotonic_s()
+        try:
+            report = self._client.load_report()
+        except TargetError:
+            return
+        token = report.get("fencing_token")
+        if isinstance(token, int):
+            with self._state.lock:
+                self.ownership.engine_said(
+                    token, asked_at_s, self._state.clock.monotonic_s()
+                )
+
+    def _order_ended(self) -> None:
+        if self._runner is not None:
+            self._runner.pump()
--- a/lentiltally/agent/orders.py
+++ b/lentiltally/agent/orders.py
@@ -8,7 +8,7 @@
 from collections.abc import Callable
 
 from lentiltally.agent._http import TargetError
-from lentiltally.agent.engine_client import EngineClient, OrderRefused
+from lentiltally.agent.engine_client import EngineClient, OrderRefusedError
 from lentiltally.agent.permits import Permits
 from lentiltally.clock import Clock
 from lentiltally.decisions.adapter_slots import (
@@ -183,7 +183,7 @@
                 self._metrics.count("loads")
                 source = self._sources.get(order.adapter, order.adapter)
                 self._client.load_adapter(order.adapter, source, order.fencing_token)
-        except OrderRefused as error:
+        except OrderRefusedError as error:
             self._log_failure(order, error)
             is_fenced = error.status == HTTP_PRECONDITION_FAILED
             return OrderOutcome.FENCED if is_fenced else OrderOutcome.FAILED
--- /dev/null
+++ b/lentiltally/agent/process.py
@@ -0,0 +1,263 @@
+"""The agent process: wires channels, targets and reports together."""
+
+from __future__ import annotations
+
+import logging
+import signal
+import threading
+from datetime import timedelta
+
+from lentiltally.agent.engine_target import EngineTarget
+from lentiltally.agent.health import HealthServer
+from lentiltally.agent.leases import Leases
+from lentiltally.agent.permits import Permits
+from lentiltally.agent.reporter import Reporter, by_entry
+from lentiltally.agent.runner import TargetRunner
+from lentiltally.agent.service_target import ServiceTarget
+from lentiltally.agent.shared import QUARANTINE_STREAM, AgentState, refuse
+from lentiltally.clock import Clock, SystemClock
+from lentiltally.decisions.attempts import AttemptTable
+from lentiltally.decisions.claim_journal import ClaimState
+from lentiltally.decisions.load_permits import PermitSettings
+from lentiltally.ids import new_incarnation
+from lentiltally.metrics import Metrics
+from lentiltally.platform.log_client import LogClient
+from lentiltally.platform.stream_follower import StreamFollower
+from lentiltally.settings import AgentSettings, TargetSettings
+from lentiltally.wire import (
+    Cancel,
+    ClaimAnswer,
+    ClaimQuery,
+    Execute,
+    Hello,
+    Inbox,
+    Message,
+    Outboxes,
+    Release,
+    Resume,
+    TargetState,
+)
+
+_log = logging.getLogger(__name__)
+
+TICK_S = 0.1
+
+
+class Agent:
+    """One agent process with all its targets."""
+
+    def __init__(self, settings: AgentSettings, clock: Clock) -> None:
+        """Bind the addresses; raises ChannelError or OSError if one is taken.
+
+        The channel's address is bound first. It belongs to one process at a time, also
+        while that process is paused, so no second agent sends orders to the targets.
+        """
+        self._settings = settings
+        self._clock = clock
+        self._inbox = Inbox(settings.channel.listen, self._received)
+        self._health = HealthServer(settings.health.listen, self._is_ready)
+        self._health.prepare()
+        self._outboxes = Outboxes()
+        log = LogClient(settings.log.url, settings.log.timeout_s, clock)
+        incarnation = new_incarnation()
+        self._state = AgentState(
+            name=settings.process.name,
+            incarnation=incarnation,
+            address=settings.channel.listen,
+            failure_domain=settings.process.failure_domain,
+            clock=clock,
+            metrics=Metrics.from_settings(settings.metrics, settings.process),
+            log=log,
+            attempts=AttemptTable(
+                incarnation, max_answer_bytes=settings.limits.kept_answers_bytes
+            ),
+        )
+        self._reporter = Reporter(
+            outboxes=self._outboxes,
+            states=self._target_states,
+            attempts=self._live_by_entry,
+            agent=settings.process.name,
+            agent_incarnation=incarnation,
+            clock=clock,
+        )
+        self._permits = Permits(log, settings.process.name, clock, PermitSettings())
+        self._quarantine = StreamFollower(
+            log, QUARANTINE_STREAM, self._state.apply_quarantine, clock
+        )
+        self._targets: dict[str, EngineTarget | ServiceTarget] = {}
+        self._runners: dict[str, TargetRunner] = {}
+        for target in settings.targets:
+            self._add(target)
+        self._leases = Leases(
+            log,
+            {
+                name: target.ownership
+                for name, target in self._targets.items()
+                if isinstance(target, EngineTarget)
+            },
+            self._state.lock,
+            clock,
+        )
+        self._stopping = threading.Event()
+        self._is_draining = False
+
+    def serve(self) -> int:
+        """Run until SIGTERM, drain, and return the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self._stopping.set())
+        self._start()
+        _log.info("agent ready", extra={"address": self._state.address})
+        while not self._stopping.wait(TICK_S):
+            self._tick()
+        self._drain()
+        return 0
+
+    def _start(self) -> None:
+        self._state.metrics.start()
+        self._quarantine.start()
+        self._permits.start()
+        self._leases.start()
+        for name, target in self._targets.items():
+            target.start(self._runners[name])
+        self._reporter.start()
+        self._inbox.start()
+        threading.Thread(target=self._health.serve, daemon=True).start()
+
+    def _tick(self) -> None:
+        for runner in self._runners.values():
+            runner.pump()
+
+    def _drain(self) -> None:
+        """Announce that the agent leaves, let running work end, and stop."""
+        self._is_draining = True
+        self._state.metrics.gauge("leaving", 1)
+        for runner in self._runners.values():
+            runner.leave()
+        self._reporter.broadcast()
+        until_s = self._clock.monotonic_s() + self._settings.process.drain_s
+        while self._clock.monotonic_s() < until_s and not self._is_idle():
+            self._clock.sleep(timedelta(seconds=TICK_S))
+        for runner in self._runners.values():
+            runner.abort()
+        for target in self._targets.values():
+            target.stop()
+        self._reporter.stop()
+        self._leases.stop()
+        self._permits.stop()
+        self._quarantine.stop()
+        self._outboxes.close()
+        self._inbox.close()
+        self._health.stop()
+        self._state.metrics.close()
+        _log.info("agent stopped")
+
+    def _is_idle(self) -> bool:
+        return all(runner.is_idle() for runner in self._runners.values())
+
+    def _is_ready(self) -> bool:
+        return not self._is_draining and any(
+            target.is_ready() for target in self._targets.values()
+        )
+
+    def _add(self, settings: TargetSettings) -> None:
+        target: EngineTarget | ServiceTarget
+        if settings.kind == "engine":
+            target = EngineTarget(settings, self._state, self._permits)
+        else:
+            target = ServiceTarget(settings)
+        self._targets[settings.name] = target
+        self._runners[settings.name] = TargetRunner(
+            settings, self._state, self._reporter, target
+        )
+
+    def _target_states(self) -> list[TargetState]:
+        return [runner.state() for runner in self._runners.values()]
+
+    def _live_by_entry(self) -> dict[str, dict[str, int]]:
+        with self._state.lock:
+            live = {
+                attempt_id: (kept.reply_address, kept.next_index)
+                for attempt_id, kept in self._state.live.items()
+            }
+        return by_entry(live)
+
+    def _received(self, message: Message) -> None:
+        match message:
+            case Execute():
+                self._execute(message)
+            case Cancel():
+                self._cancel(message)
+            case Resume():
+                self._resume(message)
+            case Release():
+                with self._state.lock:
+                    self._state.attempts.released(message.attempt_id)
+            case Hello():
+                self._reporter.greeted(message)
+            case ClaimQuery():
+                self._reporter.send(message.reply_address, self._claim(message))
+            case _:
+                _log.warning("unexpected message", extra={"kind": type(message)})
+
+    def _execute(self, message: Execute) -> None:
+        runner = self._runners.get(message.target)
+        if runner is not None:
+            runner.submit(message)
+            return
+        with self._state.lock:
+            self._state.attempts.refuse(message.attempt_id)
+        refuse(
+            self._reporter,
+            message.reply_address,
+            message.attempt_id,
+            "no such target",
+            message.target,
+        )
+
+    def _cancel(self, message: Cancel) -> None:
+        for runner in self._runners.values():
+            if runner.cancel(message):
+                return
+        with self._state.lock:
+            self._state.attempts.refuse(message.attempt_id)
+        refuse(
+            self._reporter,
+            message.reply_address,
+            message.attempt_id,
+            "cancelled",
+            self._state.name,
+        )
+
+    def _resume(self, message: Resume) -> None:
+        with self._state.lock:
+            kept = self._state.kept(message.attempt_id)
+        if kept is None:
+            return
+        kept.reply_address = message.reply_address
+        for part in kept.since(message.next_index):
+            self._reporter.send(message.reply_address, part)
+
+    def _claim(self, query: ClaimQuery) -> ClaimAnswer:
+        unknown = ClaimAnswer(query.query_id, "unknown", 0, "", b"")
+        if query.agent_incarnation != self._state.incarnation:
+            return unknown
+        with self._state.lock:
+            state, attempt_id = self._state.claims.query(query.claim_id)
+            kept = self._state.kept(attempt_id) if attempt_id else None
+        if state is ClaimState.REFUSED:
+            return ClaimAnswer(query.query_id, "refused", 0, "", b"")
+        if kept is None:
+            return unknown
+        if not kept.is_finished:
+            return ClaimAnswer(query.query_id, "running", 0, "", b"")
+        whole = kept.whole()
+        if whole is None:
+            return unknown
+        return ClaimAnswer(
+            query.query_id, "finished", whole.status, whole.content_type, whole.body
+        )
+
+
+def run(settings: AgentSettings) -> int:
+    """Run an agent with its settings until SIGTERM; return the exit code."""
+    return Agent(settings, SystemClock()).serve()
--- a/lentiltally/agent/reporter.py
+++ b/lentiltally/agent/reporter.py
@@ -37,6 +37,7 @@
 
     def __init__(
         self,
+        *,
         outboxes: Outboxes,
         states: Callable[[], list[TargetState]],
         attempts: Callable[[], Mapping[str, dict[str, int]]],
--- /dev/null
+++ b/lentiltally/agent/shared.py
@@ -0,0 +1,106 @@
+"""What the targets of one agent share."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+import msgspec
+
+from lentiltally.agent.kept_answers import KeptAnswer
+from lentiltally.agent.reporter import Reporter
+from lentiltally.clock import Clock
+from lentiltally.decisions.attempts import AttemptTable
+from lentiltally.decisions.claim_journal import ClaimJournal
+from lentiltally.decisions.quarantine import Quarantine, QuarantineRecord
+from lentiltally.errors import LentiltallyError
+from lentiltally.metrics import Metrics
+from lentiltally.platform.log_client import LogClient, LogRecord
+from lentiltally.wire import Refused
+
+_log = logging.getLogger(__name__)
+
+QUARANTINE_STREAM = "quarantine"
+_decoder = msgspec.json.Decoder(QuarantineRecord)
+
+
+@dataclass(slots=True)
+class AgentState:
+    """The agent's tables, guarded by ``lock``, and the services around them."""
+
+    name: str
+    incarnation: str
+    address: str
+    failure_domain: str
+    clock: Clock
+    metrics: Metrics
+    log: LogClient
+    attempts: AttemptTable
+    claims: ClaimJournal = field(default_factory=ClaimJournal)
+    quarantine: Quarantine = field(default_factory=Quarantine)
+    live: dict[str, KeptAnswer] = field(default_factory=dict)
+    lock: threading.RLock = field(default_factory=threading.RLock)
+    background: ThreadPoolExecutor = field(
+        default_factory=lambda: ThreadPoolExecutor(2, "background")
+    )
+
+    def kept(self, attempt_id: str) -> KeptAnswer | None:
+        """Return the answer of a live or finished attempt, if it is still kept."""
+        kept = self.live.get(attempt_id)
+        if kept is None:
+            found = self.attempts.answer(attempt_id)
+            kept = found if isinstance(found, KeptAnswer) else None
+        return kept
+
+    def record_quarantine(self, record: QuarantineRecord) -> None:
+        """Append a quarantine record in the background."""
+        self.background.submit(self._append_quarantine, record)
+
+    def apply_quarantine(self, record: LogRecord) -> None:
+        """Apply a record of stream ``quarantine``."""
+        try:
+            entry = _decoder.decode(record.value)
+        except msgspec.MsgspecError:
+            _log.warning("malformed record", extra={"stream": QUARANTINE_STREAM})
+            return
+        with self.lock:
+            self.quarantine.apply(entry, record.offset, record.time_ms)
+
+    def _append_quarantine(self, record: QuarantineRecord) -> None:
+        try:
+            self.log.append(QUARANTINE_STREAM, [record])
+        except LentiltallyError as error:
+            _log.warning("quarantine record not appended", extra={"error": str(error)})
+
+
+def refuse(
+    reporter: Reporter,
+    address: str,
+    attempt_id: str,
+    reason: str,
+    peer: str,
+    *,
+    executed: str = "no",
+    step: str = "queue",
+    retry_after_s: float = 0.0,
+    queued: int = 0,
+    running: int = 0,
+) -> None:
+    """Send a refusal of an attempt, and log it."""
+    _log.info(
+        "attempt refused",
+        extra={
+            "attempt": attempt_id,
+            "reason": reason,
+            "executed": executed,
+            "target": peer,
+        },
+    )
+    reporter.send(
+        address,
+        Refused(
+            attempt_id, executed, reason, step, peer, retry_after_s, queued, running
+        ),
+    )
--- a/lentiltally/decisions/adapter_slots.py
+++ b/lentiltally/decisions/adapter_slots.py
@@ -127,6 +127,11 @@
         """Return whether the engine's list of adapters must be read."""
         return self._needs_listing
 
+    @property
+    def limit(self) -> int:
+        """Return the number of slots."""
+        return self._limit
+
     @property
     def resident(self) -> frozenset[str]:
         """Return the adapters that are certainly loaded."""
--- a/lentiltally/ids.py
+++ b/lentiltally/ids.py
@@ -43,7 +43,12 @@
 
 def adapter_hash(team: str, adapter: str, version: str) -> int:
     """Return the 64-bit hash that stands for an adapter version in state messages."""
-    return xxhash.xxh3_64_intdigest(f"{team}/{adapter}@{version}".encode())
+    return adapter_name_hash(f"{team}/{adapter}@{version}")
+
+
+def adapter_name_hash(name: str) -> int:
+    """Return the hash of an adapter version in the form ``team/adapter@version``."""
+    return xxhash.xxh3_64_intdigest(name.encode())
 
 
 def content_fingerprint(team: str, adapter: str, body: bytes) -> str:
--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -100,11 +100,13 @@
 class ClaimQuery(msgspec.Struct, frozen=True, tag="claim-query", array_like=True):
     """Ask the agent to which a claim is bound what became of it.
 
-    An agent that has never seen the claim refuses it for good before it answers.
+    An agent run that has never seen the claim refuses it for good before it answers;
+    a run other than ``agent_incarnation`` answers that it can't know.
     """
 
     query_id: str
     reply_address: str
+    agent_incarnation: str
     claim_id: str
 
 
