Give each pin an id and let agents query an attempt

A pin that a restart or a listing made void could be ended a second time by its holder, which would have ended the pin of another request on the same adapter. A claim query must not refuse an attempt that only waits in the queue, so it has its own method beside refuse.

--- a/lentiltally/decisions/adapter_slots.py
+++ b/lentiltally/decisions/adapter_slots.py
@@ -8,7 +8,7 @@
 
 import enum
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 
 class SlotState(enum.Enum):
@@ -49,9 +49,10 @@
 
 @dataclass(frozen=True, slots=True)
 class Pinned:
-    """The adapter is resident and pinned once more."""
+    """The adapter is resident and pinned; ``pin_id`` tells this pin from all others."""
 
     adapter: str
+    pin_id: int
 
 
 @dataclass(frozen=True, slots=True)
@@ -93,7 +94,7 @@
 @dataclass(slots=True)
 class _Slot:
     state: SlotState
-    pins: int = 0
+    pins: set[int] = field(default_factory=set)
     used: int = 0
     changed: int = 0
     order_id: int = 0
@@ -144,7 +145,7 @@
     def pins(self, adapter: str) -> int:
         """Return the number of pins of an adapter."""
         slot = self._slots.get(adapter)
-        return 0 if slot is None else slot.pins
+        return 0 if slot is None else len(slot.pins)
 
     def set_fencing_token(self, token: int | None) -> None:
         """Set the token of the orders; None stops all orders."""
@@ -156,18 +157,22 @@
         if slot is not None:
             if slot.state is not SlotState.RESIDENT or slot.must_unload:
                 return LoadNeeded(adapter)
-            slot.pins += 1
             slot.used = self._tick()
-            return Pinned(adapter)
+            slot.pins.add(slot.used)
+            return Pinned(adapter, slot.used)
         if self._has_free_slot() or self._victim(()) is not None:
             return LoadNeeded(adapter)
         return SlotsBusy(adapter)
 
-    def unpin(self, adapter: str) -> None:
-        """End one pin; a pin that a restart made void is ignored by the caller."""
-        slot = self._slots.get(adapter)
-        if slot is not None and slot.pins > 0:
-            slot.pins -= 1
+    def unpin(self, pin: Pinned) -> None:
+        """End one pin.
+
+        A pin that became void has no effect, also if the adapter was loaded and pinned
+        again by others.
+        """
+        slot = self._slots.get(pin.adapter)
+        if slot is not None and pin.pin_id in slot.pins:
+            slot.pins.remove(pin.pin_id)
             slot.used = self._tick()
 
     def retire(self, adapter: str) -> None:
--- a/lentiltally/decisions/attempts.py
+++ b/lentiltally/decisions/attempts.py
@@ -140,6 +140,7 @@
         self._closed_order: deque[str] = deque()
         self._answers: OrderedDict[str, int] = OrderedDict()
         self._answer_bytes = 0
+        self._open_count = 0
 
     def offer(
         self, attempt_id: str, agent_incarnation_named: str, now_s: float
@@ -178,7 +179,7 @@
             if sequence <= entry.ran_mark:
                 return MayHaveRun(attempt_id, None)
             if sequence > entry.low_mark:
-                entry.records[sequence] = _Record(AttemptState.QUEUED)
+                entry.records[sequence] = _Record(AttemptState.REFUSED)
                 self._close(incarnation, entry, sequence, AttemptState.REFUSED)
             return Refused(attempt_id, was_queued=False)
         if record.state is AttemptState.QUEUED:
@@ -190,6 +191,17 @@
             return Running(attempt_id)
         return MayHaveRun(attempt_id, record.answer)
 
+    def query(self, attempt_id: str) -> RefuseResult:
+        """Say what became of an attempt, and refuse it for good if it was never seen.
+
+        Unlike ``refuse`` this leaves an attempt that waits in the queue alone and
+        reports it as running. It answers ``ClaimQuery``, and ``Resume`` of an unknown
+        attempt. Raises ValueError if the text is not an attempt id.
+        """
+        if self.state(attempt_id) is AttemptState.QUEUED:
+            return Running(attempt_id)
+        return self.refuse(attempt_id)
+
     def started(self, attempt_id: str) -> bool:
         """Mark a queued attempt as running; False means that it must not run."""
         record = self._record(attempt_id)
@@ -245,6 +257,14 @@
         record = self._record(attempt_id)
         return None if record is None else record.answer
 
+    @property
+    def is_idle(self) -> bool:
+        """Return whether nothing waits, runs or has an answer not yet released.
+
+        An agent that is leaving may end when this holds.
+        """
+        return not self._answers and self._open_count == 0
+
     @property
     def answer_bytes(self) -> int:
         """Return the bytes of all kept answers."""
@@ -262,6 +282,7 @@
                 attempt_id, RefusalReason.BELOW_MARK, sequence <= entry.ran_mark
             )
         entry.records[sequence] = _Record(AttemptState.QUEUED)
+        self._open_count += 1
         return Run(attempt_id)
 
     def _record(self, attempt_id: str) -> _Record | None:
@@ -293,7 +314,10 @@
         sequence: int,
         state: AttemptState,
     ) -> None:
-        entry.records[sequence].state = state
+        record = entry.records[sequence]
+        if record.state in {AttemptState.QUEUED, AttemptState.RUNNING}:
+            self._open_count -= 1
+        record.state = state
         heapq.heappush(entry.closed, sequence)
         self._closed_order.append(incarnation)
         while len(self._closed_order) > self._max_closed:
