Add load permits, load order and the first policy measurements

The weight store's limit is shared through the log, and nothing measured the policies. The fakes run real decision classes on an injected clock beside a least-loaded, FIFO, LRU baseline on the same arrivals.

Admission is not built yet.

--- /dev/null
+++ b/bench/_shapes.py
@@ -0,0 +1,230 @@
+"""Sizes and constants of the measurements, and the arrivals they give.
+
+``SHAPES`` holds both deployments in two settings. The first setting has the numbers of
+docs/design.md, section 1.3; the second changes each of them. The page gives no answer
+lengths, so a usual answer has the two-year mean (5.2 M tokens/s over 15,000 requests/s
+are 347 tokens) and the slowest allowed pace, 28 ms a token.
+"""
+
+from __future__ import annotations
+
+import random
+from bisect import bisect_left
+from collections.abc import Callable, Iterator
+from dataclasses import dataclass
+from itertools import accumulate
+
+
+@dataclass(frozen=True, slots=True)
+class Shape:
+    """One deployment in one setting."""
+
+    name: str
+    engines: int
+    failure_domains: int
+    one_way_s: float
+    # Shares of non-idempotent, interactive and deferrable requests.
+    criticality_shares: tuple[float, float, float]
+    entries: int = 3
+    teams: int = 6
+    adapters: int = 3000
+    zipf_exponent: float = 1.0
+    # The adapters with about half of the traffic are replaced at once.
+    popular_set: int = 30
+    popular_change_s: float = 60.0
+    adapter_slots: int = 8
+    batch_places: int = 16
+    usual_tokens: float = 347.0
+    token_s: float = 0.028
+    first_token_s: float = 0.2
+    long_share: float = 0.03
+    long_factor: float = 20.0
+    low_load: float = 0.5
+    high_load: float = 1.8
+    ramp_s: float = 5.0
+    phase_s: float = 20.0
+    slowed_targets: int = 2
+    slow_factor: float = 5.0
+    slow_min_s: float = 0.5
+    slow_max_s: float = 5.0
+    report_lag_s: float = 1.0
+    report_every_s: float = 10.0
+    # How long a caller waits for the first token, per criticality.
+    patience_s: tuple[float, float, float] = (15.0, 10.0, 60.0)
+
+    @property
+    def mean_tokens(self) -> float:
+        """Return the mean tokens of all jobs."""
+        return self.usual_tokens * (1.0 + self.long_share * (self.long_factor - 1.0))
+
+    @property
+    def capacity_per_s(self) -> float:
+        """Return how many requests per second fill all batch places."""
+        service_s = self.first_token_s + self.mean_tokens * self.token_s
+        return self.engines * self.batch_places / service_s
+
+
+def _second(first: Shape) -> Shape:
+    return Shape(
+        name=first.name.replace("-1", "-2"),
+        engines=first.engines,
+        failure_domains=first.failure_domains,
+        one_way_s=first.one_way_s * 2,
+        criticality_shares=first.criticality_shares,
+        entries=4,
+        teams=8,
+        adapters=4000,
+        zipf_exponent=1.05,
+        popular_set=50,
+        popular_change_s=45.0,
+        adapter_slots=10,
+        batch_places=20,
+        usual_tokens=300.0,
+        token_s=0.03,
+        first_token_s=0.3,
+        long_share=0.05,
+        long_factor=12.0,
+        low_load=0.6,
+        high_load=1.6,
+        ramp_s=3.0,
+        phase_s=15.0,
+        slowed_targets=2,
+        slow_factor=4.0,
+        slow_min_s=1.0,
+        slow_max_s=6.0,
+        report_lag_s=1.5,
+        report_every_s=8.0,
+        patience_s=(20.0, 8.0, 45.0),
+    )
+
+
+_FIRST = (
+    Shape("fraser-valley-1", 13, 4, 0.0015, (0.15, 0.70, 0.15)),
+    Shape("parabolica-1", 12, 3, 0.001, (0.10, 0.50, 0.40)),
+)
+SHAPES: tuple[Shape, ...] = (*_FIRST, *(_second(shape) for shape in _FIRST))
+
+
+@dataclass(slots=True)
+class Job:
+    """A request with what became of it; times are seconds since the start."""
+
+    number: int
+    arrival_s: float
+    team: int
+    adapter: int
+    tokens: float
+    is_long: bool
+    criticality: int
+    patience_s: float
+    load_wait_s: float = 0.0
+    start_s: float | None = None
+    first_s: float | None = None
+    end_s: float | None = None
+    refused_s: float | None = None
+    attempts: int = 0
+
+    @property
+    def latest_start_s(self) -> float:
+        """Return the time after which the answer would start too late."""
+        return self.arrival_s + self.patience_s
+
+    def is_in_time(self, token_s: float) -> bool:
+        """Return whether the answer began in time and kept half the usual pace."""
+        if self.first_s is None or self.end_s is None:
+            return False
+        nominal_s = self.tokens * token_s
+        return (
+            self.first_s <= self.latest_start_s + 1.0
+            and self.end_s <= self.first_s + 2.0 * nominal_s + 1.0
+        )
+
+
+def constant(load: float) -> Callable[[Shape, float], float]:
+    """Return a load profile that stays at a share of the capacity."""
+    return lambda shape, at_s: load
+
+
+def swings(shape: Shape, at_s: float) -> float:
+    """Return the load at a time: low, ramp up, high, ramp down, and again."""
+    at_s %= 2 * (shape.phase_s + shape.ramp_s)
+    rise = shape.high_load - shape.low_load
+    if at_s < shape.phase_s:
+        return shape.low_load
+    at_s -= shape.phase_s
+    if at_s < shape.ramp_s:
+        return shape.low_load + rise * at_s / shape.ramp_s
+    at_s -= shape.ramp_s
+    if at_s < shape.phase_s:
+        return shape.high_load
+    return shape.high_load - rise * (at_s - shape.phase_s) / shape.ramp_s
+
+
+def arrivals(
+    shape: Shape, seed: int, duration_s: float, load: Callable[[Shape, float], float]
+) -> list[Job]:
+    """Return the jobs of a run: Poisson arrivals with the shape's popularity."""
+    rng = random.Random(f"{seed}/{shape.name}/arrivals")
+    popularity = _Popularity(shape, rng)
+    jobs: list[Job] = []
+    for at_s in _arrival_times(shape, rng, duration_s, load):
+        adapter = popularity.draw(at_s)
+        is_long = rng.random() < shape.long_share
+        tokens = shape.usual_tokens * rng.uniform(0.5, 1.5)
+        (criticality,) = rng.choices((0, 1, 2), shape.criticality_shares)
+        jobs.append(
+            Job(
+                number=len(jobs),
+                arrival_s=at_s,
+                team=adapter % shape.teams,
+                adapter=adapter,
+                tokens=tokens * (shape.long_factor if is_long else 1.0),
+                is_long=is_long,
+                criticality=criticality,
+                patience_s=shape.patience_s[criticality],
+            )
+        )
+    return jobs
+
+
+def _arrival_times(
+    shape: Shape,
+    rng: random.Random,
+    duration_s: float,
+    load: Callable[[Shape, float], float],
+) -> Iterator[float]:
+    """Yield Poisson times with a varying rate, by thinning."""
+    peak_per_s = shape.capacity_per_s * 2.0
+    at_s = rng.expovariate(peak_per_s)
+    while at_s < duration_s:
+        if rng.random() * 2.0 < load(shape, at_s):
+            yield at_s
+        at_s += rng.expovariate(peak_per_s)
+
+
+class _Popularity:
+    """Zipf popularity whose ranking is replaced without notice."""
+
+    def __init__(self, shape: Shape, rng: random.Random) -> None:
+        self._shape = shape
+        self._rng = rng
+        ranks = range(1, shape.adapters + 1)
+        self._sums = list(accumulate(rank**-shape.zipf_exponent for rank in ranks))
+        self._ranking = list(range(1, shape.adapters + 1))
+        rng.shuffle(self._ranking)
+        self._period = -1
+
+    def draw(self, at_s: float) -> int:
+        """Return an adapter number, counted from 1."""
+        period = int(at_s // self._shape.popular_change_s)
+        if period != self._period:
+            self._period = period
+            self._replace_popular()
+        rank = bisect_left(self._sums, self._rng.random() * self._sums[-1])
+        return self._ranking[rank]
+
+    def _replace_popular(self) -> None:
+        ranking, size = self._ranking, self._shape.popular_set
+        newcomers = self._rng.sample(range(size, len(ranking)), size)
+        for rank, other in enumerate(newcomers):
+            ranking[rank], ranking[other] = ranking[other], ranking[rank]
--- /dev/null
+++ b/bench/crest.py
@@ -0,0 +1,65 @@
+"""Service while the load swings over the capacity."""
+
+from __future__ import annotations
+
+from bench._measurement import Measurement
+from bench._runs import (
+    Task,
+    count_ideal,
+    in_time,
+    on_all_shapes,
+    run_baseline,
+    run_policies,
+    worst_team_share,
+)
+from bench._shapes import arrivals, swings
+
+DURATION_S = 200.0
+BOUND = 0.92
+TEAM_BOUND = 0.85
+REFUSAL_BOUND_MS = 100.0
+
+
+def run(seed: int) -> Measurement:
+    """Measure on every shape and report the worst share of the possible answers."""
+    results = on_all_shapes(_measure, seed)
+    worst = min(results.values(), key=lambda row: row["value"])
+    team_share = min(row["worst_team_share"] for row in results.values())
+    refusal_ms = max(row["refusal_ms"] for row in results.values())
+    holds = worst["value"] >= BOUND and team_share >= TEAM_BOUND
+    return Measurement(
+        measure="crest",
+        seed=seed,
+        baseline=worst["baseline"],
+        value=worst["value"],
+        bound=BOUND,
+        holds=holds and refusal_ms <= REFUSAL_BOUND_MS,
+        unit="share",
+        fields={
+            "worst_team_share": team_share,
+            "refusal_ms": refusal_ms,
+            "shapes": results,
+        },
+    )
+
+
+def _measure(task: Task) -> dict[str, float]:
+    shape, seed = task.shape, task.seed
+    ours = arrivals(shape, seed, DURATION_S, swings)
+    plain = arrivals(shape, seed, DURATION_S, swings)
+    run_policies(shape, seed, ours, DURATION_S)
+    run_baseline(shape, seed, plain, DURATION_S)
+    possible = count_ideal(shape, ours)
+    refusals = sorted(
+        job.refused_s - job.arrival_s for job in ours if job.refused_s is not None
+    )
+    late = sum(wait_s > REFUSAL_BOUND_MS / 1000 for wait_s in refusals)
+    return {
+        "value": in_time(shape, ours) / possible,
+        "baseline": in_time(shape, plain) / possible,
+        "worst_team_share": worst_team_share(shape, ours, possible),
+        # All refusals count, also those of requests that were admitted first.
+        "refusal_ms": 1000.0 * refusals[int(0.99 * len(refusals))] if refusals else 0.0,
+        "refused": len(refusals) / len(ours),
+        "refused_late": late / len(ours),
+    }
--- /dev/null
+++ b/lentiltally/decisions/load_permits.py
@@ -0,0 +1,174 @@
+"""The weight store's shared limit, agreed through the log stream ``loads``.
+
+Every agent applies the same records in offset order and reaches the same grants; there
+is no coordinator. While the log is down, ``StaticShare`` gives each agent a fixed part.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+
+import msgspec
+
+
+class LoadRequest(msgspec.Struct, frozen=True, tag="request"):
+    """An agent asks for a permit; ids are unique over all agents."""
+
+    request_id: str
+    agent: str
+
+
+class LoadRelease(msgspec.Struct, frozen=True, tag="release"):
+    """The load has ended, or the request is withdrawn."""
+
+    request_id: str
+
+
+@dataclass(frozen=True, slots=True)
+class PermitSettings:
+    """The store's limits, and how long a permit counts without a release.
+
+    A load takes 0.25 s, so 2 s cover a slow one; a permit whose holder has died stops
+    counting after that.
+    """
+
+    max_in_flight: int = 8
+    max_per_s: float = 4.5
+    burst: float = 8.0
+    expiry_s: float = 2.0
+
+
+class LoadPermits:
+    """The table of permits; a function of the records, their offsets and log times.
+
+    At most ``max_in_flight`` permits are unreleased, and grants follow a token bucket.
+    Requests are granted in offset order, so a later record can make an earlier grant
+    only sooner, never revoke it.
+    """
+
+    def __init__(self, settings: PermitSettings | None = None) -> None:
+        """Start with a full bucket and no requests."""
+        self._settings = settings or PermitSettings()
+        self._waiting: OrderedDict[str, None] = OrderedDict()
+        self._granted: OrderedDict[str, float] = OrderedDict()
+        self._tokens = self._settings.burst
+        self._time_s: float | None = None
+        self._offset = -1
+
+    def apply(
+        self, record: LoadRequest | LoadRelease, offset: int, log_time_s: float
+    ) -> None:
+        """Apply a record; one at or below the last offset is ignored.
+
+        ``log_time_s`` is the log's time stamp in seconds. One that goes back counts as
+        the last one.
+        """
+        if offset <= self._offset:
+            return
+        self._offset = offset
+        self._advance(log_time_s)
+        if isinstance(record, LoadRequest):
+            if record.request_id not in self._granted:
+                self._waiting.setdefault(record.request_id)
+        else:
+            self._waiting.pop(record.request_id, None)
+            self._granted.pop(record.request_id, None)
+        self._advance(log_time_s)
+
+    def grants(self, log_now_s: float) -> dict[str, float]:
+        """Return the permits that count at a log time, with the times of their grants.
+
+        The table itself moves only with records, because a record with an earlier time
+        may still arrive.
+        """
+        ahead = self._copy()
+        ahead._advance(log_now_s)
+        return dict(ahead._granted)
+
+    def next_change_s(self) -> float | None:
+        """Return the log time of the next grant if no record arrives, or None."""
+        if not self._waiting or self._time_s is None:
+            return None
+        return self._next_grant_s()
+
+    def waiting(self) -> int:
+        """Return how many requests have no permit as of the last record."""
+        return len(self._waiting)
+
+    def _copy(self) -> LoadPermits:
+        copy = LoadPermits(self._settings)
+        copy._waiting = self._waiting.copy()
+        copy._granted = self._granted.copy()
+        copy._tokens = self._tokens
+        copy._time_s = self._time_s
+        return copy
+
+    def _advance(self, to_s: float) -> None:
+        if self._time_s is None:
+            self._time_s = to_s
+        to_s = max(to_s, self._time_s)
+        while self._waiting:
+            at_s = self._next_grant_s()
+            if at_s > to_s:
+                break
+            self._move(at_s)
+            request_id, _ = self._waiting.popitem(last=False)
+            self._granted[request_id] = at_s
+            self._tokens = max(0.0, self._tokens - 1.0)
+        self._move(to_s)
+
+    def _next_grant_s(self) -> float:
+        """Return when the first waiting request gets its permit."""
+        assert self._time_s is not None
+        at_s = self._time_s
+        if self._tokens < 1.0:
+            at_s += (1.0 - self._tokens) / self._settings.max_per_s
+        held = len(self._granted) - self._settings.max_in_flight
+        if held >= 0:
+            oldest = list(self._granted.values())[held]
+            at_s = max(at_s, oldest + self._settings.expiry_s)
+        return at_s
+
+    def _move(self, to_s: float) -> None:
+        assert self._time_s is not None
+        passed_s = to_s - self._time_s
+        refilled = self._tokens + passed_s * self._settings.max_per_s
+        self._tokens = min(self._settings.burst, refilled)
+        self._time_s = to_s
+        for request_id, at_s in list(self._granted.items()):
+            if at_s + self._settings.expiry_s <= to_s:
+                del self._granted[request_id]
+
+
+class StaticShare:
+    """An agent's part of the limit while the log is down.
+
+    With more agents than permits each agent still gets one load at a time, and the
+    spacing bounds what is in flight.
+    """
+
+    def __init__(self, agents: int, settings: PermitSettings | None = None) -> None:
+        """Divide the limits by the number of agents."""
+        limits = settings or PermitSettings()
+        self._limits = replace(
+            limits, max_in_flight=max(1, limits.max_in_flight // max(1, agents))
+        )
+        self._spacing_s = max(1, agents) / limits.max_per_s
+        self._next_s = float("-inf")
+        self._started: dict[str, float] = {}
+
+    def may_start(self, request_id: str, now_s: float) -> bool:
+        """Return whether a load may start now, and count it if so."""
+        for other, at_s in list(self._started.items()):
+            if at_s + self._limits.expiry_s <= now_s:
+                del self._started[other]
+        if now_s < self._next_s or len(self._started) >= self._limits.max_in_flight:
+            return False
+        self._started[request_id] = now_s
+        self._next_s = now_s + self._spacing_s
+        return True
+
+    def ended(self, request_id: str) -> None:
+        """Count the end of a load."""
+        self._started.pop(request_id, None)
--- a/lentiltally/decisions/work_queue.py
+++ b/lentiltally/decisions/work_queue.py
@@ -150,6 +150,10 @@
         ]
         return sorted(demands, key=lambda demand: (demand.oldest_s, demand.adapter))
 
+    def adapters(self) -> set[str]:
+        """Return the adapters that queued work needs."""
+        return {item.adapter for item in self._items.values() if item.adapter}
+
     def yielding(self, resident: Iterable[str], now_s: float) -> str | None:
         """Return a resident adapter that is to get no new work, or None.
 
