Add the command line and sample settings

`entry`, `agent` and `check` are told apart from sys.argv before cappa is imported: resident memory is 17.1 MB with the daemon commands and 23.6 MB with the operators' commands (VmRSS in one interpreter, before and after each import). The operators' classes are imported if the version has them.

cappa wraps its completion script at 80 columns when the output is not a terminal, which splits a command in two; the console is widened for it. Samples cover both deployments and are accepted by `lentiltally check`.

--- a/lentiltally/cli/__init__.py
+++ b/lentiltally/cli/__init__.py
@@ -1,3 +1,40 @@
-"""The command line."""
+"""The command line.
+
+Exit codes: 0 done, 1 error, 2 wrong usage or bad settings.
+"""
 
 from __future__ import annotations
+
+import sys
+from collections.abc import Sequence
+
+from lentiltally import __version__
+from lentiltally.cli._codes import DONE, ERROR, USAGE
+
+__all__ = ["DONE", "ERROR", "USAGE", "main"]
+
+
+def main(arguments: Sequence[str] | None = None) -> int:
+    """Run one command and return its exit code."""
+    given = list(sys.argv[1:] if arguments is None else arguments)
+    # cappa and what it imports take about 7 MB of resident memory, and daemons are
+    # bounded at 64 MB, so their commands are told apart before it is imported.
+    match given:
+        case ["--version" | "-v"]:
+            print(f"lentiltally {__version__}")
+            return DONE
+        case ["entry" | "agent" as role, "--settings", path]:
+            from lentiltally.cli._daemons import run_daemon  # noqa: PLC0415
+
+            return run_daemon(role, path)
+        case ["entry" | "agent" as role, option] if option.startswith("--settings="):
+            from lentiltally.cli._daemons import run_daemon  # noqa: PLC0415
+
+            return run_daemon(role, option.removeprefix("--settings="))
+        case ["check", path] if not path.startswith("-"):
+            from lentiltally.cli._daemons import check  # noqa: PLC0415
+
+            return check(path)
+    from lentiltally.cli._operators import run_command  # noqa: PLC0415
+
+    return run_command(given)
--- /dev/null
+++ b/lentiltally/cli/_codes.py
@@ -0,0 +1,9 @@
+"""Exit codes of the command line."""
+
+from __future__ import annotations
+
+from typing import Final
+
+DONE: Final = 0
+ERROR: Final = 1
+USAGE: Final = 2
--- /dev/null
+++ b/lentiltally/cli/_operators.py
@@ -0,0 +1,119 @@
+"""The commands for people: everything that cappa parses, with help and completion."""
+
+from __future__ import annotations
+
+import functools
+import importlib
+import operator
+import sys
+from collections.abc import Sequence
+from dataclasses import dataclass, make_dataclass
+from typing import Annotated, Any
+
+import cappa
+from rich.console import Console
+
+from lentiltally import __version__
+from lentiltally.cli._codes import DONE, ERROR, USAGE
+from lentiltally.cli._daemons import check, run_daemon
+from lentiltally.errors import LentiltallyError
+
+_OPERATOR_COMMANDS = (
+    ("lentiltally.cli.config", "ConfigCommand"),
+    ("lentiltally.cli.audit", "AuditCommand"),
+    ("lentiltally.cli.status", "StatusCommand"),
+)
+_SettingsFile = Annotated[
+    str, cappa.Arg(long="--settings", help="Settings file (TOML)")
+]
+
+
+@cappa.command(name="entry", help="Run an entry.")
+@dataclass(slots=True)
+class EntryCommand:
+    """Run an entry: the process that callers speak to."""
+
+    settings: _SettingsFile
+
+    def __call__(self) -> int:
+        """Run until told to stop."""
+        return run_daemon("entry", self.settings)
+
+
+@cappa.command(name="agent", help="Run an agent.")
+@dataclass(slots=True)
+class AgentCommand:
+    """Run an agent: the process beside the targets of a host."""
+
+    settings: _SettingsFile
+
+    def __call__(self) -> int:
+        """Run until told to stop."""
+        return run_daemon("agent", self.settings)
+
+
+@cappa.command(name="check", help="Check a settings file and name every bad key.")
+@dataclass(slots=True)
+class CheckCommand:
+    """Check a settings file and name every bad key."""
+
+    path: Annotated[str, cappa.Arg(help="Settings file (TOML)")]
+
+    def __call__(self) -> int:
+        """Print the result."""
+        return check(self.path)
+
+
+def run_command(arguments: Sequence[str]) -> int:
+    """Parse the arguments, run the command and return its exit code."""
+    try:
+        result = cappa.invoke(
+            _root(),
+            argv=list(arguments),
+            version=__version__,
+            output=_output(arguments),
+        )
+    except SystemExit as stop:
+        if stop.code == USAGE:
+            print("Run `lentiltally --help` for the commands.", file=sys.stderr)
+        return stop.code if isinstance(stop.code, int) else ERROR
+    except LentiltallyError as error:
+        print(f"lentiltally: {error}", file=sys.stderr)
+        return ERROR
+    except ExceptionGroup as group:
+        print(f"lentiltally: {group.message}", file=sys.stderr)
+        for part in group.exceptions:
+            print(f"  {part}", file=sys.stderr)
+        return ERROR
+    return result if isinstance(result, int) else DONE
+
+
+def _output(arguments: Sequence[str]) -> cappa.Output:
+    # A wrapped completion script means something else to the shell.
+    width = 10_000 if "--completion" in arguments[:1] else None
+    return cappa.Output(output_console=Console(width=width))
+
+
+def _root() -> type[Any]:
+    commands = [EntryCommand, AgentCommand, CheckCommand, *_operator_commands()]
+    union = functools.reduce(operator.or_, commands)
+    subcommands = cappa.Subcommands[union]  # type: ignore[valid-type]
+    root = make_dataclass("Lentiltally", [("command", subcommands)])
+    decorate = cappa.command(
+        name="lentiltally",
+        help="Serving layer for very many LoRA adapters.",
+        description="Exit codes: 0 done, 1 error, 2 wrong usage or bad settings.",
+    )
+    return decorate(root)
+
+
+def _operator_commands() -> list[Any]:
+    """Return the commands that this version has."""
+    found = []
+    for module, name in _OPERATOR_COMMANDS:
+        try:
+            found.append(getattr(importlib.import_module(module), name))
+        except ModuleNotFoundError as error:
+            if error.name != module:
+                raise
+    return found
--- /dev/null
+++ b/tests/cli/main.feature
@@ -0,0 +1,46 @@
+Feature: Command line
+
+  Scenario Outline: Command line exits with a code that scripts can rely on
+    # Guards against a start script that takes bad settings for success.
+    When command line runs "<arguments>"
+    Then command line exits with <code> and says "<text>"
+
+    Examples:
+      | arguments                                     | code | text                                                |
+      | --version                                     | 0    | lentiltally 0.1.0                                   |
+      | --help                                        | 0    | Exit codes: 0 done, 1 error, 2 wrong usage          |
+      |                                               | 2    | Run `lentiltally --help`                            |
+      | frobnicate                                    | 2    | Invalid command 'frobnicate'                        |
+      | entry                                         | 2    | --settings                                          |
+      | entry --settings=missing.toml                 | 2    | No such file                                        |
+      | agent --settings examples/parabolica/entry.toml | 2  | process.role = 'entry': must be "agent" here        |
+      | check examples/parabolica/configuration.toml  | 2    | process.role: is missing                            |
+      | --completion generate                         | 0    | COMPLETION_LINE="${COMP_WORDS[*]}" COMPLETION_LOCATION |
+
+  Scenario Outline: Command line accepts the sample settings
+    # Guards against samples that no longer match the keys.
+    When command line runs "check examples/<file>"
+    Then command line exits with 0 and says "accepted as settings of an <role>"
+
+    Examples:
+      | file                      | role  |
+      | fraser-valley/entry.toml  | entry |
+      | fraser-valley/agent.toml  | agent |
+      | parabolica/entry.toml     | entry |
+      | parabolica/agent.toml     | agent |
+
+  Scenario: Command line of daemons does not import cappa
+    # Guards against daemons that pay for the operators' command parser.
+    When command line checks the entry sample in a process of its own
+    Then command line imported none of cappa, rich, tomlkit, behave
+
+  Scenario Outline: Command line passes on how a daemon ended
+    # Guards against a failed daemon that its supervisor takes for a clean stop.
+    When command line runs an entry that <ends>
+    Then command line exits with <code> and says "<text>"
+
+    Examples:
+      | ends                | code | text                                 |
+      | returns 0           | 0    | entry-bc-a1                          |
+      | raises an error     | 1    | cannot listen (step listen, peer x)  |
+      | is not built        | 1    | not built in this version            |
--- /dev/null
+++ b/tests/steps/main_steps.py
@@ -0,0 +1,89 @@
+"""Steps for the command line."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import logging
+import os
+import subprocess
+import sys
+from pathlib import Path
+from unittest import mock
+
+from behave import then, when
+
+import lentiltally.entry
+from lentiltally import LentiltallyError
+from lentiltally.cli import main
+
+ROOT = Path(__file__).resolve().parents[2]
+ENTRY_SAMPLE = "examples/fraser-valley/entry.toml"
+IMPORTED = """
+import json, sys
+from lentiltally.cli import main
+main(["check", sys.argv[1]])
+print(json.dumps(sorted(sys.modules)))
+"""
+
+
+def _run(context, arguments):
+    out = io.StringIO()
+    with (
+        contextlib.chdir(ROOT),
+        contextlib.redirect_stdout(out),
+        contextlib.redirect_stderr(out),
+        mock.patch.dict(os.environ, {"SHELL": "/bin/bash", "COLUMNS": "200"}),
+    ):
+        context.code = main(arguments)
+    context.output = " ".join(out.getvalue().split())
+
+
+@when('command line runs "{arguments}"')
+def command_line_runs(context, arguments):
+    _run(context, arguments.split())
+
+
+@when('command line runs ""')
+def command_line_runs_nothing(context):
+    _run(context, [])
+
+
+@when("command line runs an entry that {ends}")
+def command_line_runs_entry(context, ends):
+    def run(settings):
+        if ends.startswith("raises"):
+            raise LentiltallyError("cannot listen", step="listen", peer="x")
+        print(settings.process.name)
+        return 0
+
+    root = logging.getLogger()
+    handlers, level = root.handlers[:], root.level
+    run = None if ends == "is not built" else run
+    try:
+        with mock.patch.object(lentiltally.entry, "run", run, create=True):
+            _run(context, ["entry", "--settings", ENTRY_SAMPLE])
+    finally:
+        root.handlers[:] = handlers
+        root.setLevel(level)
+
+
+@when("command line checks the entry sample in a process of its own")
+def command_line_own_process(context):
+    command = [sys.executable, "-c", IMPORTED, ENTRY_SAMPLE]
+    result = subprocess.run(
+        command, cwd=ROOT, check=True, capture_output=True, text=True
+    )
+    context.modules = json.loads(result.stdout.splitlines()[-1])
+
+
+@then('command line exits with {code:d} and says "{text}"')
+def command_line_exits(context, code, text):
+    assert context.code == code, (context.code, context.output)
+    assert text in context.output, context.output
+
+
+@then("command line imported none of {names}")
+def command_line_imported(context, names):
+    assert not set(names.split(", ")) & set(context.modules), context.modules
