Add the entry's directory, attempts and first filters

Silence replaces a connection at most every 2 s, since all attempts on it notice at once; Resume tells the agent to replace its own connection too, because the silent one may be either.

--- a/lentiltally/agent/engine_target.py
+++ b/lentiltally/agent/engine_target.py
@@ -102,11 +102,14 @@
 
     def pin(self, job: Job) -> bool:
         """Pin the adapter for the job; called with the lock held."""
-        return isinstance(self._slots.pin(job.item.adapter), Pinned)
+        result = self._slots.pin(job.item.adapter)
+        job.pin = result if isinstance(result, Pinned) else None
+        return job.pin is not None
 
     def unpin(self, job: Job) -> None:
         """End the job's pin; called with the lock held."""
-        self._slots.unpin(job.item.adapter)
+        if job.pin is not None:
+            self._slots.unpin(job.pin)
 
     def work_waits(self) -> None:
         """Wake the sender of orders."""
--- a/lentiltally/agent/process.py
+++ b/lentiltally/agent/process.py
@@ -16,8 +16,7 @@
 from lentiltally.agent.service_target import ServiceTarget
 from lentiltally.agent.shared import QUARANTINE_STREAM, AgentState, refuse
 from lentiltally.clock import Clock, SystemClock
-from lentiltally.decisions.attempts import AttemptTable
-from lentiltally.decisions.claim_journal import ClaimState
+from lentiltally.decisions.attempts import AttemptTable, Refused
 from lentiltally.decisions.load_permits import PermitSettings
 from lentiltally.ids import new_incarnation
 from lentiltally.metrics import Metrics
@@ -57,7 +56,7 @@
         self._inbox = Inbox(settings.channel.listen, self._received)
         self._health = HealthServer(settings.health.listen, self._is_ready)
         self._health.prepare()
-        self._outboxes = Outboxes()
+        self._outboxes = Outboxes(clock)
         log = LogClient(settings.log.url, settings.log.timeout_s, clock)
         incarnation = new_incarnation()
         self._state = AgentState(
@@ -152,7 +151,9 @@
         _log.info("agent stopped")
 
     def _is_idle(self) -> bool:
-        return all(runner.is_idle() for runner in self._runners.values())
+        with self._state.lock:
+            has_answers = not self._state.attempts.is_idle
+        return not has_answers and all(r.is_idle() for r in self._runners.values())
 
     def _is_ready(self) -> bool:
         return not self._is_draining and any(
@@ -229,22 +230,36 @@
         )
 
     def _resume(self, message: Resume) -> None:
+        if message.reconnect:
+            self._outboxes.reconnect(message.reply_address)
         with self._state.lock:
+            result = self._state.attempts.query(message.attempt_id)
             kept = self._state.kept(message.attempt_id)
         if kept is None:
+            self._refuse_resume(message, isinstance(result, Refused))
             return
         kept.reply_address = message.reply_address
         for part in kept.since(message.next_index):
             self._reporter.send(message.reply_address, part)
 
+    def _refuse_resume(self, message: Resume, is_not_run: bool) -> None:
+        refuse(
+            self._reporter,
+            message.reply_address,
+            message.attempt_id,
+            "attempt not known",
+            self._state.name,
+            executed="no" if is_not_run else "unknown",
+        )
+
     def _claim(self, query: ClaimQuery) -> ClaimAnswer:
         unknown = ClaimAnswer(query.query_id, "unknown", 0, "", b"")
         if query.agent_incarnation != self._state.incarnation:
             return unknown
         with self._state.lock:
-            state, attempt_id = self._state.claims.query(query.claim_id)
-            kept = self._state.kept(attempt_id) if attempt_id else None
-        if state is ClaimState.REFUSED:
+            result = self._state.attempts.query(query.claim_id)
+            kept = self._state.kept(query.claim_id)
+        if isinstance(result, Refused):
             return ClaimAnswer(query.query_id, "refused", 0, "", b"")
         if kept is None:
             return unknown
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -13,6 +13,7 @@
 from lentiltally.agent.kept_answers import KeptAnswer
 from lentiltally.agent.reporter import Reporter
 from lentiltally.agent.shared import AgentState, refuse
+from lentiltally.decisions.adapter_slots import Pinned
 from lentiltally.decisions.attempts import AlreadyKnown, AttemptState, RefusedForGood
 from lentiltally.decisions.lengths import LengthEstimates
 from lentiltally.decisions.quarantine import Admission, ClearRecord, Suspicion
@@ -45,6 +46,7 @@
     item: QueuedWork
     execute: Execute
     kept: KeptAnswer
+    pin: Pinned | None = None
 
 
 class Target(Protocol):
@@ -262,7 +264,6 @@
         )
         if not self._queue.put(item, now_s):
             state.attempts.refuse(execute.attempt_id)
-            state.claims.withdraw(execute.claim_id)
             self._refuse(execute, "queue-full", retry_after_s=1.0)
             return
         state.live[execute.attempt_id] = KeptAnswer(execute.reply_address)
@@ -276,10 +277,6 @@
         fingerprint = execute.fingerprint
         if state.quarantine.suspicion(fingerprint) is Suspicion.QUARANTINED:
             return "quarantined"
-        if execute.claim_id and not state.claims.offer(
-            execute.claim_id, execute.attempt_id
-        ):
-            return "claim-refused"
         return ""
 
     def _repeat(self, execute: Execute, known: AlreadyKnown) -> None:
@@ -356,7 +353,6 @@
             return
         with self._state.lock:
             self._state.attempts.returned(job.item.attempt_id)
-            self._state.claims.withdraw(job.execute.claim_id)
         self.emit(job, self._not_run(job, "target-unreachable", error.step))
 
     def _end(self, job: Job, is_finished: bool) -> None:
@@ -378,7 +374,6 @@
         assert isinstance(execute, Execute)
         state = self._state
         state.attempts.refuse(item.attempt_id)
-        state.claims.withdraw(execute.claim_id)
         state.live.pop(item.attempt_id, None)
         state.metrics.count("not_run")
         self._refuse(execute, reason, retry_after_s=1.0)
--- a/lentiltally/agent/shared.py
+++ b/lentiltally/agent/shared.py
@@ -13,7 +13,6 @@
 from lentiltally.agent.reporter import Reporter
 from lentiltally.clock import Clock
 from lentiltally.decisions.attempts import AttemptTable
-from lentiltally.decisions.claim_journal import ClaimJournal
 from lentiltally.decisions.quarantine import Quarantine, QuarantineRecord
 from lentiltally.errors import LentiltallyError
 from lentiltally.metrics import Metrics
@@ -38,7 +37,6 @@
     metrics: Metrics
     log: LogClient
     attempts: AttemptTable
-    claims: ClaimJournal = field(default_factory=ClaimJournal)
     quarantine: Quarantine = field(default_factory=Quarantine)
     live: dict[str, KeptAnswer] = field(default_factory=dict)
     lock: threading.RLock = field(default_factory=threading.RLock)
--- a/lentiltally/entry/pending.py
+++ b/lentiltally/entry/pending.py
@@ -5,7 +5,6 @@
 import queue
 import threading
 
-from lentiltally.clock import Clock
 from lentiltally.wire import (
     AnswerEnd,
     AnswerEvents,
@@ -24,30 +23,32 @@
     The inbox thread puts messages in; the request's own thread takes them out.
     """
 
-    def __init__(self, attempt_id: str, agent_incarnation: str, clock: Clock) -> None:
-        """Start with no message, heard of just now."""
+    def __init__(self, attempt_id: str, agent_incarnation: str) -> None:
+        """Start with no message."""
         self.attempt_id = attempt_id
         self.agent_incarnation = agent_incarnation
-        self.heard_s = clock.monotonic_s()
         self.agent_is_gone = False
-        self._clock = clock
-        self._messages: queue.SimpleQueue[AttemptMessage | None] = queue.SimpleQueue()
+        self._messages: queue.SimpleQueue[AttemptMessage | int | None] = (
+            queue.SimpleQueue()
+        )
 
     def put(self, message: AttemptMessage) -> None:
         """Deliver a message of the attempt."""
-        self.heard_s = self._clock.monotonic_s()
         self._messages.put(message)
 
-    def take(self, timeout_s: float) -> AttemptMessage | None:
-        """Return the next message, or None after the timeout or a wake-up."""
+    def take(self, timeout_s: float) -> AttemptMessage | int | None:
+        """Return the next message, or None after the timeout or a wake-up.
+
+        A number is the agent's next index, from a progress message.
+        """
         try:
             return self._messages.get(timeout=max(0.0, timeout_s))
         except queue.Empty:
             return None
 
-    def progressed(self) -> None:
-        """Note that the agent says it still works on the attempt."""
-        self.heard_s = self._clock.monotonic_s()
+    def progressed(self, next_index: int) -> None:
+        """Deliver the agent's word that it works on the attempt, and where it is."""
+        self._messages.put(next_index)
 
     def agent_gone(self) -> None:
         """Note that the agent run which had the attempt has ended, and wake up."""
@@ -58,15 +59,14 @@
 class PendingAttempts:
     """All open attempts of the entry, by attempt id."""
 
-    def __init__(self, clock: Clock) -> None:
+    def __init__(self) -> None:
         """Start with none."""
-        self._clock = clock
         self._by_id: dict[str, PendingAttempt] = {}
         self._lock = threading.Lock()
 
     def open(self, attempt_id: str, agent_incarnation: str) -> PendingAttempt:
         """Register an attempt before it is sent."""
-        pending = PendingAttempt(attempt_id, agent_incarnation, self._clock)
+        pending = PendingAttempt(attempt_id, agent_incarnation)
         with self._lock:
             self._by_id[attempt_id] = pending
         return pending
@@ -84,10 +84,10 @@
 
     def progress(self, message: Progress) -> None:
         """Note which attempts their agent still works on."""
-        for attempt_id in message.attempts:
+        for attempt_id, next_index in message.attempts.items():
             pending = self._by_id.get(attempt_id)
             if pending is not None:
-                pending.progressed()
+                pending.progressed(next_index)
 
     def agent_restarted(self, old_incarnation: str) -> None:
         """Tell the attempts of an agent run that has ended."""
--- /dev/null
+++ b/lentiltally/entry/targets.py
@@ -0,0 +1,224 @@
+"""The entry's directory of targets: who may get work, and which one gets it."""
+
+from __future__ import annotations
+
+import logging
+import random
+import threading
+from collections.abc import Callable, Sequence
+
+from lentiltally.clock import Clock
+from lentiltally.decisions.membership import Membership
+from lentiltally.decisions.placement import (
+    Placement,
+    PlacementRequest,
+    TargetView,
+)
+from lentiltally.errors import LentiltallyError
+from lentiltally.platform.host_list import HostListClient
+from lentiltally.wire import ChannelError, Hello, Outboxes, TargetState
+
+_log = logging.getLogger(__name__)
+
+HELLO_S = 10.0
+# Agents that have not answered yet are greeted this often, for a quick start.
+FIRST_HELLO_S = 0.25
+MAX_CHOICES = 64
+
+
+class TargetDirectory:
+    """Joins membership and placement; safe to use from several threads."""
+
+    def __init__(
+        self,
+        *,
+        hello: Hello,
+        seeds: Sequence[str],
+        outboxes: Outboxes,
+        host_list: HostListClient,
+        poll_s: float,
+        clock: Clock,
+        on_agent_restart: Callable[[str], None],
+    ) -> None:
+        """``on_agent_restart`` gets the incarnation of an agent run that has ended."""
+        self._hello = hello
+        self._addresses = set(seeds)
+        self._outboxes = outboxes
+        self._host_list = host_list
+        self._poll_s = poll_s
+        self._clock = clock
+        self._on_agent_restart = on_agent_restart
+        self._membership = Membership()
+        self._placement = Placement(random.Random())
+        self._lock = threading.Lock()
+        self._stopped = threading.Event()
+        self._threads = [
+            threading.Thread(target=self._greet, daemon=True, name="hello"),
+            threading.Thread(target=self._poll, daemon=True, name="host-list"),
+        ]
+
+    def start(self) -> None:
+        """Begin to greet agents and to read the host list."""
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop greeting and reading."""
+        self._stopped.set()
+
+    def has_targets(self) -> bool:
+        """Return whether any target has been heard of."""
+        with self._lock:
+            return bool(self._membership.targets())
+
+    def states(self) -> list[tuple[TargetState, str]]:
+        """Return each target's newest state and why it gets no work, or ``ok``."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            found = []
+            for name in sorted(self._membership.targets()):
+                state = self._membership.state(name)
+                if state is not None:
+                    eligibility = self._membership.eligible(name, now_s)
+                    found.append((state, eligibility.reason.value))
+            return found
+
+    def agent_said(self, state: TargetState) -> None:
+        """Apply a target state that arrived."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            was = self._membership.agent_incarnation(state.agent)
+            is_new = self._membership.agent_said(state, now_s)
+            if is_new:
+                self._show(state, now_s)
+        if is_new and was is not None and was != state.agent_incarnation:
+            _log.warning("agent restarted", extra={"peer": state.agent})
+            self._on_agent_restart(was)
+
+    def heard(self, agent: str) -> None:
+        """Note that a message of an agent arrived."""
+        with self._lock:
+            self._membership.heard(agent, self._clock.monotonic_s())
+
+    def counted(self, target: str, queued: int, running: int) -> None:
+        """Take over the true counts that an answer carries."""
+        with self._lock:
+            now_s = self._clock.monotonic_s()
+            self._placement.counted(target, queued, running, now_s)
+
+    def choose(
+        self, wanted: PlacementRequest, targets: Sequence[str] = ()
+    ) -> TargetState | None:
+        """Choose a target and count the dispatch; None if none may get the work.
+
+        ``targets`` restricts the choice, for plain services.
+        """
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            if targets:
+                state = self._choose_among(targets, wanted, now_s)
+            else:
+                state = self._choose_placed(wanted, now_s)
+            if state is not None:
+                self._placement.dispatched(state.target, wanted, now_s)
+                self._membership.dispatched(state.agent, now_s)
+            return state
+
+    def chosen(self, target: str) -> TargetState | None:
+        """Return a target that a claim names, if it may get work, and count it."""
+        return self.choose(PlacementRequest("", 0), (target,))
+
+    def finished(self, state: TargetState) -> None:
+        """Count the end of a dispatch, whatever its outcome."""
+        with self._lock:
+            self._placement.finished(state.target, self._clock.monotonic_s())
+            self._membership.completed(state.agent)
+
+    def reconnect(self, address: str) -> None:
+        """Open a new connection to an agent whose present one may be silent."""
+        _log.warning("connection replaced", extra={"peer": address})
+        self._outboxes.reconnect(address)
+
+    def _choose_placed(
+        self, wanted: PlacementRequest, now_s: float
+    ) -> TargetState | None:
+        for _ in range(MAX_CHOICES):
+            choice = self._placement.choose(wanted, now_s)
+            if choice is None:
+                return None
+            if self._membership.eligible(choice.target, now_s).ok:
+                return self._membership.state(choice.target)
+            # It comes back with its agent's next state.
+            self._placement.remove(choice.target)
+        return None
+
+    def _choose_among(
+        self, targets: Sequence[str], wanted: PlacementRequest, now_s: float
+    ) -> TargetState | None:
+        eligible = [
+            name
+            for name in targets
+            if name not in wanted.excluded and self._membership.eligible(name, now_s).ok
+        ]
+        if not eligible:
+            return None
+        return self._membership.state(min(eligible, key=self._load_of))
+
+    def _load_of(self, target: str) -> int:
+        return self._placement.load_of(target)
+
+    def _show(self, state: TargetState, now_s: float) -> None:
+        if not self._membership.eligible(state.target, now_s).ok:
+            self._placement.remove(state.target)
+        self._placement.update(
+            TargetView(
+                name=state.target,
+                failure_domain=state.failure_domain,
+                base_model=state.base_model or f"service:{state.target}",
+                agent=state.agent,
+                batch_places=state.batch_places,
+                adapter_slots=state.adapter_slots,
+                queued=state.queued,
+                running=state.running,
+                resident=frozenset(state.resident),
+                reported_at_s=now_s,
+            )
+        )
+
+    def _greet(self) -> None:
+        next_all_s = 0.0
+        while not self._stopped.wait(FIRST_HELLO_S):
+            now_s = self._clock.monotonic_s()
+            with self._lock:
+                known = {state.agent_address for state in self._known_states()}
+                addresses = set(self._addresses)
+            if now_s >= next_all_s:
+                next_all_s = now_s + HELLO_S
+                known = set()
+            for address in addresses - known:
+                self._send_hello(address)
+
+    def _known_states(self) -> list[TargetState]:
+        states = (self._membership.state(name) for name in self._membership.targets())
+        return [state for state in states if state is not None]
+
+    def _send_hello(self, address: str) -> None:
+        try:
+            self._outboxes.put(address, self._hello)
+        except ChannelError as error:
+            _log.info("agent not greeted", extra={"error": str(error)})
+
+    def _poll(self) -> None:
+        while not self._stopped.is_set():
+            try:
+                hosts = self._host_list.fetch()
+            except LentiltallyError as error:
+                _log.info("host list not read", extra={"error": str(error)})
+            else:
+                with self._lock:
+                    now_s = self._clock.monotonic_s()
+                    self._membership.host_list_said(hosts, now_s)
+                    self._addresses.update(
+                        host.address for host in hosts if host.role == "agent"
+                    )
+            self._stopped.wait(self._poll_s)
--- /dev/null
+++ b/lentiltally/pipeline/quarantine.py
@@ -0,0 +1,42 @@
+"""Filter 5: stops requests that are known to crash targets."""
+
+from __future__ import annotations
+
+from typing import Protocol
+
+import msgspec
+
+from lentiltally.decisions.quarantine import Suspicion
+from lentiltally.pipeline.exchange import Answer, Exchange, Handler
+from lentiltally.problems import Refusal
+
+
+class Suspicions(Protocol):
+    """What is held against requests, by fingerprint."""
+
+    def suspicion(self, fingerprint: str) -> Suspicion:
+        """Return what is held against a fingerprint."""
+        ...
+
+
+class QuarantineFilter:
+    """Refuses quarantined requests and marks suspects."""
+
+    def __init__(self, suspicions: Suspicions) -> None:
+        """Take the table of suspicions."""
+        self._suspicions = suspicions
+
+    def __call__(self, exchange: Exchange, following: Handler) -> Answer:
+        """Pass the exchange on unless its content is quarantined."""
+        suspicion = self._suspicions.suspicion(exchange.fingerprint)
+        if suspicion is Suspicion.QUARANTINED:
+            raise Refusal(
+                422,
+                "quarantined",
+                f"this request has crashed targets; its fingerprint is "
+                f"{exchange.fingerprint}, by which an operator can lift the quarantine",
+                step="quarantine",
+            )
+        if suspicion is Suspicion.SUSPECT:
+            exchange = msgspec.structs.replace(exchange, is_suspect=True)
+        return following(exchange)
--- a/lentiltally/wire/channel.py
+++ b/lentiltally/wire/channel.py
@@ -9,6 +9,7 @@
 
 import pynng
 
+from lentiltally.clock import Clock
 from lentiltally.errors import LentiltallyError
 from lentiltally.wire.codec import FrameError, decode, encode
 from lentiltally.wire.messages import Message
@@ -19,6 +20,7 @@
 # after a pause the first message leaves at once.
 COALESCE_S = 0.004
 SEND_TIMEOUT_MS = 2_000
+MIN_CONNECTION_AGE_S = 2.0
 MAX_WAITING_MESSAGES = 20_000
 # A frame holds at most a request or answer body plus its envelope.
 MAX_FRAME_BYTES = 64 * 1024 * 1024
@@ -87,9 +89,11 @@
     together in the next frame.
     """
 
-    def __init__(self, address: str) -> None:
+    def __init__(self, address: str, clock: Clock) -> None:
         """Dial the peer in the background; it need not be up yet."""
         self.address = address
+        self._clock = clock
+        self._dialled_s = clock.monotonic_s()
         self._socket: Any = self._dial()
         self._waiting: list[Message] = []
         self._changed = threading.Condition()
@@ -106,8 +110,16 @@
             self._changed.notify()
 
     def reconnect(self) -> None:
-        """Replace the connection, because the present one may be silent for good."""
-        old, self._socket = self._socket, self._dial()
+        """Replace the connection, because the present one may be silent for good.
+
+        Does nothing if the connection is new: many attempts notice the same silence.
+        """
+        with self._changed:
+            now_s = self._clock.monotonic_s()
+            if now_s - self._dialled_s < MIN_CONNECTION_AGE_S:
+                return
+            self._dialled_s = now_s
+            old, self._socket = self._socket, self._dial()
         old.close()
 
     def close(self) -> None:
@@ -156,8 +168,9 @@
 class Outboxes:
     """The outboxes of a process, one for each peer address, opened on first use."""
 
-    def __init__(self) -> None:
+    def __init__(self, clock: Clock) -> None:
         """Start with no peers."""
+        self._clock = clock
         self._by_address: dict[str, Outbox] = {}
         self._lock = threading.Lock()
 
@@ -188,5 +201,5 @@
         with self._lock:
             outbox = self._by_address.get(address)
             if outbox is None:
-                outbox = self._by_address[address] = Outbox(address)
+                outbox = self._by_address[address] = Outbox(address, self._clock)
             return outbox
--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -67,7 +67,6 @@
     stream: bool
     priority: int
     idempotent: bool
-    claim_id: str
     fingerprint: str
     deadline_left_s: float
     config_offset: int
@@ -84,11 +83,16 @@
 
 
 class Resume(msgspec.Struct, frozen=True, tag="resume", array_like=True):
-    """Send the answer of an attempt again, from the event with the given index."""
+    """Send the answer of an attempt again, from the event with the given index.
+
+    ``reconnect`` asks for a new connection to the entry, because the present one may
+    be silent for good.
+    """
 
     attempt_id: str
     reply_address: str
     next_index: int
+    reconnect: bool
 
 
 class Release(msgspec.Struct, frozen=True, tag="release", array_like=True):
@@ -100,8 +104,9 @@
 class ClaimQuery(msgspec.Struct, frozen=True, tag="claim-query", array_like=True):
     """Ask the agent to which a claim is bound what became of it.
 
-    An agent run that has never seen the claim refuses it for good before it answers;
-    a run other than ``agent_incarnation`` answers that it can't know.
+    The id of a claim is the id of the one attempt that it allows. An agent run that
+    has never seen the claim refuses it for good before it answers; a run other than
+    ``agent_incarnation`` answers that it can't know.
     """
 
     query_id: str
