Make a new fencing token known before the first pin

An engine learns a token only from an order. Until the new owner's first order it obeyed a delayed unload of the owner before, also while the new owner ran requests on a resident adapter. The first order with a token now unloads a name that no adapter has, and the list of adapters is read again after it.

--- a/lentiltally/decisions/adapter_slots.py
+++ b/lentiltally/decisions/adapter_slots.py
@@ -6,89 +6,40 @@
 
 from __future__ import annotations
 
-import enum
 from collections.abc import Collection, Iterable, Sequence
 from dataclasses import dataclass, field
 
-
-class SlotState(enum.Enum):
-    """State of an adapter at the engine, as far as the agent knows."""
-
-    ABSENT = "absent"
-    LOADING = "loading"
-    RESIDENT = "resident"
-    UNLOADING = "unloading"
-    UNKNOWN = "unknown"
-
-
-class OrderKind(enum.Enum):
-    """The two orders an engine accepts for adapters."""
-
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
-class OrderOutcome(enum.Enum):
-    """How an order ended."""
-
-    DONE = "done"
-    FAILED = "failed"
-    ANSWER_LOST = "answer lost"
-    FENCED = "fenced"
-
-
-class OrderEffect(enum.Enum):
-    """What the end of an order means for the work that waits for the adapter."""
-
-    LOADED = "loaded"
-    LOAD_FAILED = "load failed"
-    UNLOADED = "unloaded"
-    UNLOAD_FAILED = "unload failed"
-    UNKNOWN = "unknown"
-
-
-@dataclass(frozen=True, slots=True)
-class Pinned:
-    """The adapter is resident and pinned; ``pin_id`` tells this pin from all others."""
-
-    adapter: str
-    pin_id: int
-
-
-@dataclass(frozen=True, slots=True)
-class LoadNeeded:
-    """The adapter is not resident; a load is possible or under way."""
-
-    adapter: str
-
-
-@dataclass(frozen=True, slots=True)
-class SlotsBusy:
-    """Every slot is pinned or under an order, so no load is possible now."""
-
-    adapter: str
-
-
-PinResult = Pinned | LoadNeeded | SlotsBusy
-
-
-@dataclass(frozen=True, slots=True)
-class Order:
-    """One load or unload order for the engine."""
-
-    order_id: int
-    kind: OrderKind
-    adapter: str
-    fencing_token: int
-    engine_incarnation: str
-
-
-@dataclass(frozen=True, slots=True)
-class OrderResult:
-    """The effect of an answered order on one adapter."""
-
-    adapter: str
-    effect: OrderEffect
+from lentiltally.decisions.adapter_orders import (
+    LoadNeeded,
+    Order,
+    OrderEffect,
+    OrderKind,
+    OrderOutcome,
+    OrderResult,
+    Pinned,
+    PinResult,
+    SlotsBusy,
+    SlotState,
+)
+
+__all__ = [
+    "FENCE_ADAPTER",
+    "AdapterSlots",
+    "LoadNeeded",
+    "Order",
+    "OrderEffect",
+    "OrderKind",
+    "OrderOutcome",
+    "OrderResult",
+    "PinResult",
+    "Pinned",
+    "SlotState",
+    "SlotsBusy",
+]
+
+
+# Unloading a name that no adapter has changes nothing, but the engine notes the token.
+FENCE_ADAPTER = "lentiltally-fence"
 
 
 @dataclass(slots=True)
@@ -106,8 +57,25 @@
 class AdapterSlots:
     """The slots of one target and the orders that change them."""
 
-    def __init__(self, slots: int, engine_incarnation: str = "") -> None:
-        """Start with no known adapters; the engine's list is needed first."""
+    def __init__(
+        self,
+        slots: int,
+        engine_incarnation: str = "",
+        *,
+        enforces_fencing: bool = False,
+    ) -> None:
+        """Start with no known adapters; the engine's list is needed first.
+
+        An engine that enforces fencing learns a new token only from an order. Until
+        then it would still obey a delayed order of the owner before, so the first
+        order with a token is one without effect, and nothing is pinned before it.
+        """
+        self._enforces_fencing = enforces_fencing
+        self._needs_fence = enforces_fencing
+        self._fence_order_id: int | None = None
+        self._fenced_token: int | None = None
+        self._is_trusted = not enforces_fencing
+        self._listing_needed_since = 0
         self._limit = slots
         self._engine_incarnation = engine_incarnation
         self._slots: dict[str, _Slot] = {}
@@ -149,11 +117,16 @@
 
     def set_fencing_token(self, token: int | None) -> None:
         """Set the token of the orders; None stops all orders."""
+        if token is not None and token != self._fenced_token:
+            self._fenced_token = token
+            self._require_fence()
         self._fencing_token = token
 
     def pin(self, adapter: str) -> PinResult:
         """Pin an adapter for one attempt if it is resident."""
         slot = self._slots.get(adapter)
+        if not self._is_trusted:
+            return LoadNeeded(adapter)
         if slot is not None:
             if slot.state is not SlotState.RESIDENT or slot.must_unload:
                 return LoadNeeded(adapter)
@@ -189,20 +162,16 @@
         ``wanted`` are the adapters the queue waits for, the most urgent first. No
         order is given without a fencing token or before the engine's list is read.
         """
-        if self._fencing_token is None or self._needs_listing:
+        if self._fencing_token is None:
+            return None
+        if self._needs_fence:
+            return self._fence()
+        if self._needs_listing or not self._is_trusted:
             return None
         overdue = self._overdue(wanted)
         if overdue is not None:
             return self._order(OrderKind.UNLOAD, overdue)
-        missing = [adapter for adapter in wanted if adapter not in self._slots]
-        if not missing:
-            return None
-        if self._has_free_slot():
-            return self._order(OrderKind.LOAD, missing[0])
-        if self._unloading() >= len(set(missing)):
-            return None
-        victim = self._victim(wanted)
-        return None if victim is None else self._order(OrderKind.UNLOAD, victim)
+        return self._replacement(wanted)
 
     def order_answered(
         self, order_id: int, outcome: OrderOutcome
@@ -211,12 +180,15 @@
         order = self._orders.pop(order_id, None)
         if order is None:
             return None
+        if order_id == self._fence_order_id:
+            self._fence_answered(outcome)
+            return None
         slot = self._slots[order.adapter]
         slot.changed = self._tick()
         slot.order_id = 0
         if outcome is OrderOutcome.ANSWER_LOST:
             slot.state = SlotState.UNKNOWN
-            self._needs_listing = True
+            self._require_listing()
             return OrderResult(order.adapter, OrderEffect.UNKNOWN)
         if outcome is OrderOutcome.FENCED:
             self._fencing_token = None
@@ -230,7 +202,8 @@
         self._slots.clear()
         self._orders.clear()
         self._engine_incarnation = incarnation
-        self._needs_listing = True
+        self._require_fence()
+        self._require_listing()
         return void
 
     def listing_started(self) -> int:
@@ -254,9 +227,9 @@
                 void += [name] if self._slots[name].pins else []
                 del self._slots[name]
         self._add_listed(adapters, since)
-        self._needs_listing = any(
-            slot.state is SlotState.UNKNOWN for slot in self._slots.values()
-        )
+        if since >= self._listing_needed_since:
+            self._needs_listing = False
+            self._is_trusted = not self._needs_fence
         return void
 
     def _add_listed(self, adapters: Iterable[str], since: int) -> None:
@@ -272,6 +245,32 @@
         slot = self._slots[name]
         return slot.order_id == 0 and slot.changed <= since
 
+    def _require_listing(self) -> None:
+        """Ask for a list that is requested after this moment."""
+        self._needs_listing = True
+        self._listing_needed_since = self._tick()
+
+    def _require_fence(self) -> None:
+        if self._enforces_fencing:
+            self._needs_fence = True
+            self._is_trusted = False
+            self._fence_order_id = None
+
+    def _fence(self) -> Order | None:
+        if self._fence_order_id in self._orders:
+            return None
+        order = self._new_order(OrderKind.UNLOAD, FENCE_ADAPTER)
+        self._fence_order_id = order.order_id
+        return order
+
+    def _fence_answered(self, outcome: OrderOutcome) -> None:
+        self._fence_order_id = None
+        if outcome is OrderOutcome.FENCED:
+            self._fencing_token = None
+        elif outcome is not OrderOutcome.ANSWER_LOST:
+            self._needs_fence = False
+            self._require_listing()
+
     def _load_ended(
         self, adapter: str, slot: _Slot, outcome: OrderOutcome
     ) -> OrderResult:
@@ -281,7 +280,7 @@
             return OrderResult(adapter, OrderEffect.LOADED)
         del self._slots[adapter]
         # A failed load may mean that the engine holds adapters we do not know of.
-        self._needs_listing = True
+        self._require_listing()
         return OrderResult(adapter, OrderEffect.LOAD_FAILED)
 
     def _unload_ended(
@@ -292,10 +291,21 @@
             self._retired.discard(adapter)
             return OrderResult(adapter, OrderEffect.UNLOADED)
         slot.state = SlotState.UNKNOWN
-        self._needs_listing = True
+        self._require_listing()
         return OrderResult(adapter, OrderEffect.UNLOAD_FAILED)
 
-    def _order(self, kind: OrderKind, adapter: str) -> Order:
+    def _replacement(self, wanted: Sequence[str]) -> Order | None:
+        missing = [adapter for adapter in wanted if adapter not in self._slots]
+        if not missing:
+            return None
+        if self._has_free_slot():
+            return self._order(OrderKind.LOAD, missing[0])
+        victim = self._victim(wanted)
+        if victim is None or self._unloading() >= len(set(missing)):
+            return None
+        return self._order(OrderKind.UNLOAD, victim)
+
+    def _new_order(self, kind: OrderKind, adapter: str) -> Order:
         assert self._fencing_token is not None
         self._order_count += 1
         order = Order(
@@ -306,6 +316,10 @@
             self._engine_incarnation,
         )
         self._orders[order.order_id] = order
+        return order
+
+    def _order(self, kind: OrderKind, adapter: str) -> Order:
+        order = self._new_order(kind, adapter)
         is_load = kind is OrderKind.LOAD
         slot = self._slots.setdefault(adapter, _Slot(SlotState.LOADING))
         slot.state = SlotState.LOADING if is_load else SlotState.UNLOADING
