Make the stand-ins' HTTP layer cheaper

The HTTP server's socket files are pure Python over several layers, and head and body of an answer left in two segments.

--- a/standins/_connections.py
+++ b/standins/_connections.py
@@ -20,24 +20,89 @@
         super().__init__(errno.ECONNRESET, "connection cut by a fault switch")
 
 
+class LeanReader:
+    """Buffered reader; the HTTP server's own is pure Python over several layers."""
+
+    def __init__(self, sock: socket.socket) -> None:
+        """Read from the given socket."""
+        self._socket = sock
+        self._buffer = b""
+        self._position = 0
+        self.bytes_read = 0
+        self.closed = False
+
+    def readline(self, size: int | None = None) -> bytes:
+        """Return a line with its end, or what there is before the end of file."""
+        end = self._buffer.find(b"\n", self._position) + 1
+        while not end and self._fill():
+            end = self._buffer.find(b"\n", self._position) + 1
+        length = (end or len(self._buffer)) - self._position
+        return self._take(length if size is None or size < 0 else min(length, size))
+
+    def read(self, size: int | None = None) -> bytes:
+        """Return ``size`` bytes, or fewer only at the end of file."""
+        while size is None or len(self._buffer) - self._position < size:
+            if not self._fill():
+                break
+        available = len(self._buffer) - self._position
+        return self._take(available if size is None else min(size, available))
+
+    def has_data(self) -> bool:
+        """Return whether a part of the next request is in the buffer."""
+        return self._position < len(self._buffer)
+
+    def close(self) -> None:
+        """Mark the reader as closed; the socket belongs to the connection."""
+        self.closed = True
+
+    def _fill(self) -> bool:
+        data = self._socket.recv(65536)
+        self._buffer = self._buffer[self._position :] + data
+        self._position = 0
+        return bool(data)
+
+    def _take(self, size: int) -> bytes:
+        start = self._position
+        self._position += size
+        self.bytes_read += size
+        return self._buffer[start : self._position]
+
+
 class GatedWriter:
-    """Writes to a socket until the connection is silenced."""
+    """Writes to a socket until the connection is silenced.
+
+    The head of an answer is held back until the first bytes of its body, so that
+    both leave in one segment.
+    """
 
     def __init__(self, sock: socket.socket) -> None:
         """Write to the given socket."""
         self._socket = sock
         self._lock = threading.Lock()
         self._closed = False
+        self._head = b""
         self.bytes_written = 0
 
     def write(self, data: bytes) -> int:
         """Send all the data; raises ConnectionCutError if the gate is closed."""
+        if data.startswith(b"HTTP/1.1 ") and not data.startswith(b"HTTP/1.1 100"):
+            self._head = data
+        else:
+            self._send(self._head + data)
+        self.bytes_written += len(data)
+        return len(data)
+
+    def flush(self) -> None:
+        """Send the head of an answer without a body."""
+        if self._head:
+            self._send(self._head)
+
+    def _send(self, data: bytes) -> None:
+        self._head = b""
         with self._lock:
             if self._closed:
                 raise ConnectionCutError
             self._socket.sendall(data)
-        self.bytes_written += len(data)
-        return len(data)
 
     def close_gate(self) -> None:
         """Let nothing more pass; returns after a write under way has ended."""
@@ -45,13 +110,18 @@
             self._closed = True
 
 
+def _make_file(sock: Any, mode: str, _: int) -> Any:
+    return LeanReader(sock) if "r" in mode else GatedWriter(sock)
+
+
 class StandInConnection(HTTPConnection):  # type: ignore[misc,unused-ignore]
     """One connection of a stand-in, known to the server from accept to close."""
 
     def __init__(self, server: Any, sock: Any, makefile: Any) -> None:
         """Register with the server's connection table."""
-        super().__init__(server, sock, makefile)
-        self.wfile: Any = GatedWriter(sock)
+        super().__init__(server, sock, _make_file)
+        # Sending on a socket with a timeout costs a second system call.
+        sock.settimeout(None)
         self.silent = False
         #: The last request was for the test equipment, which faults don't touch.
         self.is_control = False
@@ -59,7 +129,14 @@
 
     def communicate(self) -> bool:
         """Handle one request, or nothing if the connection is silent."""
-        return not self.silent and bool(super().communicate())  # type: ignore[no-untyped-call]
+        if self.silent:
+            return False
+        keep_open = bool(super().communicate())  # type: ignore[no-untyped-call]
+        try:
+            self.wfile.flush()
+        except OSError:
+            return False
+        return keep_open
 
     def silence(self, holder: SilentHolder) -> None:
         """Answer nothing more and leave the connection open for good."""
