--- /dev/null
+++ b/lentiltally/platform/host_list.py
@@ -0,0 +1,55 @@
+"""Client of the platform's list of live and leaving hosts."""
+
+from __future__ import annotations
+
+import msgspec
+import urllib3
+
+from lentiltally.errors import LentiltallyError
+from lentiltally.platform._http import new_pool
+
+
+class HostListError(LentiltallyError):
+    """The host list could not be read; an older copy stays in use."""
+
+
+class HostRecord(msgspec.Struct, frozen=True):
+    """One host; ``status`` is ``live`` or ``leaving``, and the list lags."""
+
+    host: str
+    address: str
+    role: str
+    region: str
+    failure_domain: str
+    status: str
+
+
+class HostListClient:
+    """Reads the host list; safe to use from several threads."""
+
+    def __init__(self, base_url: str, timeout_s: float) -> None:
+        """Open no connection yet; ``timeout_s`` limits connecting and the answer."""
+        self._base_url = base_url.rstrip("/")
+        self._timeout_s = timeout_s
+        self._pool = new_pool()
+
+    def fetch(self) -> tuple[HostRecord, ...]:
+        """Return all hosts of the list; raises HostListError."""
+        try:
+            answer = self._pool.request(
+                "GET",
+                self._base_url + "/hosts",
+                timeout=self._timeout_s,
+                redirect=False,
+            )
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise self._error(f"no answer: {error}") from error
+        if answer.status != 200:
+            raise self._error(f"answered {answer.status}")
+        try:
+            return msgspec.json.decode(answer.data, type=tuple[HostRecord, ...])
+        except msgspec.MsgspecError as error:
+            raise self._error(f"malformed answer: {error}") from error
+
+    def _error(self, message: str) -> HostListError:
+        return HostListError(message, step="host list", peer=self._base_url)
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import socket
 import sys
 import threading
 from collections.abc import Callable, Iterable, Mapping
@@ -93,6 +94,17 @@
         self.gateway = _Gateway
         self.table = ConnectionTable()
 
+    @staticmethod
+    def bind_socket(socket_: Any, bind_addr: Any) -> Any:
+        """Bind, and let a later start use the port while old connections linger.
+
+        The option is set after binding, because a system-chosen port could
+        otherwise be one that another process is about to listen on.
+        """
+        socket_.bind(bind_addr)
+        socket_.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        return socket_
+
     def error_log(
         self, msg: str = "", level: int = 20, traceback: bool = False
     ) -> None:
--- a/standins/engine_core.py
+++ b/standins/engine_core.py
@@ -143,6 +143,7 @@
                     execution.end("cut", self._clock.monotonic_s())
             self.cache.clear()
             self._reset()
+            self._changed.notify_all()
 
     # Orders
 
@@ -163,9 +164,13 @@
             return entry
 
     def begin_load(self, name: str) -> int:
-        """Reserve a slot; return 200, 400 (no free slot) or 409 (already loaded)."""
+        """Reserve a slot; return 200, 400 (no free slot) or 409 (already loaded).
+
+        A second order for an adapter waits until the first one ends.
+        """
         with self._changed:
-            if name in self._loaded or name in self._loading:
+            self._changed.wait_for(lambda: name not in self._loading)
+            if name in self._loaded:
                 return 409
             if len(self._loaded) + len(self._loading) >= self.settings.adapter_slots:
                 return 400
@@ -181,6 +186,7 @@
             if loaded:
                 self._loaded[name] = path
                 self._report()
+            self._changed.notify_all()
             return loaded
 
     def unload(self, name: str) -> int:
--- a/standins/log_core.py
+++ b/standins/log_core.py
@@ -100,8 +100,8 @@
 
     def read(
         self, name: str, offset: int, limit: int, wait_s: float
-    ) -> tuple[list[StoredRecord], int]:
-        """Return the records from the offset on, and the first retained offset.
+    ) -> tuple[list[StoredRecord], int, int]:
+        """Return the records from the offset on, and the bounds of the stream.
 
         Waits up to ``wait_s`` for the first record. Raises TruncatedError.
         """
@@ -117,7 +117,7 @@
             start = offset - stream.first_offset
             stop = min(start + limit, len(stream.records))
             records = [stream.records[index] for index in range(start, stop)]
-            return records, stream.first_offset
+            return records, stream.first_offset, stream.next_offset
 
     def bounds(self, name: str) -> tuple[int, int]:
         """Return the first retained and the next offset of a stream."""
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -75,13 +75,15 @@
         limit = min(request.number("limit", 1000), _MAX_LIMIT)
         wait_ms = min(request.number("wait_ms", 0), _MAX_WAIT_MS)
         try:
-            records, first = self.core.read(name, offset, limit, wait_ms / 1000)
+            records, first, following = self.core.read(
+                name, offset, limit, wait_ms / 1000
+            )
         except TruncatedError as error:
             return error_response(410, str(error), first_offset=error.first_offset)
         return json_response(
             {
                 "records": records,
                 "first_offset": first,
-                "next_offset": offset + len(records),
+                "next_offset": following,
             }
         )
