--- a/lentiltally/agent/kept_answers.py
+++ b/lentiltally/agent/kept_answers.py
@@ -4,8 +4,6 @@
 
 import threading
 
-import msgspec
-
 from lentiltally.wire import (
     AnswerEnd,
     AnswerEvents,
@@ -53,15 +51,16 @@
             ]
 
     def whole(self) -> AnswerWhole | None:
-        """Return the answer if it was given in one piece."""
-        with self._lock:
-            last = self._messages[-1] if self._messages else None
-        return last if isinstance(last, AnswerWhole) else None
-
-    def for_attempt(self, attempt_id: str) -> list[Message]:
-        """Return all messages under another attempt id, for a caller that joins."""
+        """Return the finished answer in one piece; None if there is none."""
         with self._lock:
-            return [
-                msgspec.structs.replace(message, attempt_id=attempt_id)
-                for message in self._messages
-            ]
+            messages = list(self._messages)
+        last = messages[-1] if messages else None
+        if isinstance(last, AnswerWhole):
+            return last
+        head = messages[0] if messages else None
+        if not isinstance(last, AnswerEnd) or not isinstance(head, AnswerHead):
+            return None
+        body = b"".join(m.data for m in messages if isinstance(m, AnswerEvents))
+        return AnswerWhole(
+            head.attempt_id, head.status, head.content_type, body, last.queued, 0
+        )
--- a/lentiltally/entry/attempts.py
+++ b/lentiltally/entry/attempts.py
@@ -139,10 +139,15 @@
                 yield action
                 return
 
-    def close(self) -> None:
-        """Tell the agent that the answer was received, or is not wanted any more."""
+    def close(self, *, release: bool = True) -> None:
+        """Tell the agent that the answer was received, or is not wanted any more.
+
+        Without ``release`` the agent keeps the answer until told otherwise.
+        """
         self._context.pending.close(self.attempt_id)
         self._context.directory.finished(self.target)
+        if not release:
+            return
         if self._assembly.is_over:
             self._send(Release(self.attempt_id))
         else:
--- /dev/null
+++ b/lentiltally/entry/process.py
@@ -0,0 +1,191 @@
+"""The entry process: wires listeners, pipeline, configuration and channels."""
+
+from __future__ import annotations
+
+import logging
+import random
+import signal
+import threading
+from datetime import timedelta
+
+from lentiltally.clock import Clock, SystemClock
+from lentiltally.config import ConfigFollower, FollowerThread
+from lentiltally.entry.attempts import AttemptContext
+from lentiltally.entry.claims import Claims
+from lentiltally.entry.pending import PendingAttempts
+from lentiltally.entry.queries import ClaimQueries
+from lentiltally.entry.retry_policy import JitteredRetries
+from lentiltally.entry.server import CallerApplication, new_server
+from lentiltally.entry.suspicions import FollowedQuarantine
+from lentiltally.entry.targets import TargetDirectory
+from lentiltally.ids import AttemptIds, new_incarnation
+from lentiltally.metrics import Metrics
+from lentiltally.pipeline import (
+    ClaimFilter,
+    Dispatch,
+    Handler,
+    ModelsFilter,
+    ParseFilter,
+    QuarantineFilter,
+    RefusalFilter,
+    ResolveFilter,
+    pipeline,
+)
+from lentiltally.platform.host_list import HostListClient
+from lentiltally.platform.log_client import LogClient
+from lentiltally.settings import EntrySettings
+from lentiltally.wire import (
+    AnswerEnd,
+    AnswerEvents,
+    AnswerHead,
+    AnswerWhole,
+    ClaimAnswer,
+    Hello,
+    Inbox,
+    Message,
+    Outboxes,
+    Progress,
+    Refused,
+    TargetState,
+)
+
+_log = logging.getLogger(__name__)
+
+TICK = timedelta(milliseconds=50)
+
+
+class Entry:
+    """One entry process."""
+
+    def __init__(self, settings: EntrySettings, clock: Clock) -> None:
+        """Bind the addresses; raises ChannelError or OSError if one is taken."""
+        self._settings = settings
+        self._clock = clock
+        self._stopping = threading.Event()
+        self._metrics = Metrics.from_settings(settings.metrics, settings.process)
+        self._log = LogClient(settings.log.url, settings.log.timeout_s, clock)
+        self._inbox = Inbox(settings.channel.listen, self._received)
+        self._outboxes = Outboxes(clock)
+        self._pending = PendingAttempts()
+        incarnation = new_incarnation()
+        self._directory = TargetDirectory(
+            hello=Hello(
+                settings.process.name,
+                incarnation,
+                settings.channel.listen,
+                settings.process.failure_domain,
+            ),
+            seeds=settings.agents.addresses,
+            outboxes=self._outboxes,
+            host_list=HostListClient(settings.host_list.url, clock=clock),
+            poll_s=settings.host_list.poll_s,
+            clock=clock,
+            on_agent_restart=self._pending.agent_restarted,
+        )
+        self._context = AttemptContext(
+            pending=self._pending,
+            directory=self._directory,
+            outboxes=self._outboxes,
+            ids=AttemptIds(incarnation),
+            reply_address=settings.channel.listen,
+            clock=clock,
+        )
+        self._config = FollowerThread(ConfigFollower(self._log, clock))
+        self._quarantine = FollowedQuarantine(self._log, clock)
+        self._claims = Claims(
+            self._log, clock, settings.idempotency.key_lifetime_s, self._metrics
+        )
+        self._queries = ClaimQueries(
+            self._outboxes,
+            self._directory,
+            settings.channel.listen,
+            AttemptIds(f"{incarnation}-query"),
+        )
+        self._callers = CallerApplication(
+            self._pipeline(), settings.callers, clock, self._metrics, self._is_ready
+        )
+        self._server = new_server(
+            settings.callers.listen,
+            self._callers,
+            settings.callers.threads,
+            certificate=settings.callers.tls_certificate,
+            key=settings.callers.tls_key,
+            read_timeout_s=settings.callers.read_timeout_s,
+            max_header_bytes=settings.callers.max_header_bytes,
+            max_body_bytes=settings.callers.max_body_bytes,
+        )
+        self._server.prepare()
+
+    def serve(self) -> int:
+        """Run until SIGTERM, drain, and return the exit code."""
+        for number in (signal.SIGTERM, signal.SIGINT):
+            signal.signal(number, lambda *_: self._stopping.set())
+        self._start()
+        _log.info("entry ready", extra={"address": self._settings.callers.listen})
+        self._stopping.wait()
+        self._drain()
+        return 0
+
+    def _start(self) -> None:
+        self._metrics.start()
+        self._config.start()
+        self._quarantine.start()
+        self._claims.start()
+        self._inbox.start()
+        self._directory.start()
+        threading.Thread(target=self._server.serve, daemon=True).start()
+
+    def _drain(self) -> None:
+        """Refuse readiness, let running requests end, and stop."""
+        self._callers.is_draining = True
+        self._metrics.gauge("leaving", 1)
+        until_s = self._clock.monotonic_s() + self._settings.process.drain_s
+        while self._callers.active and self._clock.monotonic_s() < until_s:
+            self._clock.sleep(TICK)
+        self._server.stop()
+        self._directory.stop()
+        self._claims.stop()
+        self._quarantine.stop()
+        self._outboxes.close()
+        self._inbox.close()
+        self._metrics.close()
+        _log.info("entry stopped")
+
+    def _is_ready(self) -> bool:
+        return self._config.tree is not None and self._directory.has_targets()
+
+    def _pipeline(self) -> Handler:
+        domain = self._settings.process.failure_domain
+        retries = JitteredRetries(random.Random())
+        return pipeline(
+            (
+                RefusalFilter(),
+                ParseFilter(self._settings.callers.max_key_bytes),
+                ModelsFilter(lambda: self._config.tree),
+                ResolveFilter(lambda: self._config.tree),
+                QuarantineFilter(self._quarantine),
+                ClaimFilter(self._claims, self._queries, self._context, domain),
+            ),
+            Dispatch(self._context, retries, self._metrics, domain),
+        )
+
+    def _received(self, message: Message) -> None:
+        match message:
+            case AnswerEvents() | AnswerHead() | AnswerEnd() | AnswerWhole():
+                self._pending.deliver(message)
+            case Refused():
+                self._pending.deliver(message)
+            case Progress():
+                self._directory.heard(message.agent)
+                self._pending.progress(message)
+            case TargetState():
+                self._directory.agent_said(message)
+            case ClaimAnswer():
+                self._queries.deliver(message)
+            case _:
+                _log.warning("unexpected message", extra={"kind": type(message)})
+
+
+def run(settings: EntrySettings) -> int:
+    """Run an entry with its settings until SIGTERM; return the exit code."""
+    return Entry(settings, SystemClock()).serve()
--- /dev/null
+++ b/lentiltally/entry/server.py
@@ -0,0 +1,207 @@
+"""The HTTP listeners of an entry, on cheroot."""
+
+from __future__ import annotations
+
+import logging
+import threading
+from collections.abc import Callable, Iterable
+from http import HTTPStatus
+from typing import Any
+
+from cheroot import wsgi
+from cheroot.ssl.builtin import BuiltinSSLAdapter
+
+from lentiltally.clock import Clock
+from lentiltally.ids import new_incarnation
+from lentiltally.metrics import Metrics
+from lentiltally.pipeline.exchange import Answer, CallerRequest, Exchange, Handler
+from lentiltally.pipeline.refusals import refusal_answer
+from lentiltally.problems import Refusal
+from lentiltally.settings import CallerSettings
+
+_log = logging.getLogger(__name__)
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+STEP = "receive"
+TEXT = "text/plain; charset=utf-8"
+HEADER_PREFIX = "HTTP_"
+
+
+class CallerApplication:
+    """Turns HTTP requests into exchanges and answers into responses."""
+
+    def __init__(
+        self,
+        handler: Handler,
+        settings: CallerSettings,
+        clock: Clock,
+        metrics: Metrics,
+        is_ready: Callable[[], bool],
+    ) -> None:
+        """``handler`` is the pipeline; ``is_ready`` decides on ``/readyz``."""
+        self._handler = handler
+        self._settings = settings
+        self._clock = clock
+        self._metrics = metrics
+        self._is_ready = is_ready
+        self._active = 0
+        self._lock = threading.Lock()
+        self.is_draining = False
+
+    @property
+    def active(self) -> int:
+        """Return how many requests are being served."""
+        return self._active
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Serve one request."""
+        path = environ["PATH_INFO"]
+        if path in ("/healthz", "/readyz"):
+            return self._health(path, start_response)
+        with self._lock:
+            self._active += 1
+        try:
+            answer = self._serve(environ)
+            return self._respond(answer, start_response)
+        except BaseException:
+            self._end()
+            raise
+
+    def _health(self, path: str, start_response: StartResponse) -> Iterable[bytes]:
+        is_ok = path == "/healthz" or (self._is_ready() and not self.is_draining)
+        status = HTTPStatus.OK if is_ok else HTTPStatus.SERVICE_UNAVAILABLE
+        body = b"ok\n" if is_ok else b"not ready\n"
+        headers = [("Content-Type", TEXT), ("Content-Length", str(len(body)))]
+        start_response(f"{status.value} {status.phrase}", headers)
+        return [body]
+
+    def _serve(self, environ: dict[str, Any]) -> Answer:
+        request_id = new_incarnation()
+        try:
+            request = self._read(environ)
+        except Refusal as refusal:
+            return refusal_answer(refusal, request_id)
+        return self._handler(Exchange(request, request_id))
+
+    def _read(self, environ: dict[str, Any]) -> CallerRequest:
+        received_s = self._clock.monotonic_s()
+        headers = {
+            name[len(HEADER_PREFIX) :].lower().replace("_", "-"): value
+            for name, value in environ.items()
+            if name.startswith(HEADER_PREFIX)
+        }
+        headers["content-type"] = environ.get("CONTENT_TYPE", "")
+        return CallerRequest(
+            method=environ["REQUEST_METHOD"],
+            path=environ["PATH_INFO"],
+            query=environ.get("QUERY_STRING", ""),
+            headers=headers,
+            body=self._read_body(environ),
+            received_s=received_s,
+        )
+
+    def _read_body(self, environ: dict[str, Any]) -> bytes:
+        limit = self._settings.max_body_bytes
+        length_text = environ.get("CONTENT_LENGTH") or ""
+        is_chunked = "chunked" in environ.get("HTTP_TRANSFER_ENCODING", "").lower()
+        if not length_text and not is_chunked:
+            return b""
+        length = int(length_text) if length_text.isdigit() else limit + 1
+        if length_text and length > limit:
+            raise self._too_large()
+        stream = environ["wsgi.input"]
+        try:
+            body: bytes = stream.read(length if length_text else limit + 1)
+        except (OSError, ValueError) as error:
+            raise Refusal(
+                400, "body-not-read", f"the body can't be read: {error}", step=STEP
+            ) from error
+        if len(body) > limit:
+            raise self._too_large()
+        if length_text and len(body) < length:
+            raise Refusal(
+                400, "body-cut", "the body is shorter than announced", step=STEP
+            )
+        return body
+
+    def _too_large(self) -> Refusal:
+        return Refusal(
+            413,
+            "body-too-large",
+            f"the body is larger than {self._settings.max_body_bytes} bytes",
+            step=STEP,
+            headers=(("Connection", "close"),),
+        )
+
+    def _respond(self, answer: Answer, start_response: StartResponse) -> Iterable[bytes]:
+        headers = list(answer.headers)
+        if self.is_draining:
+            headers.append(("Connection", "close"))
+        if isinstance(answer.body, bytes):
+            headers.append(("Content-Length", str(len(answer.body))))
+        start_response(_status_line(answer.status), headers)
+        if isinstance(answer.body, bytes):
+            return _Body(iter([answer.body]), self._end)
+        return _Body(answer.body, self._end)
+
+    def _end(self) -> None:
+        with self._lock:
+            self._active -= 1
+
+
+class _Body:
+    """A response body that tells when the server has finished with it."""
+
+    def __init__(self, parts: Any, on_close: Callable[[], None]) -> None:
+        self._parts = parts
+        self._on_close = on_close
+
+    def __iter__(self) -> Any:
+        return self._parts
+
+    def close(self) -> None:
+        """Close a stream, which cancels what it waits for, and count the end."""
+        try:
+            if hasattr(self._parts, "close"):
+                self._parts.close()
+        finally:
+            self._on_close()
+
+
+def _status_line(status: int) -> str:
+    try:
+        return f"{status} {HTTPStatus(status).phrase}"
+    except ValueError:
+        return f"{status} Status"
+
+
+def new_server(
+    listen: str,
+    application: Any,
+    threads: int,
+    *,
+    certificate: str | None,
+    key: str | None,
+    read_timeout_s: float,
+    max_header_bytes: int,
+    max_body_bytes: int,
+) -> wsgi.Server:
+    """Return a listener that is not bound yet; ``listen`` is ``host:port``."""
+    host, _, port = listen.rpartition(":")
+    server = wsgi.Server(
+        (host.strip("[]"), int(port)),
+        application,
+        numthreads=threads,
+        server_name="lentiltally",
+        timeout=read_timeout_s,
+        request_queue_size=128,
+    )
+    server.max_request_header_size = max_header_bytes
+    # The application refuses larger bodies with a problem document; this limit only
+    # bounds what is read of a body without a length.
+    server.max_request_body_size = 2 * max_body_bytes
+    if certificate is not None and key is not None:
+        server.ssl_adapter = BuiltinSSLAdapter(certificate, key)
+    return server
--- a/lentiltally/entry/targets.py
+++ b/lentiltally/entry/targets.py
@@ -124,9 +124,39 @@
                 self._membership.dispatched(state.agent, now_s)
             return state
 
-    def chosen(self, target: str) -> TargetState | None:
-        """Return a target that a claim names, if it may get work, and count it."""
-        return self.choose(PlacementRequest("", 0), (target,))
+    def preview(
+        self, wanted: PlacementRequest, targets: Sequence[str] = ()
+    ) -> TargetState | None:
+        """Choose a target without counting a dispatch, to bind a claim to it."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            if targets:
+                return self._choose_among(targets, wanted, now_s)
+            return self._choose_placed(wanted, now_s)
+
+    def chosen(self, target: str, agent_incarnation: str) -> TargetState | None:
+        """Return the target of a claim if its agent run goes on, and count it."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            state = self._membership.state(target)
+            if state is None or state.agent_incarnation != agent_incarnation:
+                return None
+            self._placement.dispatched(target, PlacementRequest("", 0), now_s)
+            self._membership.dispatched(state.agent, now_s)
+            return state
+
+    def agent_incarnation(self, agent: str) -> str | None:
+        """Return the current run of an agent, or None if it is not known."""
+        with self._lock:
+            return self._membership.agent_incarnation(agent)
+
+    def agent_address(self, agent: str) -> str | None:
+        """Return the address of an agent, or None if it is not known."""
+        with self._lock:
+            for state in self._known_states():
+                if state.agent == agent:
+                    return state.agent_address
+        return None
 
     def finished(self, state: TargetState) -> None:
         """Count the end of a dispatch, whatever its outcome."""
--- a/lentiltally/pipeline/__init__.py
+++ b/lentiltally/pipeline/__init__.py
@@ -1,3 +1,37 @@
-"""The filters through which an entry passes each request."""
+"""The filters through which an entry passes each request; README.md lists them."""
 
 from __future__ import annotations
+
+from lentiltally.pipeline.claim import ClaimFilter
+from lentiltally.pipeline.dispatch import Dispatch
+from lentiltally.pipeline.exchange import (
+    Answer,
+    CallerRequest,
+    Exchange,
+    Filter,
+    Handler,
+    Work,
+    pipeline,
+)
+from lentiltally.pipeline.models import ModelsFilter
+from lentiltally.pipeline.parse import ParseFilter
+from lentiltally.pipeline.quarantine import QuarantineFilter
+from lentiltally.pipeline.refusals import RefusalFilter
+from lentiltally.pipeline.resolve import ResolveFilter
+
+__all__ = [
+    "Answer",
+    "CallerRequest",
+    "ClaimFilter",
+    "Dispatch",
+    "Exchange",
+    "Filter",
+    "Handler",
+    "ModelsFilter",
+    "ParseFilter",
+    "QuarantineFilter",
+    "RefusalFilter",
+    "ResolveFilter",
+    "Work",
+    "pipeline",
+]
--- a/lentiltally/pipeline/dispatch.py
+++ b/lentiltally/pipeline/dispatch.py
@@ -66,7 +66,7 @@
             attempt = self._start(exchange, deadline_s, frozenset(excluded))
             first = attempt.send(exchange) or attempt.first()
             if isinstance(first, DeliverWhole):
-                attempt.close()
+                attempt.close(release=not work.is_keyed)
                 return self._whole(exchange, attempt.target, first)
             if isinstance(first, DeliverHead):
                 return self._stream(exchange, attempt, first)
@@ -104,7 +104,7 @@
         work = exchange.resolved()
         directory = self._context.directory
         if exchange.bound_target:
-            return directory.chosen(exchange.bound_target)
+            return directory.chosen(exchange.bound_target, exchange.bound_incarnation)
         wanted = placement_request(work, self._failure_domain, excluded)
         chosen = directory.choose(wanted, work.targets)
         if chosen is None and excluded:
@@ -150,7 +150,7 @@
     ) -> Answer:
         headers = _headers(exchange, attempt.target, head.content_type)
         headers += (("Cache-Control", "no-cache"),)
-        return Answer(head.status, headers, _events(attempt, exchange.request_id))
+        return Answer(head.status, headers, _events(attempt, exchange))
 
 
 def placement_request(
@@ -208,16 +208,17 @@
     )
 
 
-def _events(attempt: Attempt, request_id: str) -> Iterator[bytes]:
+def _events(attempt: Attempt, exchange: Exchange) -> Iterator[bytes]:
     try:
         for part in attempt.events():
             if isinstance(part, Failed):
                 # The status was sent already, so the stream itself has to tell. It
                 # ends without [DONE], by which callers know it is not whole.
                 refusal = failure_refusal(part, attempt.target.target)
-                body = problem_body(refusal, request_id)
+                body = problem_body(refusal, exchange.request_id)
                 yield b"event: error\ndata: " + body + b"\n\n"
             else:
                 yield part
     finally:
-        attempt.close()
+        # The answer to keyed work is kept by the agent until its outcome is in the log.
+        attempt.close(release=not exchange.resolved().is_keyed)
--- a/lentiltally/pipeline/exchange.py
+++ b/lentiltally/pipeline/exchange.py
@@ -63,6 +63,7 @@
     key: str = ""
     claim_id: str = ""
     bound_target: str = ""
+    bound_incarnation: str = ""
 
     def resolved(self) -> Work:
         """Return the resolved work; only for filters behind the resolve filter."""
