Make the thin path run end to end

Ran tools.demo: the only failure was work without an adapter, which the queue held back because an empty name stood for 'no adapter yields'. Modules behind the pipeline moved to lentiltally/routing, since entry and pipeline imported each other.

--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -290,13 +290,14 @@
     def _start(self, free: int, now_s: float) -> None:
         suspect_runs = any(job.item.is_suspect for job in self._running.values())
         resident = self._target.resident()
+        yielding = self._queue.yielding(resident, now_s)
         items = self._queue.take(
             free,
             resident,
             now_s,
             running_long=self._running_long(),
             suspect_running=suspect_runs,
-            held_back=(self._queue.yielding(resident, now_s) or "",),
+            held_back=() if yielding is None else (yielding,),
         )
         for item in items:
             assert isinstance(item.payload, Execute)
--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -9,15 +9,10 @@
 from datetime import timedelta
 
 from lentiltally.clock import Clock, SystemClock
-from lentiltally.config import ConfigFollower, FollowerThread
-from lentiltally.entry.attempts import AttemptContext
-from lentiltally.entry.claims import Claims
-from lentiltally.entry.pending import PendingAttempts
-from lentiltally.entry.queries import ClaimQueries
-from lentiltally.entry.retry_policy import JitteredRetries
+from lentiltally.config.follower import ConfigFollower
+from lentiltally.config.threads import FollowerThread
 from lentiltally.entry.server import CallerApplication, new_server
 from lentiltally.entry.suspicions import FollowedQuarantine
-from lentiltally.entry.targets import TargetDirectory
 from lentiltally.ids import AttemptIds, new_incarnation
 from lentiltally.metrics import Metrics
 from lentiltally.pipeline import (
@@ -33,6 +28,12 @@
 )
 from lentiltally.platform.host_list import HostListClient
 from lentiltally.platform.log_client import LogClient
+from lentiltally.routing.attempts import AttemptContext
+from lentiltally.routing.claims import Claims
+from lentiltally.routing.pending import PendingAttempts
+from lentiltally.routing.queries import ClaimQueries
+from lentiltally.routing.retry_policy import JitteredRetries
+from lentiltally.routing.targets import TargetDirectory
 from lentiltally.settings import EntrySettings
 from lentiltally.wire import (
     AnswerEnd,
@@ -51,6 +52,7 @@
 
 _log = logging.getLogger(__name__)
 
+HOST_LIST_TIMEOUT_S = 2.0
 TICK = timedelta(milliseconds=50)
 
 
@@ -77,7 +79,7 @@
             ),
             seeds=settings.agents.addresses,
             outboxes=self._outboxes,
-            host_list=HostListClient(settings.host_list.url, clock=clock),
+            host_list=HostListClient(settings.host_list.url, HOST_LIST_TIMEOUT_S),
             poll_s=settings.host_list.poll_s,
             clock=clock,
             on_agent_restart=self._pending.agent_restarted,
--- a/lentiltally/entry/server.py
+++ b/lentiltally/entry/server.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+import math
 import threading
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
@@ -12,9 +13,9 @@
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from lentiltally.clock import Clock
+from lentiltally.exchange import Answer, CallerRequest, Exchange, Handler
 from lentiltally.ids import new_incarnation
 from lentiltally.metrics import Metrics
-from lentiltally.pipeline.exchange import Answer, CallerRequest, Exchange, Handler
 from lentiltally.pipeline.refusals import refusal_answer
 from lentiltally.problems import Refusal
 from lentiltally.settings import CallerSettings
@@ -38,7 +39,7 @@
         metrics: Metrics,
         is_ready: Callable[[], bool],
     ) -> None:
-        """``handler`` is the pipeline; ``is_ready`` decides on ``/readyz``."""
+        """Take the pipeline as handler, and the test for ``/readyz``."""
         self._handler = handler
         self._settings = settings
         self._clock = clock
@@ -135,7 +136,9 @@
             headers=(("Connection", "close"),),
         )
 
-    def _respond(self, answer: Answer, start_response: StartResponse) -> Iterable[bytes]:
+    def _respond(
+        self, answer: Answer, start_response: StartResponse
+    ) -> Iterable[bytes]:
         headers = list(answer.headers)
         if self.is_draining:
             headers.append(("Connection", "close"))
@@ -195,7 +198,7 @@
         application,
         numthreads=threads,
         server_name="lentiltally",
-        timeout=read_timeout_s,
+        timeout=math.ceil(read_timeout_s),
         request_queue_size=128,
     )
     server.max_request_header_size = max_header_bytes
--- a/lentiltally/pipeline/__init__.py
+++ b/lentiltally/pipeline/__init__.py
@@ -2,9 +2,7 @@
 
 from __future__ import annotations
 
-from lentiltally.pipeline.claim import ClaimFilter
-from lentiltally.pipeline.dispatch import Dispatch
-from lentiltally.pipeline.exchange import (
+from lentiltally.exchange import (
     Answer,
     CallerRequest,
     Exchange,
@@ -13,6 +11,8 @@
     Work,
     pipeline,
 )
+from lentiltally.pipeline.claim import ClaimFilter
+from lentiltally.pipeline.dispatch import Dispatch
 from lentiltally.pipeline.models import ModelsFilter
 from lentiltally.pipeline.parse import ParseFilter
 from lentiltally.pipeline.quarantine import QuarantineFilter
--- a/lentiltally/pipeline/claim.py
+++ b/lentiltally/pipeline/claim.py
@@ -11,13 +11,19 @@
 
 from lentiltally.decisions import claim_resolution as steps
 from lentiltally.decisions.claim_resolution import ClaimResolution, ClaimState
-from lentiltally.decisions.claims import ClaimRecord, Finished, Open, OutcomeRecord
-from lentiltally.entry.attempts import AttemptContext
-from lentiltally.entry.claims import Claims
-from lentiltally.entry.queries import ClaimQueries
+from lentiltally.decisions.claims import (
+    ClaimRecord,
+    ClaimStatus,
+    Finished,
+    Open,
+    OutcomeRecord,
+)
+from lentiltally.exchange import Answer, Exchange, Handler
 from lentiltally.pipeline.dispatch import placement_request
-from lentiltally.pipeline.exchange import Answer, Exchange, Handler
 from lentiltally.problems import Refusal
+from lentiltally.routing.attempts import AttemptContext
+from lentiltally.routing.claims import Claims
+from lentiltally.routing.queries import ClaimQueries
 from lentiltally.wire import ChannelError, ClaimAnswer, Release
 
 _log = logging.getLogger(__name__)
@@ -107,27 +113,36 @@
 
     def _carry_out(self, action: steps.ResolutionAction) -> steps.Actions | Answer:
         match action:
-            case steps.NeedClaim():
-                return self._new_claim()
-            case steps.AppendClaim():
-                return self._append(action.record)
-            case steps.Follow():
-                if self._claims.wait_past(action.offset, max(0.0, self._left_s())):
-                    return self._resolution.followed(self._status())
-                return self._resolution.append_failed()
-            case steps.AppendAbandon() | steps.AppendOutcome():
-                self._claims.append_later(action.record)
-                return []
             case steps.Dispatch():
                 return self._dispatch(action.record)
-            case steps.QueryAgent():
-                return self._query(action)
             case steps.Replay():
                 return self._replay(action.finished)
             case steps.ReplayFromAgent():
                 return self._replay_from_agent(action.claim_id)
             case steps.Refuse():
                 raise self._refusal(action)
+            case _:
+                return self._go_on(action)
+
+    def _go_on(self, action: steps.ResolutionAction) -> steps.Actions:
+        """Carry out an action that can't end the request."""
+        match action:
+            case steps.NeedClaim():
+                return self._new_claim()
+            case steps.AppendClaim():
+                return self._append(action.record)
+            case steps.Follow():
+                return self._follow(action.offset)
+            case steps.QueryAgent():
+                return self._query(action)
+            case steps.AppendAbandon() | steps.AppendOutcome():
+                self._claims.append_later(action.record)
+        return []
+
+    def _follow(self, offset: int) -> steps.Actions:
+        if self._claims.wait_past(offset, max(0.0, self._left_s())):
+            return self._resolution.followed(self._status())
+        return self._resolution.append_failed()
 
     def _new_claim(self) -> steps.Actions:
         work = self._exchange.resolved()
@@ -304,7 +319,7 @@
             retry_after_s=1.0 if can_retry else None,
         )
 
-    def _status(self) -> steps.ClaimStatus:
+    def _status(self) -> ClaimStatus:
         return self._claims.status(self._team, self._exchange.key, self._digest)
 
     def _left_s(self) -> float:
--- a/lentiltally/pipeline/dispatch.py
+++ b/lentiltally/pipeline/dispatch.py
@@ -11,11 +11,11 @@
 
 from lentiltally.decisions.answers import DeliverHead, DeliverWhole, Failed
 from lentiltally.decisions.placement import PlacementRequest
-from lentiltally.entry.attempts import Attempt, AttemptContext
+from lentiltally.exchange import Answer, Exchange, Work
 from lentiltally.ids import adapter_hash
 from lentiltally.metrics import Metrics
-from lentiltally.pipeline.exchange import Answer, Exchange, Work
 from lentiltally.problems import Refusal, problem_body
+from lentiltally.routing.attempts import Attempt, AttemptContext
 from lentiltally.wire import TargetState
 
 _log = logging.getLogger(__name__)
@@ -70,18 +70,19 @@
                 return self._whole(exchange, attempt.target, first)
             if isinstance(first, DeliverHead):
                 return self._stream(exchange, attempt, first)
+            assert first is not None
             attempt.close()
-            assert isinstance(first, Failed)
             excluded.add(attempt.target.target)
             failures += first.executed == "unknown"
             delay_s = self._retry_delay_s(work, first, tries, deadline_s)
-            if delay_s is None or failures >= MAX_TARGET_FAILURES:
+            is_last = tries == MAX_TRIES or failures >= MAX_TARGET_FAILURES
+            if delay_s is None or is_last:
                 raise failure_refusal(first, attempt.target.target)
             if first.executed == "unknown":
                 # The request may be what brought the target down.
                 exchange = msgspec.structs.replace(exchange, is_suspect=True)
             self._wait(delay_s, exchange, attempt, first)
-        raise failure_refusal(first, attempt.target.target)
+        raise AssertionError("the last try neither answered nor refused")
 
     def _start(
         self, exchange: Exchange, deadline_s: float, excluded: frozenset[str]
--- a/lentiltally/pipeline/models.py
+++ b/lentiltally/pipeline/models.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from lentiltally.config import AdapterConfig, ConfigTree
-from lentiltally.pipeline.exchange import JSON, Answer, Exchange, Handler
+from lentiltally.exchange import JSON, Answer, Exchange, Handler
 from lentiltally.problems import Refusal
 
 MODELS_PATH = "/v1/models"
@@ -61,10 +61,12 @@
 def _models(tree: ConfigTree) -> list[_Model]:
     models = []
     for entry in tree.list("/teams"):
-        if isinstance(entry.value, AdapterConfig):
+        if isinstance(entry.entry.value, AdapterConfig):
             _, _, team, _, adapter = entry.path.split("/")
             models += [
-                _Model(f"{team}/{adapter}@{version}", team, entry.value.base_model)
-                for version in sorted(entry.value.versions)
+                _Model(
+                    f"{team}/{adapter}@{version}", team, entry.entry.value.base_model
+                )
+                for version in sorted(entry.entry.value.versions)
             ]
     return models
--- a/lentiltally/pipeline/parse.py
+++ b/lentiltally/pipeline/parse.py
@@ -6,7 +6,7 @@
 
 import msgspec
 
-from lentiltally.pipeline.exchange import Answer, Exchange, Handler
+from lentiltally.exchange import Answer, Exchange, Handler
 from lentiltally.problems import Refusal
 
 STEP = "parse"
--- a/lentiltally/pipeline/quarantine.py
+++ b/lentiltally/pipeline/quarantine.py
@@ -7,7 +7,7 @@
 import msgspec
 
 from lentiltally.decisions.quarantine import Suspicion
-from lentiltally.pipeline.exchange import Answer, Exchange, Handler
+from lentiltally.exchange import Answer, Exchange, Handler
 from lentiltally.problems import Refusal
 
 
--- a/lentiltally/pipeline/refusals.py
+++ b/lentiltally/pipeline/refusals.py
@@ -5,7 +5,7 @@
 import logging
 import math
 
-from lentiltally.pipeline.exchange import Answer, Exchange, Handler
+from lentiltally.exchange import Answer, Exchange, Handler
 from lentiltally.problems import CONTENT_TYPE, Refusal, problem_body
 
 _log = logging.getLogger(__name__)
--- a/lentiltally/pipeline/resolve.py
+++ b/lentiltally/pipeline/resolve.py
@@ -19,8 +19,8 @@
     VersionConfig,
 )
 from lentiltally.decisions.work_queue import DEFERRABLE, INTERACTIVE, NON_IDEMPOTENT
+from lentiltally.exchange import Answer, Exchange, Handler, Work
 from lentiltally.ids import content_fingerprint
-from lentiltally.pipeline.exchange import Answer, Exchange, Handler, Work
 from lentiltally.pipeline.parse import SERVICE_PREFIX
 from lentiltally.problems import Refusal
 
--- a/lentiltally/entry/attempts.py
+++ b/lentiltally/routing/attempts.py
@@ -18,10 +18,10 @@
     Failed,
     Reconnect,
 )
-from lentiltally.entry.pending import AttemptMessage, PendingAttempt, PendingAttempts
-from lentiltally.entry.targets import TargetDirectory
+from lentiltally.exchange import Exchange
 from lentiltally.ids import AttemptIds
-from lentiltally.pipeline.exchange import Exchange
+from lentiltally.routing.pending import AttemptMessage, PendingAttempt, PendingAttempts
+from lentiltally.routing.targets import TargetDirectory
 from lentiltally.wire import (
     AnswerEnd,
     AnswerWhole,
@@ -115,7 +115,9 @@
             return Failed("no", f"not sent: {error}", 1.0)
         return None
 
-    def first(self, until_s: float | None = None) -> AnswerAction | None:
+    def first(
+        self, until_s: float | None = None
+    ) -> DeliverHead | DeliverWhole | Failed | None:
         """Return the head of a stream, a whole answer or the failure.
 
         None if ``until_s`` (monotonic) passes before there is any.
--- a/lentiltally/entry/queries.py
+++ b/lentiltally/routing/queries.py
@@ -7,8 +7,8 @@
 import threading
 
 from lentiltally.decisions.claims import Open
-from lentiltally.entry.targets import TargetDirectory
 from lentiltally.ids import AttemptIds
+from lentiltally.routing.targets import TargetDirectory
 from lentiltally.wire import ChannelError, ClaimAnswer, ClaimQuery, Outboxes
 
 _log = logging.getLogger(__name__)
--- a/lentiltally/entry/retry_policy.py
+++ b/lentiltally/routing/retry_policy.py
@@ -5,7 +5,7 @@
 import random
 
 from lentiltally.decisions.answers import Failed
-from lentiltally.pipeline.exchange import Work
+from lentiltally.exchange import Work
 
 MAX_DELAY_S = 0.25
 MIN_LEFT_S = 0.1
--- /dev/null
+++ b/tools/_deployment.py
@@ -0,0 +1,151 @@
+"""A small deployment on loopback: stand-ins, entries and agents as processes."""
+
+from __future__ import annotations
+
+from collections.abc import Sequence
+from dataclasses import dataclass, field
+from datetime import UTC, datetime
+from pathlib import Path
+
+from lentiltally.clock import SystemClock
+from lentiltally.config import (
+    CONFIG_STREAM,
+    ChangeItem,
+    ChangeRecord,
+    new_change_id,
+)
+from lentiltally.platform.log_client import LogClient
+from tools._processes import Processes, free_port
+
+BASE_MODEL = "base-1"
+LOG_TIMEOUT_S = 2.0
+
+
+@dataclass(frozen=True, slots=True)
+class EngineSpec:
+    """One engine stand-in and the agent that owns it."""
+
+    name: str
+    options: tuple[str, ...] = ()
+
+
+@dataclass(slots=True)
+class Deployment:
+    """Addresses of the running parts."""
+
+    processes: Processes
+    folder: Path
+    log_url: str
+    weights_url: str
+    hosts_url: str
+    engine_urls: dict[str, str] = field(default_factory=dict)
+    service_urls: dict[str, str] = field(default_factory=dict)
+    agent_addresses: dict[str, str] = field(default_factory=dict)
+    agent_health: dict[str, str] = field(default_factory=dict)
+    entry_urls: dict[str, str] = field(default_factory=dict)
+    admin_urls: dict[str, str] = field(default_factory=dict)
+
+    @classmethod
+    def start(
+        cls, processes: Processes, folder: Path, weight_options: Sequence[str] = ()
+    ) -> Deployment:
+        """Start the platform's stand-ins."""
+        return cls(
+            processes,
+            folder,
+            log_url=processes.start_standin("log", "log"),
+            weights_url=processes.start_standin("weights", "weights", *weight_options),
+            hosts_url=processes.start_standin("hosts", "hosts"),
+        )
+
+    def start_engine(self, spec: EngineSpec) -> str:
+        """Start an engine stand-in and return its URL."""
+        url = self.processes.start_standin(
+            spec.name, "engine", "--weights-url", self.weights_url, *spec.options
+        )
+        self.engine_urls[spec.name] = url
+        return url
+
+    def start_service(self, name: str) -> str:
+        """Start a plain service stand-in and return its URL."""
+        url = self.processes.start_standin(name, "service")
+        self.service_urls[name] = url
+        return url
+
+    def start_agent(self, name: str, targets: Sequence[str], domain: str) -> None:
+        """Write an agent's settings, start it and wait until it is alive."""
+        port, health = free_port(), free_port()
+        self.agent_addresses[name] = f"tcp://127.0.0.1:{port}"
+        self.agent_health[name] = f"http://127.0.0.1:{health}"
+        text = self._common("agent", name, domain, port)
+        text += f'[health]\nlisten = "127.0.0.1:{health}"\n'
+        for target in targets:
+            text += self._target(target)
+        (self.folder / f"{name}.toml").write_text(text)
+        self.restart_agent(name)
+
+    def restart_agent(self, name: str) -> None:
+        """Start an agent with the settings that it had before."""
+        path = self.folder / f"{name}.toml"
+        self.processes.start(name, ["lentiltally", "agent", "--settings", str(path)])
+        self.processes.wait_http(name, f"{self.agent_health[name]}/readyz")
+
+    def start_entry(self, name: str, domain: str, *, wait: bool = True) -> str:
+        """Write an entry's settings, start it and return its URL."""
+        port, callers, admin = free_port(), free_port(), free_port()
+        self.entry_urls[name] = f"http://127.0.0.1:{callers}"
+        self.admin_urls[name] = f"http://127.0.0.1:{admin}"
+        addresses = ", ".join(f'"{a}"' for a in self.agent_addresses.values())
+        text = self._common("entry", name, domain, port)
+        text += (
+            f'[callers]\nlisten = "127.0.0.1:{callers}"\n'
+            f'[admin]\nlisten = "127.0.0.1:{admin}"\n'
+            f"[agents]\naddresses = [{addresses}]\n"
+            f'[host_list]\nurl = "{self.hosts_url}"\n'
+        )
+        (self.folder / f"{name}.toml").write_text(text)
+        self.restart_entry(name, wait=wait)
+        return self.entry_urls[name]
+
+    def restart_entry(self, name: str, *, wait: bool = True) -> None:
+        """Start an entry with the settings that it had before."""
+        path = self.folder / f"{name}.toml"
+        self.processes.start(name, ["lentiltally", "entry", "--settings", str(path)])
+        if wait:
+            self.processes.wait_http(name, f"{self.entry_urls[name]}/readyz")
+
+    def publish(self, values: dict[str, dict[str, object]]) -> None:
+        """Append one configuration change that creates all the paths."""
+        items = tuple(
+            ChangeItem(path=path, expected_revision=0, value=value)
+            for path, value in values.items()
+        )
+        record = ChangeRecord(
+            change_id=new_change_id(),
+            author="deployment",
+            source_address="127.0.0.1",
+            at=datetime.now(UTC),
+            items=items,
+        )
+        log = LogClient(self.log_url, LOG_TIMEOUT_S, SystemClock())
+        log.append(CONFIG_STREAM, [record])
+
+    def _common(self, role: str, name: str, domain: str, port: int) -> str:
+        return (
+            f'[process]\nrole = "{role}"\nname = "{name}"\nregion = "region-1"\n'
+            f'failure_domain = "{domain}"\ndrain_s = 30.0\n'
+            f'[channel]\nlisten = "tcp://127.0.0.1:{port}"\n'
+            f'[log]\nurl = "{self.log_url}"\n'
+        )
+
+    def _target(self, name: str) -> str:
+        if name in self.service_urls:
+            return (
+                f'[[targets]]\nname = "{name}"\nkind = "service"\n'
+                f'url = "{self.service_urls[name]}"\n'
+            )
+        return (
+            f'[[targets]]\nname = "{name}"\nkind = "engine"\n'
+            f'url = "{self.engine_urls[name]}"\nbase_model = "{BASE_MODEL}"\n'
+            f"adapter_slots = 8\nbatch_places = 16\n"
+        )
--- /dev/null
+++ b/tools/_processes.py
@@ -0,0 +1,112 @@
+"""Starts and stops the processes of a loopback deployment."""
+
+from __future__ import annotations
+
+import signal
+import socket
+import subprocess
+import sys
+import time
+import urllib.request
+from collections.abc import Sequence
+from pathlib import Path
+from types import TracebackType
+from urllib.error import URLError
+
+ROOT = Path(__file__).resolve().parent.parent
+START_TIMEOUT_S = 20.0
+STOP_TIMEOUT_S = 20.0
+
+
+class StartError(Exception):
+    """A process of the deployment did not become ready."""
+
+
+def free_port() -> int:
+    """Return a loopback port that was free a moment ago."""
+    with socket.socket() as probe:
+        probe.bind(("127.0.0.1", 0))
+        port: int = probe.getsockname()[1]
+        return port
+
+
+class Processes:
+    """Processes started by this program; all are ended by id when it leaves."""
+
+    def __init__(self, log_folder: Path) -> None:
+        """Write each process's output to a file in the folder."""
+        self._folder = log_folder
+        self._running: dict[str, subprocess.Popen[bytes]] = {}
+
+    def __enter__(self) -> Processes:
+        """Return the collection."""
+        return self
+
+    def __exit__(
+        self,
+        kind: type[BaseException] | None,
+        error: BaseException | None,
+        trace: TracebackType | None,
+    ) -> None:
+        """End everything that still runs."""
+        self.stop_all()
+
+    def start(self, name: str, arguments: Sequence[str]) -> subprocess.Popen[bytes]:
+        """Start ``python -m`` with the arguments under a name."""
+        with (self._folder / f"{name}.log").open("ab") as output:
+            process = subprocess.Popen(
+                [sys.executable, "-m", *arguments],
+                cwd=ROOT,
+                stdout=output,
+                stderr=subprocess.STDOUT,
+            )
+        self._running[name] = process
+        return process
+
+    def start_standin(self, name: str, kind: str, *options: str) -> str:
+        """Start a stand-in on a free port and return its URL once it answers."""
+        port = free_port()
+        self.start(name, ["standins", kind, "--port", str(port), *options])
+        url = f"http://127.0.0.1:{port}"
+        self.wait_http(name, f"{url}/faults")
+        return url
+
+    def wait_http(
+        self, name: str, url: str, timeout_s: float = START_TIMEOUT_S
+    ) -> None:
+        """Wait until the URL answers 200; raises StartError otherwise."""
+        until_s = time.monotonic() + timeout_s
+        while time.monotonic() < until_s:
+            if self._running[name].poll() is not None:
+                break
+            try:
+                with urllib.request.urlopen(url, timeout=2):
+                    return
+            except (URLError, OSError):
+                time.sleep(0.05)
+        raise StartError(f"{name} is not ready at {url}:\n{self.output(name)}")
+
+    def output(self, name: str) -> str:
+        """Return the end of what a process has written."""
+        return (self._folder / f"{name}.log").read_text(errors="replace")[-4_000:]
+
+    def process(self, name: str) -> subprocess.Popen[bytes]:
+        """Return a process by name."""
+        return self._running[name]
+
+    def stop(self, name: str, number: int = signal.SIGTERM) -> int:
+        """Signal a process, wait for its end and return its exit code."""
+        process = self._running.pop(name)
+        process.send_signal(number)
+        try:
+            return process.wait(STOP_TIMEOUT_S)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            return process.wait()
+
+    def stop_all(self) -> None:
+        """Signal all processes, the youngest first, and wait for them."""
+        for process in reversed(self._running.values()):
+            process.send_signal(signal.SIGTERM)
+        for name in reversed(list(self._running)):
+            self.stop(name)
