--- a/lentiltally/config/tree.py
+++ b/lentiltally/config/tree.py
@@ -49,6 +49,16 @@
     path: str
     entry: Entry
 
+    @property
+    def value(self) -> ConfigValue:
+        """Return the value at the path."""
+        return self.entry.value
+
+    @property
+    def revision(self) -> int:
+        """Return the revision of the path."""
+        return self.entry.revision
+
 
 class Mismatch(msgspec.Struct, frozen=True):
     """A path whose revision is not the expected one."""
@@ -139,8 +149,9 @@
                 maps[kind] = maps[kind].with_changes(held)
         return cls(offset, maps, teams, known)
 
-    def __len__(self) -> int:
-        """Return the number of paths."""
+    @property
+    def path_count(self) -> int:
+        """Return the number of paths; a tree has no length, so none is falsy."""
         return sum(map(len, self._maps.values()))
 
     @property
@@ -158,13 +169,19 @@
         data = self._maps[parsed.kind].get(parsed.key)
         return None if data is None else _unpack(parsed.kind, data)
 
+    def items(self) -> Iterator[PathEntry]:
+        """Return all entries, in no particular order."""
+        for kind, held in self._maps.items():
+            for key, data in held.items():
+                yield PathEntry(str(ConfigPath(kind, key)), _unpack(kind, data))
+
     def list(self, prefix: str = "/") -> Sequence[PathEntry]:
         """Return the entries at a path and below it, sorted by path."""
         stem = prefix.rstrip("/")
         found = [
-            PathEntry(str(path), _unpack(path.kind, data))
-            for path, data in self._items()
-            if not stem or f"{path}/".startswith(f"{stem}/")
+            listed
+            for listed in self.items()
+            if not stem or f"{listed.path}/".startswith(f"{stem}/")
         ]
         return sorted(found, key=lambda listed: listed.path)
 
@@ -206,7 +223,8 @@
         self._require_next(offset)
         return ConfigTree(offset + 1, self._maps, self._teams, self._known)
 
-    def check(self, record: ChangeRecord) -> Sequence[ConfigProblem]:
+    @staticmethod
+    def check(record: ChangeRecord) -> Sequence[ConfigProblem]:
         """Return what makes a record invalid on any tree; empty if nothing does."""
         problems = []
         for item in record.items:
@@ -264,11 +282,6 @@
             maps[kind] = maps[kind].with_changes(changed)
         return ConfigTree(revision, maps, teams, known)
 
-    def _items(self) -> Iterator[tuple[ConfigPath, bytes]]:
-        for kind, held in self._maps.items():
-            for key, data in held.items():
-                yield ConfigPath(kind, key), data
-
     def _value(self, kind: Kind, key: str, value_type: type[_ValueT]) -> _ValueT | None:
         data = self._maps[kind].get(key)
         if data is None:
