--- a/lentiltally/config/__init__.py
+++ b/lentiltally/config/__init__.py
@@ -10,6 +10,21 @@
     encode_change,
     new_change_id,
 )
+from lentiltally.config.checks import cross_check
+from lentiltally.config.follower import ConfigFollower, FollowerState, Peers
+from lentiltally.config.history import ChangeHistory, HistoryEntry
+from lentiltally.config.log import Log
+from lentiltally.config.publisher import (
+    Accepted,
+    Conflicted,
+    Following,
+    Publisher,
+    PublishResult,
+    Refused,
+    SnapshotWriter,
+    Unavailable,
+    Unknown,
+)
 from lentiltally.config.schema import (
     AdapterConfig,
     CallRule,
@@ -26,6 +41,14 @@
     parse_path,
     validate,
 )
+from lentiltally.config.snapshot import (
+    SnapshotError,
+    decode_snapshot,
+    encode_snapshot,
+    read_newest_snapshot,
+    write_snapshot,
+)
+from lentiltally.config.threads import FollowerThread, PeriodicThread
 from lentiltally.config.tree import (
     Applied,
     ConfigTree,
@@ -39,31 +62,54 @@
 
 __all__ = [
     "CONFIG_STREAM",
+    "Accepted",
     "AdapterConfig",
     "Applied",
     "CallRule",
+    "ChangeHistory",
     "ChangeItem",
     "ChangeRecord",
+    "ConfigFollower",
     "ConfigInvalidError",
     "ConfigPath",
     "ConfigProblem",
     "ConfigTree",
     "ConfigValue",
     "Conflict",
+    "Conflicted",
     "Duplicate",
     "Entry",
+    "FollowerState",
+    "FollowerThread",
+    "Following",
+    "HistoryEntry",
     "Invalid",
     "Kind",
     "LimitsConfig",
     "LoadsConfig",
+    "Log",
     "Mismatch",
     "PathEntry",
+    "Peers",
+    "PeriodicThread",
+    "PublishResult",
+    "Publisher",
+    "Refused",
     "ServiceConfig",
+    "SnapshotError",
+    "SnapshotWriter",
     "TargetConfig",
+    "Unavailable",
+    "Unknown",
     "VersionConfig",
+    "cross_check",
     "decode_change",
+    "decode_snapshot",
     "encode_change",
+    "encode_snapshot",
     "new_change_id",
     "parse_path",
+    "read_newest_snapshot",
     "validate",
+    "write_snapshot",
 ]
--- /dev/null
+++ b/lentiltally/config/history.py
@@ -0,0 +1,72 @@
+"""The earlier values of configuration paths, read from the log."""
+
+from __future__ import annotations
+
+from datetime import datetime
+from typing import Any
+
+import msgspec
+
+from lentiltally.config.changes import CONFIG_STREAM, ChangeItem, decode_change
+from lentiltally.config.log import Log, read_range
+from lentiltally.config.publisher import Following
+
+
+class HistoryEntry(msgspec.Struct, frozen=True):
+    """One accepted change of a path; ``value`` is None if it was deleted."""
+
+    revision: int
+    value: dict[str, Any] | None
+    author: str
+    source_address: str
+    at: datetime
+    note: str
+    change_id: str
+
+
+class ChangeHistory:
+    """Finds the accepted changes of a path among the records that the log retains.
+
+    Which records were accepted is known for the last 20,000 of them; older changes are
+    found in the audit stream only.
+    """
+
+    def __init__(self, log: Log, following: Following) -> None:
+        """Read a log, and take the decisions from a follower."""
+        self._log = log
+        self._following = following
+
+    def entries(self, path: str) -> list[HistoryEntry]:
+        """Return the changes of a path, oldest first.
+
+        Raises LogUnavailable, and LogTruncated if retention overtakes the reading.
+        """
+        tree = self._following.tree
+        if tree is None:
+            return []
+        found = []
+        start = self._log.bounds(CONFIG_STREAM).first_offset
+        for record in read_range(self._log, CONFIG_STREAM, start, tree.offset):
+            change = decode_change(record.value)
+            if change is None:
+                continue
+            item = _item_of(change.items, path)
+            decision = None if item is None else tree.decision(change.change_id)
+            if item is None or decision is None:
+                continue
+            if decision.accepted and decision.offset == record.offset:
+                entry = HistoryEntry(
+                    record.offset + 1,
+                    item.value,
+                    change.author,
+                    change.source_address,
+                    change.at,
+                    change.note,
+                    change.change_id,
+                )
+                found.append(entry)
+        return found
+
+
+def _item_of(items: tuple[ChangeItem, ...], path: str) -> ChangeItem | None:
+    return next((item for item in items if item.path == path), None)
--- /dev/null
+++ b/lentiltally/config/publisher.py
@@ -0,0 +1,233 @@
+"""Publishing configuration changes and snapshots to the log."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+from typing import Protocol
+
+import msgspec
+
+from lentiltally.clock import Clock
+from lentiltally.config.changes import CONFIG_STREAM, ChangeRecord
+from lentiltally.config.log import Log
+from lentiltally.config.schema import ConfigProblem
+from lentiltally.config.snapshot import newest_piece, write_snapshot
+from lentiltally.config.tree import ConfigTree, Entry
+from lentiltally.platform.log_client import LogAnswerLost, LogError, LogUnavailable
+
+# Copies of a record may be appended for this long; see WINDOW_RECORDS.
+MAX_TIMEOUT_S = 30.0
+DEFAULT_TIMEOUT_S = 10.0
+RETRY_S = 0.1
+DEFAULT_RETRY_AFTER_S = 1.0
+SNAPSHOT_CHANGES = 500
+
+
+class Following(Protocol):
+    """A follower that is being driven, as FollowerThread is."""
+
+    @property
+    def tree(self) -> ConfigTree | None:
+        """Return the configuration in force."""
+        ...
+
+    def before(self, change_id: str) -> tuple[Entry | None, ...] | None:
+        """Return the entries that a recently applied change replaced."""
+        ...
+
+    def wait_past(self, offset: int, timeout_s: float) -> bool:
+        """Wait until the record at an offset is decided."""
+        ...
+
+
+class Accepted(msgspec.Struct, frozen=True):
+    """The change is durable and in force in this process.
+
+    ``revisions`` holds the new revision of each path, 0 for a deleted one. ``before``
+    holds the replaced entries, or is None if the change was decided too long ago.
+    """
+
+    offset: int
+    revisions: dict[str, int]
+    before: tuple[Entry | None, ...] | None
+
+
+class Conflicted(msgspec.Struct, frozen=True):
+    """Nothing changed; ``current`` holds the entries of the paths now."""
+
+    offset: int
+    current: dict[str, Entry | None]
+
+
+class Refused(msgspec.Struct, frozen=True):
+    """The record breaks the schema and was not appended."""
+
+    problems: tuple[ConfigProblem, ...]
+
+
+class Unavailable(msgspec.Struct, frozen=True):
+    """The log refused the append; the change is not and will not be in force."""
+
+    retry_after_s: float
+
+
+class Unknown(msgspec.Struct, frozen=True):
+    """The change may be in force now, later or never.
+
+    Publishing the same record again, with its change id, is safe and tells.
+    ``offset`` is set if the record is durable and only this process is behind.
+    """
+
+    change_id: str
+    offset: int | None
+
+
+PublishResult = Accepted | Conflicted | Refused | Unavailable | Unknown
+
+
+class Publisher:
+    """Appends change records and finds out what became of them.
+
+    ``publish`` may be called from several threads and blocks up to the timeout.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        following: Following,
+        clock: Clock,
+        timeout_s: float = DEFAULT_TIMEOUT_S,
+    ) -> None:
+        """Publish to a log and watch the decisions through a follower."""
+        if not 0 < timeout_s <= MAX_TIMEOUT_S:
+            raise ValueError(f"timeout_s must be in (0, {MAX_TIMEOUT_S}]")
+        self._log = log
+        self._following = following
+        self._clock = clock
+        self._timeout_s = timeout_s
+
+    def publish(self, record: ChangeRecord) -> PublishResult:
+        """Append a record and wait until it is decided."""
+        problems = ConfigTree.check(record)
+        if problems:
+            return Refused(tuple(problems))
+        deadline_s = self._clock.monotonic_s() + self._timeout_s
+        may_be_written = False
+        while True:
+            result = self._decided(record)
+            if result is not None:
+                return result
+            if self._left_s(deadline_s) <= 0:
+                return Unknown(record.change_id, None)
+            try:
+                return self._append(record, deadline_s)
+            except LogAnswerLost:
+                may_be_written = True
+                self._look(deadline_s)
+            except LogError as error:
+                if not may_be_written:
+                    return Unavailable(_retry_after_s(error))
+                self._pause()
+
+    def _append(self, record: ChangeRecord, deadline_s: float) -> PublishResult:
+        offset = self._log.append(CONFIG_STREAM, [record]).first_offset
+        self._following.wait_past(offset, self._left_s(deadline_s))
+        return self._decided(record) or Unknown(record.change_id, offset)
+
+    def _look(self, deadline_s: float) -> None:
+        """Follow the stream to its present end, where the record may be."""
+        try:
+            last = self._log.bounds(CONFIG_STREAM).next_offset - 1
+        except LogError:
+            self._pause()
+            return
+        self._following.wait_past(last, self._left_s(deadline_s))
+
+    def _decided(self, record: ChangeRecord) -> PublishResult | None:
+        tree = self._following.tree
+        decision = tree.decision(record.change_id) if tree is not None else None
+        if tree is None or decision is None:
+            return None
+        if not decision.accepted:
+            current = {item.path: tree.get(item.path) for item in record.items}
+            return Conflicted(decision.offset, current)
+        revisions = {
+            item.path: 0 if item.value is None else decision.offset + 1
+            for item in record.items
+        }
+        before = self._following.before(record.change_id)
+        return Accepted(decision.offset, revisions, before)
+
+    def _left_s(self, deadline_s: float) -> float:
+        return deadline_s - self._clock.monotonic_s()
+
+    def _pause(self) -> None:
+        self._clock.sleep(timedelta(seconds=RETRY_S))
+
+
+def _retry_after_s(error: LogError) -> float:
+    if isinstance(error, LogUnavailable) and error.retry_after_s is not None:
+        return error.retry_after_s
+    return DEFAULT_RETRY_AFTER_S
+
+
+class SnapshotWriter:
+    """Appends a snapshot after 500 records or when the newest one becomes old.
+
+    Every entry runs one, in a thread of its own because encoding 100,000 adapters takes
+    seconds. The random part of the thresholds lets one entry write and the others find
+    its snapshot; two at once do no harm. ``max_age_s`` is a third of the log's
+    retention, so a snapshot that starts a process is there while two writes fail.
+    """
+
+    def __init__(
+        self,
+        log: Log,
+        following: Following,
+        clock: Clock,
+        max_age_s: float,
+        rng: random.Random,
+    ) -> None:
+        """Start without knowledge of the snapshots on the log."""
+        self._log = log
+        self._following = following
+        self._clock = clock
+        self._max_age_s = max_age_s
+        self._rng = rng
+        self._factor = 1.0
+        self._newest: tuple[int, float] | None = None
+
+    def write_if_due(self) -> bool:
+        """Write a snapshot if the newest one is too far behind; return if it was."""
+        tree = self._following.tree
+        try:
+            if tree is None or not self._is_due(tree):
+                return False
+            self._look_up()
+            if not self._is_due(tree):
+                return False
+            write_snapshot(self._log, tree)
+        except LogError:
+            return False
+        self._newest = (tree.offset, self._clock.now().timestamp())
+        return True
+
+    def _is_due(self, tree: ConfigTree) -> bool:
+        if tree.offset == 0:
+            return False
+        if self._newest is None:
+            return True
+        offset, written_at_s = self._newest
+        age_s = self._clock.now().timestamp() - written_at_s
+        return (
+            tree.offset - offset >= SNAPSHOT_CHANGES * self._factor
+            or age_s >= self._max_age_s * self._factor
+        )
+
+    def _look_up(self) -> None:
+        self._factor = self._rng.uniform(0.8, 1.0)
+        found = newest_piece(self._log)
+        if found is not None:
+            piece, time_ms = found
+            self._newest = (piece.offset, time_ms / 1000)
--- /dev/null
+++ b/lentiltally/config/snapshot.py
@@ -0,0 +1,187 @@
+"""Snapshots of the configuration tree, on the log and between peers."""
+
+from __future__ import annotations
+
+import secrets
+import zlib
+from collections.abc import Iterable, Iterator
+from typing import Any
+
+import msgspec
+
+from lentiltally.config._known_changes import Decision, KnownChanges
+from lentiltally.config.log import Log, read_range
+from lentiltally.config.schema import ConfigInvalidError, convert_value, parse_path
+from lentiltally.config.tree import ConfigTree, Entry, PathEntry
+from lentiltally.errors import LentiltallyError
+
+SNAPSHOT_STREAM = "config-snapshots"
+FORMAT = 1
+# Chunks are decoded one at a time, so that reading 100,000 adapters does not need
+# memory for all of them in their decoded form.
+CHUNK_ITEMS = 2000
+CHUNK_BYTES_MAX = 64 * 1024 * 1024
+PIECE_BYTES = 64 * 1024
+PIECES_PER_APPEND = 8
+SCAN_RECORDS = 64
+
+
+class SnapshotError(LentiltallyError):
+    """Data that should be a snapshot can't be decoded."""
+
+
+class _Snapshot(msgspec.Struct, frozen=True, array_like=True):
+    """The encoded form; each chunk is a compressed list of items."""
+
+    format: int
+    offset: int
+    entries: list[bytes]
+    known: list[bytes]
+
+
+class SnapshotPiece(msgspec.Struct, frozen=True):
+    """One record on stream ``config-snapshots``: a part of an encoded snapshot.
+
+    Pieces of several snapshots may be interleaved; ``snapshot_id`` tells them apart.
+    """
+
+    snapshot_id: str
+    offset: int
+    index: int
+    total: int
+    data: bytes
+
+
+def encode_snapshot(tree: ConfigTree) -> bytes:
+    """Return the tree with its offset and known change ids."""
+    entries = (
+        (held.path, held.entry.revision, held.entry.value) for held in tree.items()
+    )
+    known = (
+        (change_id, held.offset, held.accepted)
+        for change_id, held in tree.known.items(tree.offset)
+    )
+    chunks = [list(_pack_chunks(items)) for items in (entries, known)]
+    return msgspec.msgpack.encode(_Snapshot(FORMAT, tree.offset, *chunks))
+
+
+def decode_snapshot(data: bytes) -> ConfigTree:
+    """Return the encoded tree; raises SnapshotError."""
+    try:
+        snapshot = msgspec.msgpack.decode(data, type=_Snapshot)
+        if snapshot.format != FORMAT:
+            raise SnapshotError(
+                f"snapshot format {snapshot.format} is unknown", step="snapshot"
+            )
+        known = KnownChanges.from_items(
+            (change_id, Decision(offset, accepted))
+            for change_id, offset, accepted in _unpack_chunks(
+                snapshot.known, tuple[str, int, bool]
+            )
+        )
+        entries = _unpack_chunks(snapshot.entries, tuple[str, int, dict[str, Any]])
+        return ConfigTree.from_entries(
+            snapshot.offset, (_to_entry(*entry) for entry in entries), known
+        )
+    except (msgspec.DecodeError, ConfigInvalidError, zlib.error, ValueError) as error:
+        raise SnapshotError(f"malformed snapshot: {error}", step="snapshot") from error
+
+
+def write_snapshot(log: Log, tree: ConfigTree) -> None:
+    """Append a snapshot; raises LogUnavailable or LogAnswerLost.
+
+    After a lost answer part of the pieces may be on the log; readers ignore them.
+    """
+    data = encode_snapshot(tree)
+    snapshot_id = secrets.token_hex(8)
+    starts = range(0, len(data), PIECE_BYTES)
+    pieces = [
+        SnapshotPiece(
+            snapshot_id, tree.offset, index, len(starts), data[at : at + PIECE_BYTES]
+        )
+        for index, at in enumerate(starts)
+    ]
+    for first in range(0, len(pieces), PIECES_PER_APPEND):
+        log.append(SNAPSHOT_STREAM, pieces[first : first + PIECES_PER_APPEND])
+
+
+def read_newest_snapshot(log: Log) -> ConfigTree | None:
+    """Return the tree of the newest whole snapshot on the log, or None.
+
+    Raises LogUnavailable, and LogTruncated if retention overtakes the reading.
+    """
+    bounds = log.bounds(SNAPSHOT_STREAM)
+    pieces: dict[str, dict[int, SnapshotPiece]] = {}
+    end = bounds.next_offset
+    while end > bounds.first_offset:
+        start = max(bounds.first_offset, end - SCAN_RECORDS)
+        for record in read_range(log, SNAPSHOT_STREAM, start, end):
+            piece = _decode_piece(record.value)
+            if piece is not None:
+                pieces.setdefault(piece.snapshot_id, {})[piece.index] = piece
+        tree = _decode_newest(pieces)
+        if tree is not None:
+            return tree
+        end = start
+    return None
+
+
+def newest_piece(log: Log) -> tuple[SnapshotPiece, int] | None:
+    """Return the last piece on the log and its log time in ms, or None."""
+    bounds = log.bounds(SNAPSHOT_STREAM)
+    last = bounds.next_offset - 1
+    if last < bounds.first_offset:
+        return None
+    for record in read_range(log, SNAPSHOT_STREAM, last, last + 1):
+        piece = _decode_piece(record.value)
+        if piece is not None:
+            return piece, record.time_ms
+    return None
+
+
+def _decode_newest(pieces: dict[str, dict[int, SnapshotPiece]]) -> ConfigTree | None:
+    """Decode the whole snapshot with the highest offset; drop undecodable ones."""
+    whole = [held for held in pieces.values() if len(held) == held[min(held)].total]
+    for held in sorted(whole, key=lambda held: held[0].offset, reverse=True):
+        data = b"".join(held[index].data for index in sorted(held))
+        try:
+            return decode_snapshot(data)
+        except SnapshotError:
+            del pieces[held[0].snapshot_id]
+    return None
+
+
+def _decode_piece(data: msgspec.Raw) -> SnapshotPiece | None:
+    try:
+        piece = _PIECE_DECODER.decode(data)
+    except (msgspec.DecodeError, UnicodeDecodeError):
+        return None
+    return piece if 0 <= piece.index < piece.total else None
+
+
+def _to_entry(path: str, revision: int, value: dict[str, Any]) -> PathEntry:
+    return PathEntry(path, Entry(convert_value(parse_path(path), value), revision))
+
+
+def _pack_chunks(items: Iterable[Any]) -> Iterator[bytes]:
+    chunk = []
+    for item in items:
+        chunk.append(item)
+        if len(chunk) == CHUNK_ITEMS:
+            yield zlib.compress(msgspec.msgpack.encode(chunk), 1)
+            chunk = []
+    if chunk:
+        yield zlib.compress(msgspec.msgpack.encode(chunk), 1)
+
+
+def _unpack_chunks(chunks: list[bytes], item_type: Any) -> Iterator[Any]:
+    decoder = msgspec.msgpack.Decoder(list[item_type])
+    for chunk in chunks:
+        unpacker = zlib.decompressobj()
+        data = unpacker.decompress(chunk, CHUNK_BYTES_MAX)
+        if not unpacker.eof:
+            raise ValueError("a chunk is cut off or too long")
+        yield from decoder.decode(data)
+
+
+_PIECE_DECODER = msgspec.json.Decoder(SnapshotPiece)
