--- a/lentiltally/entry/server.py
+++ b/lentiltally/entry/server.py
@@ -135,7 +135,9 @@
             headers=(("Connection", "close"),),
         )
 
-    def _respond(self, answer: Answer, start_response: StartResponse) -> Iterable[bytes]:
+    def _respond(
+        self, answer: Answer, start_response: StartResponse
+    ) -> Iterable[bytes]:
         headers = list(answer.headers)
         if self.is_draining:
             headers.append(("Connection", "close"))
--- a/tests/steps/main_steps.py
+++ b/tests/steps/main_steps.py
@@ -9,12 +9,12 @@
 import os
 import subprocess
 import sys
+import types
 from pathlib import Path
 from unittest import mock
 
 from behave import then, when
 
-import lentiltally.entry
 from lentiltally import LentiltallyError
 from lentiltally.cli import main
 
@@ -60,9 +60,11 @@
 
     root = logging.getLogger()
     handlers, level = root.handlers[:], root.level
-    run = None if ends == "is not built" else run
+    entry = types.ModuleType("lentiltally.entry")
+    if ends != "is not built":
+        entry.run = run
     try:
-        with mock.patch.object(lentiltally.entry, "run", run, create=True):
+        with mock.patch.dict(sys.modules, {"lentiltally.entry": entry}):
             _run(context, ["entry", "--settings", ENTRY_SAMPLE])
     finally:
         root.handlers[:] = handlers
