--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -9,8 +9,7 @@
 from datetime import timedelta
 
 from lentiltally.clock import Clock, SystemClock
-from lentiltally.config.follower import ConfigFollower
-from lentiltally.config.threads import FollowerThread
+from lentiltally.config import ConfigFollower, FollowerThread
 from lentiltally.entry.server import CallerApplication, new_server
 from lentiltally.entry.suspicions import FollowedQuarantine
 from lentiltally.ids import AttemptIds, new_incarnation
