--- a/standins/log_core.py
+++ b/standins/log_core.py
@@ -16,13 +16,14 @@
     """What the log keeps and takes.
 
     ``max_records`` and ``max_age_s`` limit what each stream retains; 0 is no limit.
-    ``appends_per_s`` counts append requests over all streams, with a burst of the
-    appends of one second; 0 is no limit.
+    ``appends_per_s`` counts append requests over all streams, 0 is no limit;
+    ``append_burst`` of them can come at once.
     """
 
     max_records: int = 0
     max_age_s: float = 0.0
     appends_per_s: float = 500.0
+    append_burst: float = 100.0
 
 
 class StoredRecord(msgspec.Struct, frozen=True):
@@ -74,7 +75,7 @@
         self._clock = clock
         self._streams: dict[str, _Stream] = {}
         self._changed = threading.Condition()
-        self._bucket = TokenBucket(settings.appends_per_s, settings.appends_per_s)
+        self._bucket = TokenBucket(settings.appends_per_s, settings.append_burst)
         self._closed = False
         self.appends: dict[str, int] = {}
 
