Add the administration API

Operators read and change the configuration over HTTP with revisions as entity tags, bearer tokens with scopes, and an audit trail on the log.

--- /dev/null
+++ b/lentiltally/admin/application.py
@@ -0,0 +1,117 @@
+"""The administration API as a WSGI application."""
+
+from __future__ import annotations
+
+import logging
+from collections.abc import Iterable
+from http import HTTPStatus
+
+from lentiltally.admin.audit import AuditLog, AuditRecord
+from lentiltally.admin.bodies import encode_document
+from lentiltally.admin.context import (
+    Call,
+    ChangePublisher,
+    HistorySource,
+    Services,
+    StatusSource,
+    TreeSource,
+)
+from lentiltally.admin.messages import (
+    ProblemError,
+    Request,
+    Response,
+    StartResponse,
+    WsgiEnvironment,
+)
+from lentiltally.admin.openapi import openapi_document
+from lentiltally.admin.routes import dispatch
+from lentiltally.admin.tokens import Token, Tokens
+from lentiltally.clock import Clock
+from lentiltally.platform.log_client import LogError
+
+_LOGGER = logging.getLogger(__name__)
+
+
+class AdminApplication:
+    """Serves operators; every request but ``/openapi.json`` needs a bearer token.
+
+    It never logs a token, a header or a body.
+    """
+
+    def __init__(
+        self,
+        tree_source: TreeSource,
+        publisher: ChangePublisher,
+        audit: AuditLog,
+        tokens: Tokens,
+        *,
+        status_source: StatusSource,
+        clock: Clock,
+        history: HistorySource,
+    ) -> None:
+        """Take the parts of the process that the API reads and writes."""
+        self._services = Services(
+            tree_source, publisher, audit, status_source, history, clock
+        )
+        self._tokens = tokens
+        self._openapi = openapi_document()
+
+    def __call__(
+        self, environ: WsgiEnvironment, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request (PEP 3333)."""
+        try:
+            response = self._answer(environ)
+        except ProblemError as problem:
+            response = problem.response()
+        except LogError:
+            response = _log_unavailable().response()
+        except Exception:
+            _LOGGER.exception("administration request failed")
+            detail = "the request could not be handled"
+            response = ProblemError(HTTPStatus.INTERNAL_SERVER_ERROR, detail).response()
+        has_body = environ.get("REQUEST_METHOD") != "HEAD"
+        return response.send(start_response, has_body=has_body)
+
+    def _answer(self, environ: WsgiEnvironment) -> Response:
+        request = Request.from_environment(environ)
+        if request.path == "/openapi.json" and request.method in {"GET", "HEAD"}:
+            return encode_document(self._openapi)
+        token = self._authenticate(request)
+        return dispatch(Call(request, token, self._services))
+
+    def _authenticate(self, request: Request) -> Token:
+        services = self._services
+        header = request.headers.get("authorization", "")
+        token = self._tokens.find(header, services.clock.now())
+        if token is not None:
+            return token
+        tree = services.trees.tree
+        services.audit.record(
+            AuditRecord(
+                at=services.clock.now(),
+                actor="",
+                source_address=request.source_address,
+                action=request.method[:20],
+                path=request.path[:200],
+                outcome="unauthorised",
+                config_offset=tree.offset if tree is not None else 0,
+                reason="token missing, unknown or expired",
+            )
+        )
+        raise ProblemError(
+            HTTPStatus.UNAUTHORIZED,
+            "a valid bearer token is required",
+            headers={"WWW-Authenticate": 'Bearer realm="lentiltally"'},
+        )
+
+
+def _log_unavailable() -> ProblemError:
+    return ProblemError(
+        HTTPStatus.SERVICE_UNAVAILABLE,
+        "the log can't be read now",
+        headers={"Retry-After": "1"},
+        executed="no",
+        step="read",
+        peer="log",
+    )
--- a/lentiltally/config/publisher.py
+++ b/lentiltally/config/publisher.py
@@ -125,6 +125,8 @@
             except LogAnswerLost:
                 may_be_written = True
                 self._look(deadline_s)
+                if self._decided(record) is None:
+                    self._pause()
             except LogError as error:
                 if not may_be_written:
                     return Unavailable(_retry_after_s(error))
