--- a/lentiltally/pipeline/dispatch.py
+++ b/lentiltally/pipeline/dispatch.py
@@ -11,11 +11,11 @@
 
 from lentiltally.decisions.answers import DeliverHead, DeliverWhole, Failed
 from lentiltally.decisions.placement import PlacementRequest
-from lentiltally.entry.attempts import Attempt, AttemptContext
+from lentiltally.exchange import Answer, Exchange, Work
 from lentiltally.ids import adapter_hash
 from lentiltally.metrics import Metrics
-from lentiltally.pipeline.exchange import Answer, Exchange, Work
 from lentiltally.problems import Refusal, problem_body
+from lentiltally.routing.attempts import Attempt, AttemptContext
 from lentiltally.wire import TargetState
 
 _log = logging.getLogger(__name__)
@@ -66,22 +66,23 @@
             attempt = self._start(exchange, deadline_s, frozenset(excluded))
             first = attempt.send(exchange) or attempt.first()
             if isinstance(first, DeliverWhole):
-                attempt.close()
+                attempt.close(release=not work.is_keyed)
                 return self._whole(exchange, attempt.target, first)
             if isinstance(first, DeliverHead):
                 return self._stream(exchange, attempt, first)
+            assert first is not None
             attempt.close()
-            assert isinstance(first, Failed)
             excluded.add(attempt.target.target)
             failures += first.executed == "unknown"
             delay_s = self._retry_delay_s(work, first, tries, deadline_s)
-            if delay_s is None or failures >= MAX_TARGET_FAILURES:
+            is_last = tries == MAX_TRIES or failures >= MAX_TARGET_FAILURES
+            if delay_s is None or is_last:
                 raise failure_refusal(first, attempt.target.target)
             if first.executed == "unknown":
                 # The request may be what brought the target down.
                 exchange = msgspec.structs.replace(exchange, is_suspect=True)
             self._wait(delay_s, exchange, attempt, first)
-        raise failure_refusal(first, attempt.target.target)
+        raise AssertionError("the last try neither answered nor refused")
 
     def _start(
         self, exchange: Exchange, deadline_s: float, excluded: frozenset[str]
@@ -104,7 +105,7 @@
         work = exchange.resolved()
         directory = self._context.directory
         if exchange.bound_target:
-            return directory.chosen(exchange.bound_target)
+            return directory.chosen(exchange.bound_target, exchange.bound_incarnation)
         wanted = placement_request(work, self._failure_domain, excluded)
         chosen = directory.choose(wanted, work.targets)
         if chosen is None and excluded:
@@ -150,7 +151,7 @@
     ) -> Answer:
         headers = _headers(exchange, attempt.target, head.content_type)
         headers += (("Cache-Control", "no-cache"),)
-        return Answer(head.status, headers, _events(attempt, exchange.request_id))
+        return Answer(head.status, headers, _events(attempt, exchange))
 
 
 def placement_request(
@@ -208,16 +209,17 @@
     )
 
 
-def _events(attempt: Attempt, request_id: str) -> Iterator[bytes]:
+def _events(attempt: Attempt, exchange: Exchange) -> Iterator[bytes]:
     try:
         for part in attempt.events():
             if isinstance(part, Failed):
                 # The status was sent already, so the stream itself has to tell. It
                 # ends without [DONE], by which callers know it is not whole.
                 refusal = failure_refusal(part, attempt.target.target)
-                body = problem_body(refusal, request_id)
+                body = problem_body(refusal, exchange.request_id)
                 yield b"event: error\ndata: " + body + b"\n\n"
             else:
                 yield part
     finally:
-        attempt.close()
+        # The answer to keyed work is kept by the agent until its outcome is in the log.
+        attempt.close(release=not exchange.resolved().is_keyed)
--- a/lentiltally/entry/attempts.py
+++ b/lentiltally/routing/attempts.py
@@ -18,10 +18,10 @@
     Failed,
     Reconnect,
 )
-from lentiltally.entry.pending import AttemptMessage, PendingAttempt, PendingAttempts
-from lentiltally.entry.targets import TargetDirectory
+from lentiltally.exchange import Exchange
 from lentiltally.ids import AttemptIds
-from lentiltally.pipeline.exchange import Exchange
+from lentiltally.routing.pending import AttemptMessage, PendingAttempt, PendingAttempts
+from lentiltally.routing.targets import TargetDirectory
 from lentiltally.wire import (
     AnswerEnd,
     AnswerWhole,
@@ -115,7 +115,9 @@
             return Failed("no", f"not sent: {error}", 1.0)
         return None
 
-    def first(self, until_s: float | None = None) -> AnswerAction | None:
+    def first(
+        self, until_s: float | None = None
+    ) -> DeliverHead | DeliverWhole | Failed | None:
         """Return the head of a stream, a whole answer or the failure.
 
         None if ``until_s`` (monotonic) passes before there is any.
@@ -139,10 +141,15 @@
                 yield action
                 return
 
-    def close(self) -> None:
-        """Tell the agent that the answer was received, or is not wanted any more."""
+    def close(self, *, release: bool = True) -> None:
+        """Tell the agent that the answer was received, or is not wanted any more.
+
+        Without ``release`` the agent keeps the answer until told otherwise.
+        """
         self._context.pending.close(self.attempt_id)
         self._context.directory.finished(self.target)
+        if not release:
+            return
         if self._assembly.is_over:
             self._send(Release(self.attempt_id))
         else:
