--- a/bench/_runs.py
+++ b/bench/_runs.py
@@ -13,6 +13,8 @@
 from bench._system import System
 
 PROCESSES = 6
+# Long answers take minutes, so engines need that long to reach their steady fill.
+WARM_UP_S = 300.0
 DRAIN_S = 400.0
 
 R = TypeVar("R")
@@ -50,8 +52,13 @@
     return system
 
 
+def measured(jobs: Sequence[Job]) -> list[Job]:
+    """Return the jobs that came after the warm-up."""
+    return [job for job in jobs if job.arrival_s >= WARM_UP_S]
+
+
 def count_ideal(shape: Shape, jobs: Sequence[Job]) -> int:
-    """Return how many jobs the engines could have answered in time.
+    """Return how many measured jobs the engines could have answered in time.
 
     All places form one pool, every adapter is loaded everywhere, and jobs start in the
     order of arrival unless their caller has gone.
@@ -64,7 +71,7 @@
             continue
         service_s = shape.first_token_s + job.tokens * shape.token_s
         heapq.heapreplace(free_at_s, start_s + service_s)
-        served += 1
+        served += job.arrival_s >= WARM_UP_S
     return served
 
 
--- a/lentiltally/decisions/placement.py
+++ b/lentiltally/decisions/placement.py
@@ -20,6 +20,9 @@
 class TargetView(msgspec.Struct, frozen=True):
     """What an agent last said of one target, as an entry keeps it.
 
+    ``free_slots`` is how many slots could take another adapter: all slots less those of
+    running adapters, of loads under way and of absent adapters that queued work waits
+    for; it may be negative. ``queued`` counts work that waits only for a batch place.
     ``reported_at_s`` is the entry's estimate of the time at which the counts were
     true. Own dispatches and answers after that time are added by ``Placement``.
     """
@@ -34,6 +37,7 @@
     running: int
     resident: frozenset[int]
     reported_at_s: float
+    free_slots: int = 1
 
 
 class PlacementRequest(msgspec.Struct, frozen=True):
@@ -50,11 +54,15 @@
 
 
 class PlacementChoice(msgspec.Struct, frozen=True):
-    """The chosen target; ``reason`` is ``resident``, ``cold`` or ``service``."""
+    """The chosen target; ``reason`` is ``resident``, ``cold`` or ``service``.
+
+    ``queue_wait_s`` is the expected wait for a batch place.
+    """
 
     target: str
     agent: str
     reason: str
+    queue_wait_s: float = 0.0
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,8 +73,9 @@
     usual wait for a permit. ``spread_s`` is the cost of a full target against an empty
     one; it keeps equal targets level. ``away_s`` is the cost of a cold start away from
     the adapter's home on the ring; it is more than the spread between usual loads, so
-    that entries with different views load an adapter once. ``assumed_resident_s``
-    covers the 10 s between two full states of a target.
+    that entries with different views load an adapter once. ``slot_wait_s`` is the cost
+    of a cold start where running work holds every slot. ``assumed_resident_s`` covers
+    the 10 s between two full states of a target.
     """
 
     load_wait_s: float = 2.0
@@ -75,6 +84,7 @@
     service_s: float = 10.0
     remote_domain_s: float = 0.003
     prefix_gain_s: float = 0.2
+    slot_wait_s: float = 8.0
     assumed_resident_s: float = 12.0
     resident_candidates: int = 2
     ring_candidates: int = 2
@@ -86,12 +96,14 @@
 class _Target:
     """A view with the entry's own changes since the view's time."""
 
-    __slots__ = ("assumed", "changes", "net", "open", "position", "view", "weight")
+    __slots__ = ("assumed", "changes", "cold", "net", "open", "position", "view")
 
     def __init__(self, view: TargetView) -> None:
         self.view = view
-        self.changes: deque[tuple[float, int]] = deque()
+        # Time, change of the load, and change of the adapters that need a slot.
+        self.changes: deque[tuple[float, int, int]] = deque()
         self.net = 0
+        self.cold = 0
         self.open = 0
         self.position = -1
         self.assumed: dict[int, float] = {}
@@ -100,15 +112,18 @@
         # A report that is ahead of an answer can't push the count below own work.
         return max(self.view.queued + self.view.running + self.net, self.open, 0)
 
-    def changed(self, now_s: float, by: int) -> None:
-        self.changes.append((now_s, by))
+    def changed(self, now_s: float, by: int, cold: int = 0) -> None:
+        self.changes.append((now_s, by, cold))
         self.net += by
+        self.cold += cold
         self.open = max(0, self.open + by)
 
     def forget_covered(self) -> None:
         """Drop the own changes that the view's counts already include."""
         while self.changes and self.changes[0][0] <= self.view.reported_at_s:
-            self.net -= self.changes.popleft()[1]
+            _, by, cold = self.changes.popleft()
+            self.net -= by
+            self.cold -= cold
 
 
 class Placement:
@@ -149,13 +164,19 @@
         wanted = self._known_resident(target)
         self._index(view.name, wanted - known, known - wanted)
 
-    def counted(self, name: str, queued: int, running: int, now_s: float) -> None:
+    def counted(
+        self, name: str, queued: int, running: int, free_slots: int, now_s: float
+    ) -> None:
         """Take over the true counts that an answer or a refusal carries."""
         target = self._targets.get(name)
         if target is None or now_s < target.view.reported_at_s:
             return
         target.view = msgspec.structs.replace(
-            target.view, queued=queued, running=running, reported_at_s=now_s
+            target.view,
+            queued=queued,
+            running=running,
+            free_slots=free_slots,
+            reported_at_s=now_s,
         )
         target.forget_covered()
 
@@ -193,15 +214,18 @@
         if wanted.adapter_hash:
             held = self._holds(best, wanted.adapter_hash, now_s)
             reason = "resident" if held else "cold"
-        return PlacementChoice(best.view.name, best.view.agent, reason)
+        wait_s = self._queue_wait_s(best)
+        return PlacementChoice(best.view.name, best.view.agent, reason, wait_s)
 
     def dispatched(self, target: str, wanted: PlacementRequest, now_s: float) -> None:
         """Count an own dispatch that no report covers yet."""
         entry = self._targets.get(target)
         if entry is None:
             return
-        entry.changed(now_s, 1)
-        self._assume(entry, wanted.adapter_hash, now_s)
+        adapter = wanted.adapter_hash
+        is_cold = bool(adapter) and not self._holds(entry, adapter, now_s)
+        entry.changed(now_s, 1, int(is_cold))
+        self._assume(entry, adapter, now_s)
         if wanted.prefix_hash:
             self._prefixes[wanted.prefix_hash] = target
             self._prefixes.move_to_end(wanted.prefix_hash)
@@ -310,20 +334,24 @@
                 best, best_s = target, cost_s
         return best
 
+    def _queue_wait_s(self, target: _Target) -> float:
+        places = max(1, target.view.batch_places)
+        ahead = max(0, target.load() + 1 - places)
+        return self._settings.service_s * ahead / places
+
     def _cost_s(
         self, target: _Target, wanted: PlacementRequest, home: str, now_s: float
     ) -> float:
         settings = self._settings
         view = target.view
-        places = max(1, view.batch_places)
-        load = target.load()
-        cost_s = settings.spread_s * load / places
-        if load >= places:
-            cost_s += settings.service_s * (load + 1 - places) / places
+        cost_s = settings.spread_s * target.load() / max(1, view.batch_places)
+        cost_s += self._queue_wait_s(target)
         if wanted.adapter_hash and not self._holds(target, wanted.adapter_hash, now_s):
             cost_s += settings.load_wait_s
             if view.name != home:
                 cost_s += settings.away_s
+            if view.free_slots - target.cold <= 0:
+                cost_s += settings.slot_wait_s
         if wanted.failure_domain and wanted.failure_domain != view.failure_domain:
             cost_s += settings.remote_domain_s
         if wanted.prefix_hash and self._prefixes.get(wanted.prefix_hash) == view.name:
