--- a/bench/_system.py
+++ b/bench/_system.py
@@ -222,6 +222,7 @@
         self.shape = shape
         self.placement = Placement(rng, PlacementSettings())
         self.admission = Admission(rng)
+        self.use = AdapterUse()
         self._waits_for_load: set[int] = set()
         self.agents: dict[str, BenchAgent] = {}
 
@@ -235,12 +236,14 @@
             self._refuse(job)
             return
         needs_load = choice.reason == "cold"
+        self.use.used(str(job.adapter), now_s)
         offer = AdmissionRequest(
             team=str(job.team),
             criticality=job.criticality,
             patience_s=job.latest_start_s - now_s,
             queue_wait_s=choice.queue_wait_s,
             needs_load=needs_load,
+            demand=self.use.score(str(job.adapter), now_s),
         )
         if isinstance(self.admission.offer(offer, now_s), Shed):
             self._refuse(job)
