Add the pages and their checks against the code

The tables of settings and metrics are written by `python -m tools.pages` and compared in a test, so that a page can't fall behind the code.

Other checks: links exist, commands on the pages exist or are marked as not built, metrics sent by the code are declared, and the first configurations fit the schema.

--- a/lentiltally/_metric_table.py
+++ b/lentiltally/_metric_table.py
@@ -71,6 +71,11 @@
         "queue wait of short requests while a long one held a batch place",
         "agent",
     ),
+    _timer(
+        "short_wait",
+        "queue wait of short requests while no long one held a batch place",
+        "agent",
+    ),
     Metric(
         "batch_fill",
         "gauge",
--- /dev/null
+++ b/tests/steps/pages_steps.py
@@ -0,0 +1,101 @@
+"""Steps for the pages and samples."""
+
+from __future__ import annotations
+
+import ast
+import re
+import tomllib
+from pathlib import Path
+
+from behave import then
+
+from lentiltally.cli._operators import _root
+from lentiltally.config import validate
+from lentiltally.metrics import METRICS
+from tools.pages import PAGES, with_table
+
+ROOT = Path(__file__).resolve().parents[2]
+LINK = re.compile(r"\]\((?!https?://|#)([^)#]+)")
+COMMAND = re.compile(r"lentiltally ([a-z]+)(?=[ \n])")
+NAMES = {metric.name for metric in METRICS}
+KINDS = ("count", "gauge", "timing")
+
+
+def _pages():
+    pages = [*ROOT.glob("*.md"), *ROOT.glob("docs/*.md")]
+    assert len(pages) > 5, pages
+    return [page for page in pages if page.name != "design.md"]
+
+
+@then("pages table of docs/{name} is that of the code")
+def pages_table(context, name):
+    page = (ROOT / "docs" / name).read_text()
+    assert with_table(page, PAGES[f"docs/{name}"]()) == page, "run -m tools.pages"
+
+
+@then("pages have no dead link")
+def pages_links(context):
+    for page in _pages():
+        for link in LINK.findall(page.read_text()):
+            assert (page.parent / link).exists(), (page.name, link)
+
+
+@then("pages name no command that the command line refuses")
+def pages_commands(context):
+    union = _root().__annotations__["command"]
+    known = {part.__cappa__.name for part in _parts(union)}
+    for page in _pages():
+        for block in page.read_text().split("\n"):
+            code = re.findall(r"`([^`]+)`", block)
+            code += [block] if block.startswith("    ") else []
+            named = {name for part in code for name in COMMAND.findall(f"{part}\n")}
+            assert named <= known or "not built" in block, (page.name, block)
+
+
+def _parts(annotation):
+    union = getattr(annotation, "__origin__", annotation)
+    return getattr(union, "__args__", (union,))
+
+
+@then("pages on operation name only declared metrics")
+def pages_alarms(context):
+    rows = (ROOT / "docs/OPERATIONS.md").read_text().partition("## Alarms")[2]
+    firsts = re.findall(r"^\| `([a-z_]+)`", rows, re.MULTILINE)
+    assert len(firsts) > 5 and set(firsts) <= NAMES, set(firsts) - NAMES
+
+
+@then("pages table of metrics has every metric that the code sends")
+def pages_metrics(context):
+    sent = set()
+    for path in (ROOT / "lentiltally").rglob("*.py"):
+        for node in ast.walk(ast.parse(path.read_text())):
+            if not (
+                isinstance(node, ast.Call) and isinstance(node.func, ast.Attribute)
+            ):
+                continue
+            owner = ast.unparse(node.func.value)
+            if node.func.attr in KINDS and owner.endswith("metrics"):
+                name = node.args[0]
+                assert isinstance(name, ast.Constant), (path.name, node.lineno)
+                sent.add(name.value)
+    assert sent <= NAMES, sent - NAMES
+
+
+@then("pages sample {file} is accepted by the configuration schema")
+def pages_sample(context, file):
+    tree = tomllib.loads((ROOT / file).read_text())
+    values = dict(_values("", tree))
+    assert len(values) > 5, values
+    problems = [p for path, value in values.items() for p in validate(path, value)]
+    assert not problems, problems
+
+
+def _values(path, table):
+    """Yield the tables that are values of configuration paths."""
+    depth = path.count("/")
+    is_value = path.startswith("/teams/") and (depth == 4 or path.endswith("/limits"))
+    if is_value or (depth == 2 and not path.startswith("/teams/")):
+        yield path, table
+        return
+    for name, inner in table.items():
+        yield from _values(f"{path}/{name}", inner)
