Keep fault switches reachable and describe the stand-ins

Workers are added while fewer than 8 are spare, and readers wait per stream. A crash under 40 streams is part of the tests now.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -29,9 +29,7 @@
 
 def _engine(options: argparse.Namespace) -> StandIn:
     settings = _settings(EngineSettings, options)
-    return EngineStandIn(
-        options.host, options.port, settings=settings, threads=options.threads
-    )
+    return EngineStandIn(options.host, options.port, settings=settings)
 
 
 def _service(options: argparse.Namespace) -> StandIn:
@@ -39,22 +37,17 @@
         options.host,
         options.port,
         service_s=options.service_s,
-        threads=options.threads,
     )
 
 
 def _weights(options: argparse.Namespace) -> StandIn:
     settings = _settings(WeightStoreSettings, options)
-    return WeightStoreStandIn(
-        options.host, options.port, settings=settings, threads=options.threads
-    )
+    return WeightStoreStandIn(options.host, options.port, settings=settings)
 
 
 def _log(options: argparse.Namespace) -> StandIn:
     settings = _settings(LogSettings, options)
-    return LogStandIn(
-        options.host, options.port, settings=settings, threads=options.threads
-    )
+    return LogStandIn(options.host, options.port, settings=settings)
 
 
 def _hosts(options: argparse.Namespace) -> StandIn:
@@ -66,7 +59,6 @@
         options.port,
         hosts=hosts,
         lag_s=options.lag_s,
-        threads=options.threads,
     )
 
 
@@ -90,20 +82,19 @@
     parser = argparse.ArgumentParser(prog="python -m standins")
     kinds = parser.add_subparsers(dest="kind", required=True)
 
-    def add(name: str, text: str, build: Build, threads: int) -> Any:
+    def add(name: str, text: str, build: Build) -> Any:
         kind = kinds.add_parser(name, help=text)
         kind.add_argument("--host", default="127.0.0.1")
         kind.add_argument("--port", type=int, default=0)
-        kind.add_argument("--threads", type=int, default=threads)
         kind.set_defaults(build=build)
         return kind
 
-    _add_settings(add("engine", "model engine", _engine, 64), EngineSettings)
-    _add_settings(add("weights", "weight store", _weights, 64), WeightStoreSettings)
-    _add_settings(add("log", "append-only log service", _log, 96), LogSettings)
-    service = add("service", "plain service", _service, 32)
+    _add_settings(add("engine", "model engine", _engine), EngineSettings)
+    _add_settings(add("weights", "weight store", _weights), WeightStoreSettings)
+    _add_settings(add("log", "append-only log service", _log), LogSettings)
+    service = add("service", "plain service", _service)
     service.add_argument("--service-s", type=float, default=0.0)
-    hosts = add("hosts", "host list", _hosts, 16)
+    hosts = add("hosts", "host list", _hosts)
     hosts.add_argument("--hosts", type=Path, help="JSON file with the first list")
     hosts.add_argument("--lag-s", type=float, default=1.0)
     return parser
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -21,6 +21,9 @@
 from standins.faults import Faults, FaultSwitches
 
 _REASONS = {200: "OK", 201: "Created", 400: "Bad Request", 404: "Not Found"}
+_FIRST_THREADS = 16
+_SPARE_THREADS = 8
+_MAX_THREADS = 1000
 _CONTROL_PATHS = ("/faults", "/journal")
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
@@ -85,15 +88,28 @@
     # The server looks for a stop request once per interval.
     expiration_interval = 0.1
 
-    def __init__(self, address: tuple[str, int], app: Any, threads: int) -> None:
+    def __init__(self, address: tuple[str, int], app: Any) -> None:
         # A closed idle connection looks to a client like a lost answer, so idle
         # connections stay open for longer than any test.
         super().__init__(
-            address, app, numthreads=threads, request_queue_size=256, timeout=600
+            address, app, numthreads=_FIRST_THREADS, request_queue_size=256, timeout=600
         )
         self.gateway = _Gateway
         self.table = ConnectionTable()
 
+    def process_conn(self, conn: Any) -> None:
+        """Hand a connection to a worker, and add one if all are occupied.
+
+        Streams and waiting reads occupy a worker each. Without a free one the fault
+        switches would be out of reach. Some stay spare, because a worker counts as
+        idle for a moment after it took a connection.
+        """
+        pool = self.requests
+        short = pool.qsize + _SPARE_THREADS > pool.idle
+        if short and len(pool._threads) < _MAX_THREADS:
+            pool._threads.append(pool._spawn_worker())
+        super().process_conn(conn)
+
     @staticmethod
     def bind_socket(socket_: Any, bind_addr: Any) -> Any:
         """Bind, and let a later start use the port while old connections linger.
@@ -119,12 +135,11 @@
     #: A request that holds the marker of ``crash_on`` restarts the stand-in at once.
     crashes_on_receipt = True
 
-    def __init__(self, host: str, port: int, threads: int) -> None:
+    def __init__(self, host: str, port: int) -> None:
         """Prepare a server for the address; port 0 lets the system choose."""
         self.faults = Faults()
         self.stopping = threading.Event()
         self._address = (host, port)
-        self._threads = threads
         self._server: _Server | None = None
         self._thread: threading.Thread | None = None
         self._holder = SilentHolder()
@@ -144,7 +159,7 @@
         """Listen and serve in the background; also again after stop()."""
         self.stopping.clear()
         self._holder = SilentHolder()
-        self._server = _Server(self._address, self._app, self._threads)
+        self._server = _Server(self._address, self._app)
         self._server.prepare()
         self._address = self._server.bind_addr
         self._thread = threading.Thread(target=self._server.serve, daemon=True)
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -51,9 +51,8 @@
 class EngineStandIn(StandIn):
     """Serves an EngineCore; one thread makes the steps of all executions.
 
-    Each streamed or whole answer under way occupies one of ``threads``, queued ones
-    too. An execution goes on when its caller disconnects, so that the caller can
-    resume.
+    Each answer under way occupies one more thread. An execution goes on when its
+    caller disconnects, so that the caller can resume.
     """
 
     #: A marked request crashes the engine when it gets a batch place.
@@ -66,10 +65,9 @@
         *,
         settings: EngineSettings | None = None,
         clock: Clock | None = None,
-        threads: int = 64,
     ) -> None:
         """Create an empty engine."""
-        super().__init__(host, port, threads)
+        super().__init__(host, port)
         self.settings = settings or EngineSettings()
         self._clock = clock or SystemClock()
         self.core = EngineCore(self.settings, self._clock, self.cut_connections)
--- a/standins/host_list.py
+++ b/standins/host_list.py
@@ -58,10 +58,9 @@
         hosts: Sequence[Host] = (),
         lag_s: float = 1.0,
         clock: Clock | None = None,
-        threads: int = 16,
     ) -> None:
         """Create a list with the given hosts."""
-        super().__init__(host, port, threads)
+        super().__init__(host, port)
         self.core = HostListCore(hosts, lag_s, clock or SystemClock())
 
     def handle(self, request: Request) -> Response:
--- a/standins/log_core.py
+++ b/standins/log_core.py
@@ -53,8 +53,11 @@
 
 
 class _Stream:
-    def __init__(self) -> None:
+    def __init__(self, lock: threading.Lock) -> None:
         self.first_offset = 0
+        self.appends = 0
+        # Readers wait per stream, so that an append wakes only its own readers.
+        self.changed = threading.Condition(lock)
         self.records: deque[StoredRecord] = deque()
 
     @property
@@ -74,29 +77,28 @@
         self._settings = settings
         self._clock = clock
         self._streams: dict[str, _Stream] = {}
-        self._changed = threading.Condition()
+        self._lock = threading.Lock()
         self._bucket = TokenBucket(settings.appends_per_s, settings.append_burst)
         self._closed = False
-        self.appends: dict[str, int] = {}
 
     def append(self, name: str, values: list[msgspec.Raw]) -> tuple[int, int]:
         """Write the values together; return the first and the next offset.
 
         Raises RateExceededError.
         """
-        with self._changed:
+        with self._lock:
             wait_s = self._bucket.take(self._clock.monotonic_s())
             if wait_s > 0:
                 raise RateExceededError(wait_s)
-            stream = self._streams.setdefault(name, _Stream())
+            stream = self._stream(name)
             first = stream.next_offset
             time_ms = _milliseconds(self._clock.now())
             for index, value in enumerate(values):
                 record = StoredRecord(first + index, time_ms, value.copy())
                 stream.records.append(record)
-            self.appends[name] = self.appends.get(name, 0) + 1
+            stream.appends += 1
             self._retain(stream)
-            self._changed.notify_all()
+            stream.changed.notify_all()
             return first, stream.next_offset
 
     def read(
@@ -106,12 +108,11 @@
 
         Waits up to ``wait_s`` for the first record. Raises TruncatedError.
         """
-        with self._changed:
-            self._changed.wait_for(
-                lambda: self._closed or self._end(name) > offset,
-                wait_s,
+        with self._lock:
+            stream = self._stream(name)
+            stream.changed.wait_for(
+                lambda: self._closed or stream.next_offset > offset, wait_s
             )
-            stream = self._streams.get(name) or _Stream()
             self._retain(stream)
             if offset < stream.first_offset:
                 raise TruncatedError(stream.first_offset)
@@ -122,32 +123,34 @@
 
     def bounds(self, name: str) -> tuple[int, int]:
         """Return the first retained and the next offset of a stream."""
-        with self._changed:
-            stream = self._streams.get(name) or _Stream()
+        with self._lock:
+            stream = self._stream(name)
             self._retain(stream)
             return stream.first_offset, stream.next_offset
 
     def set_closed(self, closed: bool) -> None:
         """Let all reads return at once while the log is closed."""
-        with self._changed:
+        with self._lock:
             self._closed = closed
-            self._changed.notify_all()
+            for stream in self._streams.values():
+                stream.changed.notify_all()
 
     def summary(self) -> dict[str, dict[str, int]]:
         """Return the bounds and the number of append requests of each stream."""
-        with self._changed:
+        with self._lock:
             return {
                 name: {
                     "first_offset": stream.first_offset,
                     "next_offset": stream.next_offset,
-                    "appends": self.appends[name],
+                    "appends": stream.appends,
                 }
                 for name, stream in self._streams.items()
             }
 
-    def _end(self, name: str) -> int:
-        stream = self._streams.get(name)
-        return stream.next_offset if stream else 0
+    def _stream(self, name: str) -> _Stream:
+        if name not in self._streams:
+            self._streams[name] = _Stream(self._lock)
+        return self._streams[name]
 
     def _retain(self, stream: _Stream) -> None:
         settings = self._settings
--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -28,10 +28,9 @@
         *,
         settings: LogSettings | None = None,
         clock: Clock | None = None,
-        threads: int = 96,
     ) -> None:
-        """Create an empty log; every waiting read occupies one thread."""
-        super().__init__(host, port, threads)
+        """Create an empty log."""
+        super().__init__(host, port)
         self.core = LogCore(settings or LogSettings(), clock or SystemClock())
 
     def start(self) -> None:
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -50,10 +50,9 @@
         port: int = 0,
         *,
         service_s: float = 0.0,
-        threads: int = 32,
     ) -> None:
         """Create a service without calls."""
-        super().__init__(host, port, threads)
+        super().__init__(host, port)
         self._service_s = service_s
         self.core = ServiceCore()
 
--- a/standins/weight_store.py
+++ b/standins/weight_store.py
@@ -79,10 +79,9 @@
         *,
         settings: WeightStoreSettings | None = None,
         clock: Clock | None = None,
-        threads: int = 64,
     ) -> None:
-        """Create an idle store; each load in flight occupies one thread."""
-        super().__init__(host, port, threads)
+        """Create an idle store."""
+        super().__init__(host, port)
         self.core = WeightStoreCore(
             settings or WeightStoreSettings(), clock or SystemClock()
         )
--- a/tests/standins/engine_http.feature
+++ b/tests/standins/engine_http.feature
@@ -34,19 +34,20 @@
     And standin engine has 2 executions
 
   Scenario: A marked request crashes the engine and all that it runs
-    # Guards against a crash that leaves adapters or streams behind.
+    # Guards against a crash that leaves adapters or streams behind, and against
+    # fault switches that streams in great number put out of reach.
     When standin engine loads t/a@1
-    And standin engine streams an endless answer
+    And standin engine streams 40 endless answers
     And standin gets the faults {"crash_on": "poison"}
     And standin engine is asked for 1 tokens of base with "poison"
     Then standin engine gives status nothing
     And standin engine has closed the endless answer
     And standin engine lists the adapters nothing
-    And standin engine has 2 executions
+    And standin engine has 41 executions
 
   Scenario: Open connections go silent and new ones work
     # Guards against a fault that clients notice by a closed connection.
-    When standin engine streams an endless answer
+    When standin engine streams 1 endless answers
     And standin gets the faults {"silent_connections": true}
     Then standin engine sends nothing more on the endless answer and leaves it open
     When standin engine is asked for 5 tokens of base with "hello"
--- a/tests/steps/standins_http_steps.py
+++ b/tests/steps/standins_http_steps.py
@@ -56,7 +56,8 @@
 
 @given("standin engine runs")
 def engine_runs(context):
-    run(context, EngineStandIn(settings=EngineSettings(token_s=0.001, load_s=0.0)))
+    settings = EngineSettings(token_s=0.001, load_s=0.0, batch_places=64)
+    run(context, EngineStandIn(settings=settings))
 
 
 @given("standin engine runs with a weight store that takes {count:d} load")
@@ -120,11 +121,12 @@
     call(context, "POST", "/v1/completions", body)
 
 
-@when("standin engine streams an endless answer")
-def engine_endless(context):
+@when("standin engine streams {count:d} endless answers")
+def engine_endless(context, count):
     body = {"model": "base", "max_tokens": 10**9, "stream": True}
-    context.endless = call(context, "POST", "/v1/completions", body, stream=True)
-    context.endless.read1(1)
+    for _ in range(count):
+        context.endless = call(context, "POST", "/v1/completions", body, stream=True)
+        context.endless.read1(1)
 
 
 @then("standin engine gives status {status}")
