Refuse truly after an agent restart, mount the administration API

Both messages now name the agent run, and any other run answers 'unknown'. Entries also greet an agent on each new connection; before, a restarted agent stayed unknown for up to 10 s.

--- a/lentiltally/agent/engine_target.py
+++ b/lentiltally/agent/engine_target.py
@@ -13,6 +13,7 @@
 from lentiltally.agent.runner import Job, TargetRunner, queue_settings
 from lentiltally.agent.shared import AgentState
 from lentiltally.agent.stream_reader import StreamReader
+from lentiltally.config import ConfigTree
 from lentiltally.decisions.adapter_slots import AdapterSlots, Pinned
 from lentiltally.decisions.ownership import Ownership
 from lentiltally.decisions.work_queue import WorkQueue
@@ -91,6 +92,20 @@
         self._stopped.set()
         self._orders.stop()
 
+    def configured(self, tree: ConfigTree) -> None:
+        """Retire resident adapters that the configuration no longer has.
+
+        Running work keeps its pin, so a retired adapter is unloaded after its last.
+        """
+        for name in self._slots.resident:
+            team, _, rest = name.partition("/")
+            adapter, _, version = rest.rpartition("@")
+            config = tree.adapter(team, adapter)
+            if config is not None and version in config.versions:
+                self._slots.configured(name)
+            else:
+                self._slots.retire(name)
+
     def is_ready(self) -> bool:
         """Return whether the engine's list of adapters was read."""
         return bool(self._slots.engine_incarnation)
--- a/lentiltally/agent/process.py
+++ b/lentiltally/agent/process.py
@@ -17,6 +17,7 @@
 from lentiltally.agent.shared import QUARANTINE_STREAM, AgentState, refuse
 from lentiltally.agent.stream_reader import StreamReader
 from lentiltally.clock import Clock, SystemClock
+from lentiltally.config import ConfigFollower, ConfigTree, FollowerThread
 from lentiltally.decisions.attempts import AttemptTable, Refused
 from lentiltally.decisions.load_permits import PermitSettings
 from lentiltally.ids import new_incarnation
@@ -81,6 +82,7 @@
             clock=clock,
         )
         self._permits = Permits(log, settings.process.name, clock, PermitSettings())
+        self._config = FollowerThread(ConfigFollower(log, clock), self._configured)
         self._quarantine = StreamFollower(
             log, QUARANTINE_STREAM, self._state.apply_quarantine, clock
         )
@@ -115,6 +117,7 @@
 
     def _start(self) -> None:
         self._state.metrics.start()
+        self._config.start()
         self._quarantine.start()
         self._permits.start()
         self._leases.start()
@@ -125,6 +128,13 @@
         self._inbox.start()
         threading.Thread(target=self._health.serve, daemon=True).start()
 
+    def _configured(self, tree: ConfigTree) -> None:
+        """Note the offset in force, and retire adapters that are no longer declared."""
+        with self._state.lock:
+            self._state.config_offset = tree.offset
+            for target in self._targets.values():
+                target.configured(tree)
+
     def _tick(self) -> None:
         for runner in self._runners.values():
             runner.pump()
@@ -220,6 +230,9 @@
         )
 
     def _cancel(self, message: Cancel) -> None:
+        if message.agent_incarnation != self._state.incarnation:
+            self._refuse_other_run(message)
+            return
         for runner in self._runners.values():
             if runner.cancel(message):
                 return
@@ -236,6 +249,9 @@
     def _resume(self, message: Resume) -> None:
         if message.reconnect:
             self._outboxes.reconnect(message.reply_address)
+        if message.agent_incarnation != self._state.incarnation:
+            self._refuse_other_run(message)
+            return
         with self._state.lock:
             result = self._state.attempts.query(message.attempt_id)
             kept = self._state.kept(message.attempt_id)
@@ -246,6 +262,17 @@
         for part in kept.since(message.next_index):
             self._reporter.send(message.reply_address, part)
 
+    def _refuse_other_run(self, message: Cancel | Resume) -> None:
+        """Answer for an attempt of an earlier run, which may have run there."""
+        refuse(
+            self._reporter,
+            message.reply_address,
+            message.attempt_id,
+            "agent restarted",
+            self._state.name,
+            executed="unknown",
+        )
+
     def _refuse_resume(self, message: Resume, is_not_run: bool) -> None:
         refuse(
             self._reporter,
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -223,7 +223,7 @@
                 resident=tuple(
                     adapter_name_hash(name) for name in self._target.resident()
                 ),
-                config_offset=0,
+                config_offset=shared.config_offset,
             )
 
     def running(self) -> dict[str, Job]:
--- a/lentiltally/agent/service_target.py
+++ b/lentiltally/agent/service_target.py
@@ -5,6 +5,7 @@
 from lentiltally.agent._http import TargetError
 from lentiltally.agent.runner import Job, TargetRunner, queue_settings
 from lentiltally.agent.service_client import ServiceClient
+from lentiltally.config import ConfigTree
 from lentiltally.decisions.work_queue import WorkQueue
 from lentiltally.settings import TargetSettings
 from lentiltally.wire import AnswerWhole, Execute
@@ -31,6 +32,9 @@
     def stop(self) -> None:
         """Do nothing; a service needs no polling."""
 
+    def configured(self, tree: ConfigTree) -> None:
+        """Do nothing; a service has no adapters."""
+
     def is_ready(self) -> bool:
         """Return True; failures show on the calls."""
         return True
--- a/lentiltally/agent/shared.py
+++ b/lentiltally/agent/shared.py
@@ -38,6 +38,7 @@
     log: LogClient
     attempts: AttemptTable
     quarantine: Quarantine = field(default_factory=Quarantine)
+    config_offset: int = 0
     live: dict[str, KeptAnswer] = field(default_factory=dict)
     lock: threading.RLock = field(default_factory=threading.RLock)
     background: ThreadPoolExecutor = field(
--- /dev/null
+++ b/lentiltally/entry/administration.py
@@ -0,0 +1,93 @@
+"""The administration API of an entry and the threads that belong to it."""
+
+from __future__ import annotations
+
+import random
+import threading
+from datetime import UTC, datetime
+
+from cheroot import wsgi
+
+from lentiltally.admin import AdminApplication, AuditLog, Scope, Token, Tokens
+from lentiltally.admin.context import StatusSource
+from lentiltally.clock import Clock
+from lentiltally.config import (
+    ChangeHistory,
+    FollowerThread,
+    PeriodicThread,
+    Publisher,
+    SnapshotWriter,
+)
+from lentiltally.entry.server import new_server
+from lentiltally.platform.log_client import LogClient
+from lentiltally.settings import EntrySettings, TokenSettings
+
+AUDIT_FLUSH_S = 0.25
+SNAPSHOT_CHECK_S = 10.0
+MAX_BODY_BYTES = 8 * 1024 * 1024
+NEVER = datetime.max.replace(tzinfo=UTC)
+
+
+class Administration:
+    """Serves operators on every entry, since no host is set aside for control."""
+
+    def __init__(
+        self,
+        settings: EntrySettings,
+        log: LogClient,
+        config: FollowerThread,
+        status: StatusSource,
+        clock: Clock,
+    ) -> None:
+        """Bind the listener; raises OSError if its address is taken."""
+        self._audit = AuditLog(log)
+        application = AdminApplication(
+            config,
+            Publisher(log, config, clock),
+            self._audit,
+            Tokens([_token(token) for token in settings.admin.tokens]),
+            status_source=status,
+            clock=clock,
+            history=ChangeHistory(log, config),
+        )
+        self._server: wsgi.Server = new_server(
+            settings.admin.listen,
+            application,
+            settings.admin.threads,
+            certificate=settings.admin.tls_certificate,
+            key=settings.admin.tls_key,
+            read_timeout_s=settings.callers.read_timeout_s,
+            max_header_bytes=settings.callers.max_header_bytes,
+            max_body_bytes=MAX_BODY_BYTES,
+        )
+        self._server.prepare()
+        snapshots = SnapshotWriter(
+            log, config, clock, settings.log.retention_s / 3, random.Random()
+        )
+        self._threads = (
+            PeriodicThread("audit", self._audit.flush, AUDIT_FLUSH_S),
+            PeriodicThread("snapshots", snapshots.write_if_due, SNAPSHOT_CHECK_S),
+        )
+
+    def start(self) -> None:
+        """Begin to serve."""
+        threading.Thread(target=self._server.serve, daemon=True).start()
+        for thread in self._threads:
+            thread.start()
+
+    def stop(self) -> None:
+        """Stop serving, after the audit records that wait are on the log."""
+        self._server.stop()
+        for thread in self._threads:
+            thread.stop()
+        self._audit.flush()
+
+
+def _token(settings: TokenSettings) -> Token:
+    """Return a token that may read and write below each of its scopes."""
+    return Token(
+        actor=settings.name,
+        sha256=settings.sha256,
+        expires_at=settings.expires or NEVER,
+        scopes=tuple(Scope(prefix, "write") for prefix in settings.scopes),
+    )
--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -10,7 +10,9 @@
 
 from lentiltally.clock import Clock, SystemClock
 from lentiltally.config import ConfigFollower, FollowerState, FollowerThread
+from lentiltally.entry.administration import Administration
 from lentiltally.entry.server import CallerApplication, new_server
+from lentiltally.entry.status import EntryStatus
 from lentiltally.entry.suspicions import FollowedQuarantine
 from lentiltally.ids import AttemptIds, new_incarnation
 from lentiltally.metrics import Metrics
@@ -40,6 +42,8 @@
     AnswerHead,
     AnswerWhole,
     ClaimAnswer,
+    ConfigFetch,
+    ConfigSnapshot,
     Hello,
     Inbox,
     Message,
@@ -48,6 +52,7 @@
     Refused,
     TargetState,
 )
+from lentiltally.wire.config_peers import ConfigPeers
 
 _log = logging.getLogger(__name__)
 
@@ -66,7 +71,7 @@
         self._metrics = Metrics.from_settings(settings.metrics, settings.process)
         self._log = LogClient(settings.log.url, settings.log.timeout_s, clock)
         self._inbox = Inbox(settings.channel.listen, self._received)
-        self._outboxes = Outboxes(clock)
+        self._outboxes = Outboxes(clock, self._connected)
         self._pending = PendingAttempts()
         incarnation = new_incarnation()
         self._directory = TargetDirectory(
@@ -91,7 +96,13 @@
             reply_address=settings.channel.listen,
             clock=clock,
         )
-        self._config = FollowerThread(ConfigFollower(self._log, clock))
+        self._peers = ConfigPeers(
+            self._outboxes,
+            settings.channel.peers,
+            settings.channel.listen,
+            lambda: self._config.tree,
+        )
+        self._config = FollowerThread(ConfigFollower(self._log, clock, self._peers))
         self._quarantine = FollowedQuarantine(self._log, clock)
         self._claims = Claims(
             self._log, clock, settings.idempotency.key_lifetime_s, self._metrics
@@ -102,6 +113,17 @@
             settings.channel.listen,
             AttemptIds(f"{incarnation}-query"),
         )
+        status = EntryStatus(
+            settings,
+            incarnation,
+            config=self._config,
+            directory=self._directory,
+            pending=self._pending,
+            quarantine=self._quarantine,
+        )
+        self._administration = Administration(
+            settings, self._log, self._config, status, clock
+        )
         self._callers = CallerApplication(
             self._pipeline(), settings.callers, clock, self._metrics, self._is_ready
         )
@@ -134,6 +156,7 @@
         self._claims.start()
         self._inbox.start()
         self._directory.start()
+        self._administration.start()
         threading.Thread(target=self._server.serve, daemon=True).start()
 
     def _drain(self) -> None:
@@ -144,6 +167,7 @@
         while self._callers.active and self._clock.monotonic_s() < until_s:
             self._clock.sleep(TICK)
         self._server.stop()
+        self._administration.stop()
         self._directory.stop()
         self._claims.stop()
         self._quarantine.stop()
@@ -180,6 +204,10 @@
             Dispatch(self._context, retries, self._metrics, domain),
         )
 
+    def _connected(self, address: str) -> None:
+        """Greet an agent on each new connection: it may be a new run of it."""
+        self._directory.greet(address)
+
     def _received(self, message: Message) -> None:
         match message:
             case AnswerEvents() | AnswerHead() | AnswerEnd() | AnswerWhole():
@@ -193,6 +221,10 @@
                 self._directory.agent_said(message)
             case ClaimAnswer():
                 self._queries.deliver(message)
+            case ConfigFetch():
+                self._peers.asked(message)
+            case ConfigSnapshot():
+                self._peers.arrived(message)
             case _:
                 _log.warning("unexpected message", extra={"kind": type(message)})
 
--- a/lentiltally/routing/attempts.py
+++ b/lentiltally/routing/attempts.py
@@ -227,6 +227,7 @@
                     Resume(
                         self.attempt_id,
                         self._context.reply_address,
+                        self.target.agent_incarnation,
                         action.next_index,
                         is_new_connection,
                     )
@@ -240,7 +241,14 @@
             self._context.directory.counted(self.target.target, message.counts)
 
     def _cancel(self, reason: str) -> None:
-        self._send(Cancel(self.attempt_id, self._context.reply_address, reason))
+        self._send(
+            Cancel(
+                self.attempt_id,
+                self._context.reply_address,
+                self.target.agent_incarnation,
+                reason,
+            )
+        )
 
     def _send(self, message: Message) -> None:
         try:
--- a/lentiltally/routing/targets.py
+++ b/lentiltally/routing/targets.py
@@ -231,6 +231,11 @@
             for address in addresses - known:
                 self._send_hello(address)
 
+    def greet(self, address: str) -> None:
+        """Send a hello if an agent is known at the address."""
+        if address in self._addresses:
+            self._send_hello(address)
+
     def _known_states(self) -> list[TargetState]:
         states = (self._membership.state(name) for name in self._membership.targets())
         return [state for state in states if state is not None]
--- a/lentiltally/wire/channel.py
+++ b/lentiltally/wire/channel.py
@@ -90,9 +90,18 @@
     together in the next frame.
     """
 
-    def __init__(self, address: str, clock: Clock) -> None:
-        """Dial the peer in the background; it need not be up yet."""
+    def __init__(
+        self,
+        address: str,
+        clock: Clock,
+        on_connect: Callable[[str], None] | None = None,
+    ) -> None:
+        """Dial the peer in the background; it need not be up yet.
+
+        ``on_connect`` gets the address after each new connection and must not block.
+        """
         self.address = address
+        self._on_connect = on_connect
         self._clock = clock
         self._dialled_s = clock.monotonic_s()
         self._socket: Any = self._dial()
@@ -138,9 +147,16 @@
             reconnect_time_min=50,
             reconnect_time_max=1_000,
         )
+        if self._on_connect is not None:
+            socket.add_post_pipe_connect_cb(self._connected)
         socket.dial(self.address, block=False)
         return socket
 
+    def _connected(self, pipe: Any) -> None:
+        del pipe
+        if self._on_connect is not None and not self._closing.is_set():
+            self._on_connect(self.address)
+
     def _send(self) -> None:
         while True:
             self._has_work.wait()
@@ -179,9 +195,12 @@
 class Outboxes:
     """The outboxes of a process, one for each peer address, opened on first use."""
 
-    def __init__(self, clock: Clock) -> None:
-        """Start with no peers."""
+    def __init__(
+        self, clock: Clock, on_connect: Callable[[str], None] | None = None
+    ) -> None:
+        """Start with no peers; ``on_connect`` gets the address of each new one."""
         self._clock = clock
+        self._on_connect = on_connect
         self._by_address: dict[str, Outbox] = {}
         self._lock = threading.Lock()
 
@@ -212,5 +231,7 @@
         with self._lock:
             outbox = self._by_address.get(address)
             if outbox is None:
-                outbox = self._by_address[address] = Outbox(address, self._clock)
+                outbox = self._by_address[address] = Outbox(
+                    address, self._clock, self._on_connect
+                )
             return outbox
--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -87,22 +87,28 @@
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
-    """Stop an attempt; if it has not run, refuse it for good."""
+    """Stop an attempt; if it has not run, refuse it for good.
+
+    ``agent_incarnation`` is the run to which the attempt was sent. Another run can't
+    know whether the attempt ran.
+    """
 
     attempt_id: str
     reply_address: str
+    agent_incarnation: str
     reason: str
 
 
 class Resume(msgspec.Struct, frozen=True, tag="resume", array_like=True):
     """Send the answer of an attempt again, from the event with the given index.
 
-    ``reconnect`` asks for a new connection to the entry, because the present one may
+    ``agent_incarnation`` is the run to which the attempt was sent. ``reconnect`` asks for a new connection to the entry, because the present one may
     be silent for good.
     """
 
     attempt_id: str
     reply_address: str
+    agent_incarnation: str
     next_index: int
     reconnect: bool
 
