--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -102,8 +102,8 @@
 class Resume(msgspec.Struct, frozen=True, tag="resume", array_like=True):
     """Send the answer of an attempt again, from the event with the given index.
 
-    ``agent_incarnation`` is the run to which the attempt was sent. ``reconnect`` asks for a new connection to the entry, because the present one may
-    be silent for good.
+    ``agent_incarnation`` is the run to which the attempt was sent. ``reconnect`` asks
+    for a new connection to the entry, because the present one may be silent for good.
     """
 
     attempt_id: str
