Measure the guarantees over random schedules and fix seven faults

The schedules run the decision classes over fakes of log, engines and channels. They found: ClaimQuery, Resume and Cancel that reached a newer agent run were answered 'never seen' (G4, G5); an old list of the engine brought an unloaded adapter back (G2); pins were lost when a restart was noticed late (G2); a superseded owner claimed its target again (G2); an entry used an old reading of the host list after a pause, or before its first one (G6); a claim was sent to a target that had begun to leave (G6); a claim was called unknown because of a late state of an older agent run (G5).

--- /dev/null
+++ b/bench/_guarantees/__init__.py
@@ -0,0 +1,1 @@
+"""Random schedules over the decision classes, with fakes for everything else."""
--- /dev/null
+++ b/bench/_guarantees/kernel.py
@@ -0,0 +1,143 @@
+"""Simulated time, processes that pause or end, and unreliable channels."""
+
+from __future__ import annotations
+
+import heapq
+import itertools
+import random
+from collections.abc import Callable
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from bench._guarantees.journal import Journal
+
+Action = Callable[[], None]
+
+
+class Kernel:
+    """Runs scheduled actions in the order of simulated time."""
+
+    def __init__(self, rng: random.Random, journal: Journal) -> None:
+        """Start at time 0 with nothing scheduled."""
+        self.rng = rng
+        self.journal = journal
+        self.now_s = 0.0
+        self._heap: list[tuple[float, int, Action]] = []
+        self._order = itertools.count()
+
+    def at(self, delay_s: float, action: Action) -> None:
+        """Run an action after a delay."""
+        heapq.heappush(self._heap, (self.now_s + delay_s, next(self._order), action))
+
+    def run(self, end_s: float) -> None:
+        """Run all actions up to a time."""
+        while self._heap and self._heap[0][0] <= end_s:
+            self.now_s, _, action = heapq.heappop(self._heap)
+            action()
+        self.now_s = end_s
+
+    def flip(self, probability: float) -> bool:
+        """Return True with the given probability."""
+        return self.rng.random() < probability
+
+
+class Process:
+    """A process whose actions wait while it is paused and are lost when it ended."""
+
+    def __init__(self, kernel: Kernel) -> None:
+        """Start running."""
+        self.kernel = kernel
+        self.is_dead = False
+        self.is_paused = False
+        self._held: list[Action] = []
+
+    @property
+    def now_s(self) -> float:
+        """Return the monotonic time of the process."""
+        return self.kernel.now_s
+
+    def later(self, delay_s: float, action: Action) -> None:
+        """Run an action of this process after a delay."""
+        self.kernel.at(delay_s, lambda: self.enter(action))
+
+    def every(self, interval_s: float, action: Action) -> None:
+        """Run an action of this process again and again."""
+
+        def repeat() -> None:
+            action()
+            self.later(interval_s, repeat)
+
+        self.later(interval_s * self.kernel.rng.random(), repeat)
+
+    def enter(self, action: Action) -> None:
+        """Run an action now, or on resume, or never."""
+        if self.is_dead:
+            return
+        if self.is_paused:
+            self._held.append(action)
+        else:
+            action()
+
+    def pause(self, duration_s: float) -> None:
+        """Stop for a while, unaware of it."""
+        if self.is_paused:
+            return
+        self.is_paused = True
+        self.kernel.at(duration_s, self._resume)
+
+    def _resume(self) -> None:
+        self.is_paused = False
+        held, self._held = self._held, []
+        for action in held:
+            self.enter(action)
+
+
+class Network:
+    """Carries messages between addresses with delay, loss, copies and reordering."""
+
+    def __init__(self, kernel: Kernel, *, loss: float, copies: float, late: float):
+        """Take the probabilities of the faults of one message."""
+        self._kernel = kernel
+        self._loss = loss
+        self._copies = copies
+        self._late = late
+        self._receivers: dict[str, tuple[Process, Callable[[object], None]]] = {}
+        self._silent_until_s: dict[tuple[str, str], float] = {}
+
+    def listen(
+        self, address: str, process: Process, receive: Callable[[object], None]
+    ) -> None:
+        """Deliver messages for an address to a process from now on."""
+        self._receivers[address] = (process, receive)
+
+    def is_listening(self, address: str) -> bool:
+        """Return whether a process listens on an address."""
+        receiver = self._receivers.get(address)
+        return receiver is not None and not receiver[0].is_dead
+
+    def silence(self, sender: str, receiver: str, duration_s: float) -> None:
+        """Lose all messages of one direction until the duration or a reconnect."""
+        self._silent_until_s[sender, receiver] = self._kernel.now_s + duration_s
+
+    def reconnect(self, one: str, other: str) -> None:
+        """Replace the connections between two addresses."""
+        self._silent_until_s.pop((one, other), None)
+        self._silent_until_s.pop((other, one), None)
+
+    def send(self, sender: str, receiver: str, message: object) -> None:
+        """Send one message; it may be lost, late or arrive more than once."""
+        if self._silent_until_s.get((sender, receiver), 0.0) > self._kernel.now_s:
+            return
+        if self._kernel.flip(self._loss):
+            return
+        for _ in range(2 if self._kernel.flip(self._copies) else 1):
+            delay_s = self._kernel.rng.uniform(0.001, 0.02)
+            if self._kernel.flip(self._late):
+                delay_s = self._kernel.rng.uniform(0.1, 6.0)
+            self._kernel.at(delay_s, lambda: self._deliver(receiver, message))
+
+    def _deliver(self, address: str, message: object) -> None:
+        receiver = self._receivers.get(address)
+        if receiver is not None:
+            process, receive = receiver
+            process.enter(lambda: receive(message))
--- /dev/null
+++ b/bench/_guarantees/parts.py
@@ -0,0 +1,32 @@
+"""The decision classes under test, each of which a mutation can replace."""
+
+from __future__ import annotations
+
+from dataclasses import dataclass
+
+from lentiltally.decisions import minted_keys
+from lentiltally.decisions.adapter_slots import AdapterSlots
+from lentiltally.decisions.answers import AnswerAssembly
+from lentiltally.decisions.attempts import AttemptTable
+from lentiltally.decisions.claim_resolution import ClaimResolution
+from lentiltally.decisions.claims import ClaimTable
+from lentiltally.decisions.membership import Membership
+from lentiltally.decisions.ownership import Ownership
+
+
+@dataclass(frozen=True, slots=True)
+class Parts:
+    """The classes that the fake processes use, and the checks they make themselves."""
+
+    attempts: type[AttemptTable] = AttemptTable
+    slots: type[AdapterSlots] = AdapterSlots
+    ownership: type[Ownership] = Ownership
+    membership: type[Membership] = Membership
+    claims: type[ClaimTable] = ClaimTable
+    resolution: type[ClaimResolution] = ClaimResolution
+    assembly: type[AnswerAssembly] = AnswerAssembly
+    minted: type[minted_keys.MintedKeyTable] = minted_keys.MintedKeyTable
+    checks_answers: bool = True
+    checks_minted_incarnation: bool = True
+    waits_for_release: bool = True
+    fences_before_pin: bool = True
--- a/lentiltally/decisions/adapter_slots.py
+++ b/lentiltally/decisions/adapter_slots.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Collection, Iterable, Sequence
-from dataclasses import dataclass, field
+from dataclasses import dataclass
 
 from lentiltally.decisions.adapter_orders import (
     LoadNeeded,
@@ -45,7 +45,6 @@
 @dataclass(slots=True)
 class _Slot:
     state: SlotState
-    pins: set[int] = field(default_factory=set)
     used: int = 0
     changed: int = 0
     order_id: int = 0
@@ -79,7 +78,10 @@
         self._limit = slots
         self._engine_incarnation = engine_incarnation
         self._slots: dict[str, _Slot] = {}
+        self._pins: dict[str, set[int]] = {}
         self._retired: set[str] = set()
+        # When adapters were removed, so that an older list does not bring them back.
+        self._removed: dict[str, int] = {}
         self._orders: dict[int, Order] = {}
         self._order_count = 0
         self._change_count = 0
@@ -112,8 +114,7 @@
 
     def pins(self, adapter: str) -> int:
         """Return the number of pins of an adapter."""
-        slot = self._slots.get(adapter)
-        return 0 if slot is None else len(slot.pins)
+        return len(self._pins.get(adapter, ()))
 
     def set_fencing_token(self, token: int | None) -> None:
         """Set the token of the orders; None stops all orders."""
@@ -131,21 +132,20 @@
             if slot.state is not SlotState.RESIDENT or slot.must_unload:
                 return LoadNeeded(adapter)
             slot.used = self._tick()
-            slot.pins.add(slot.used)
+            self._pins.setdefault(adapter, set()).add(slot.used)
             return Pinned(adapter, slot.used)
         if self._has_free_slot() or self._victim(()) is not None:
             return LoadNeeded(adapter)
         return SlotsBusy(adapter)
 
     def unpin(self, pin: Pinned) -> None:
-        """End one pin.
-
-        A pin that became void has no effect, also if the adapter was loaded and pinned
-        again by others.
-        """
+        """End one pin; every pin must be ended, also one that became void."""
+        pins = self._pins.get(pin.adapter, set())
+        pins.discard(pin.pin_id)
+        if not pins:
+            self._pins.pop(pin.adapter, None)
         slot = self._slots.get(pin.adapter)
-        if slot is not None and pin.pin_id in slot.pins:
-            slot.pins.remove(pin.pin_id)
+        if slot is not None:
             slot.used = self._tick()
 
     def retire(self, adapter: str) -> None:
@@ -180,8 +180,8 @@
         order = self._orders.pop(order_id, None)
         if order is None:
             return None
-        if order_id == self._fence_order_id:
-            self._fence_answered(outcome)
+        if order.adapter == FENCE_ADAPTER:
+            self._fence_answered(order_id, outcome)
             return None
         slot = self._slots[order.adapter]
         slot.changed = self._tick()
@@ -197,9 +197,15 @@
         return self._unload_ended(order.adapter, slot, outcome)
 
     def engine_restarted(self, incarnation: str) -> list[str]:
-        """Forget everything about the earlier run; return adapters with void pins."""
-        void = [name for name, slot in self._slots.items() if slot.pins]
+        """Forget the slots of the earlier run; return adapters with void pins.
+
+        The requests that hold them have lost their adapter and must be ended. Until
+        they are, the adapter is not unloaded: a request sent just before the restart
+        was noticed may run on the new engine run.
+        """
+        void = list(self._pins)
         self._slots.clear()
+        self._removed.clear()
         self._orders.clear()
         self._engine_incarnation = incarnation
         self._require_fence()
@@ -224,9 +230,10 @@
         since = self._change_count if mark is None else mark
         for name in list(self._slots):
             if self._is_settled(name, since) and name not in adapters:
-                void += [name] if self._slots[name].pins else []
+                void += [name] if name in self._pins else []
                 del self._slots[name]
         self._add_listed(adapters, since)
+        self._removed = {n: at for n, at in self._removed.items() if at > since}
         if since >= self._listing_needed_since:
             self._needs_listing = False
             self._is_trusted = not self._needs_fence
@@ -235,6 +242,8 @@
     def _add_listed(self, adapters: Iterable[str], since: int) -> None:
         for name in adapters:
             slot = self._slots.get(name)
+            if slot is None and self._removed.get(name, 0) > since:
+                continue
             if slot is None:
                 slot = self._slots[name] = _Slot(SlotState.UNKNOWN)
             if self._is_settled(name, since) and slot.state is SlotState.UNKNOWN:
@@ -245,6 +254,10 @@
         slot = self._slots[name]
         return slot.order_id == 0 and slot.changed <= since
 
+    def _remove(self, adapter: str) -> None:
+        del self._slots[adapter]
+        self._removed[adapter] = self._tick()
+
     def _require_listing(self) -> None:
         """Ask for a list that is requested after this moment."""
         self._needs_listing = True
@@ -263,7 +276,9 @@
         self._fence_order_id = order.order_id
         return order
 
-    def _fence_answered(self, outcome: OrderOutcome) -> None:
+    def _fence_answered(self, order_id: int, outcome: OrderOutcome) -> None:
+        if order_id != self._fence_order_id:
+            return
         self._fence_order_id = None
         if outcome is OrderOutcome.FENCED:
             self._fencing_token = None
@@ -278,7 +293,7 @@
             slot.state = SlotState.RESIDENT
             slot.used = self._tick()
             return OrderResult(adapter, OrderEffect.LOADED)
-        del self._slots[adapter]
+        self._remove(adapter)
         # A failed load may mean that the engine holds adapters we do not know of.
         self._require_listing()
         return OrderResult(adapter, OrderEffect.LOAD_FAILED)
@@ -287,7 +302,7 @@
         self, adapter: str, slot: _Slot, outcome: OrderOutcome
     ) -> OrderResult:
         if outcome is OrderOutcome.DONE:
-            del self._slots[adapter]
+            self._remove(adapter)
             self._retired.discard(adapter)
             return OrderResult(adapter, OrderEffect.UNLOADED)
         slot.state = SlotState.UNKNOWN
@@ -337,7 +352,7 @@
     def _overdue(self, wanted: Sequence[str]) -> str | None:
         """Return an adapter to unload whether or not a slot is wanted."""
         for name, slot in self._slots.items():
-            if slot.state is not SlotState.RESIDENT or slot.pins:
+            if slot.state is not SlotState.RESIDENT or name in self._pins:
                 continue
             if slot.must_unload or (name in self._retired and name not in wanted):
                 return name
@@ -348,7 +363,9 @@
         candidates = [
             (slot.used, name)
             for name, slot in self._slots.items()
-            if slot.state is SlotState.RESIDENT and not slot.pins and name not in wanted
+            if slot.state is SlotState.RESIDENT
+            and name not in self._pins
+            and name not in wanted
         ]
         return min(candidates)[1] if candidates else None
 
--- a/lentiltally/decisions/answers.py
+++ b/lentiltally/decisions/answers.py
@@ -165,7 +165,11 @@
         return self._resume(now_s) if quiet_s >= SILENCE_S else []
 
     def agent_gone(self) -> list[AnswerAction]:
-        """End the answer because the agent run that held it no longer exists."""
+        """End the answer because the agent run that held it no longer exists.
+
+        The run is gone once the process at its address has answered as another run. A
+        state of another run is not enough, because that run may be the older one.
+        """
         return self._fail("unknown", "the agent run is gone", 0.0)
 
     def _head(self, message: AnswerHead, now_s: float) -> list[AnswerAction]:
--- a/lentiltally/decisions/attempts.py
+++ b/lentiltally/decisions/attempts.py
@@ -166,32 +166,31 @@
             return RefusedForGood(attempt_id, RefusalReason.TOMBSTONE, False)
         return AlreadyKnown(attempt_id, record.state, record.answer)
 
-    def refuse(self, attempt_id: str) -> RefuseResult:
+    def refuse(self, attempt_id: str, meant_for: str | None = None) -> RefuseResult:
         """Refuse an attempt for good if it has not been started.
 
         An attempt that was never seen gets a tombstone, so that a delayed copy is
-        refused too. Raises ValueError if the text is not an attempt id.
+        refused too. ``meant_for`` is the agent run to which the attempt was sent, if
+        the request to refuse comes from outside: an attempt unknown here may have run
+        in an earlier run. Raises ValueError if the text is not an attempt id.
         """
+        if meant_for not in {None, self._agent_incarnation}:
+            return MayHaveRun(attempt_id, None)
         incarnation, sequence = split_attempt_id(attempt_id)
         entry = self._entry(incarnation)
         record = entry.records.get(sequence)
         if record is None:
-            if sequence <= entry.ran_mark:
-                return MayHaveRun(attempt_id, None)
-            if sequence > entry.low_mark:
-                entry.records[sequence] = _Record(AttemptState.REFUSED)
-                self._close(incarnation, entry, sequence, AttemptState.REFUSED)
-            return Refused(attempt_id, was_queued=False)
-        if record.state is AttemptState.QUEUED:
-            self._close(incarnation, entry, sequence, AttemptState.REFUSED)
-            return Refused(attempt_id, was_queued=True)
-        if record.state is AttemptState.REFUSED:
-            return Refused(attempt_id, was_queued=False)
+            return self._refuse_unseen(attempt_id, entry)
         if record.state is AttemptState.RUNNING:
             return Running(attempt_id)
-        return MayHaveRun(attempt_id, record.answer)
+        if record.state in {AttemptState.FINISHED, AttemptState.RELEASED}:
+            return MayHaveRun(attempt_id, record.answer)
+        was_queued = record.state is AttemptState.QUEUED
+        if was_queued:
+            self._close(incarnation, entry, sequence, AttemptState.REFUSED)
+        return Refused(attempt_id, was_queued)
 
-    def query(self, attempt_id: str) -> RefuseResult:
+    def query(self, attempt_id: str, meant_for: str | None = None) -> RefuseResult:
         """Say what became of an attempt, and refuse it for good if it was never seen.
 
         Unlike ``refuse`` this leaves an attempt that waits in the queue alone and
@@ -200,7 +199,7 @@
         """
         if self.state(attempt_id) is AttemptState.QUEUED:
             return Running(attempt_id)
-        return self.refuse(attempt_id)
+        return self.refuse(attempt_id, meant_for)
 
     def started(self, attempt_id: str) -> bool:
         """Mark a queued attempt as running; False means that it must not run."""
@@ -285,6 +284,15 @@
         self._open_count += 1
         return Run(attempt_id)
 
+    def _refuse_unseen(self, attempt_id: str, entry: _EntryAttempts) -> RefuseResult:
+        incarnation, sequence = split_attempt_id(attempt_id)
+        if sequence <= entry.ran_mark:
+            return MayHaveRun(attempt_id, None)
+        if sequence > entry.low_mark:
+            entry.records[sequence] = _Record(AttemptState.REFUSED)
+            self._close(incarnation, entry, sequence, AttemptState.REFUSED)
+        return Refused(attempt_id, was_queued=False)
+
     def _record(self, attempt_id: str) -> _Record | None:
         incarnation, sequence = split_attempt_id(attempt_id)
         entry = self._entries.get(incarnation)
--- a/lentiltally/decisions/claim_resolution.py
+++ b/lentiltally/decisions/claim_resolution.py
@@ -78,7 +78,11 @@
 
 @dataclass(frozen=True, slots=True)
 class Dispatch:
-    """Send the attempt whose id is the claim id, then call ``attempt_refused``."""
+    """Send the attempt whose id is the claim id, and report how it ends.
+
+    The target may have begun to leave since the claim was made. If it is not eligible
+    any more, send nothing and call ``attempt_refused(True)``.
+    """
 
     record: ClaimRecord
 
@@ -220,7 +224,12 @@
         return self._unknown(claim_id)
 
     def agent_gone(self, claim_id: str) -> Actions:
-        """End the request because the bound agent run no longer exists."""
+        """End the request because the bound agent run no longer exists.
+
+        The run is gone once the process at its address has answered as another run. A
+        state of another run is not enough, because that run may be the older one; a
+        claim declared unknown too early could be settled as not run and then run.
+        """
         if self._is_over or claim_id != self._asked:
             return []
         return self._unknown(claim_id)
--- a/lentiltally/decisions/membership.py
+++ b/lentiltally/decisions/membership.py
@@ -7,6 +7,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from collections import deque
 from collections.abc import Sequence
 from dataclasses import dataclass, field
@@ -19,6 +20,9 @@
 SILENT_WITH_REQUESTS_S = 3.0
 # States come every 10 s; two in a row are missing after 25 s.
 SILENT_WITHOUT_REQUESTS_S = 25.0
+# A poll of 5 s could not keep the bound of 5 s, because reading takes time too.
+HOST_LIST_POLL_S = 4.0
+HOST_LIST_BOUND_S = 5.0
 LIVE = "live"
 LEAVING = "leaving"
 # Late states of old agent runs are recognised by this many remembered runs per agent.
@@ -54,6 +58,7 @@
     HOST_LEAVING = "the host list says the host is leaving"
     UNREACHABLE = "the agent cannot be reached"
     SILENT = "no message from the agent"
+    STALE = "the host list was read too long ago"
 
 
 @dataclass(frozen=True, slots=True)
@@ -90,8 +95,16 @@
 class Membership:
     """The entry's view of agents and their targets."""
 
-    def __init__(self) -> None:
-        """Start without agents."""
+    def __init__(self, host_list_max_age_s: float | None = None) -> None:
+        """Start without agents.
+
+        With ``host_list_max_age_s`` nothing is eligible before the first reading or
+        on an older one, unless the list is known to be down. An entry that was paused
+        would otherwise send new work to a host that left meanwhile.
+        """
+        self._host_list_max_age_s = host_list_max_age_s
+        self._host_list_asked_at_s = -math.inf
+        self._is_host_list_down = False
         self._agents: dict[str, _Agent] = {}
         self._agent_of: dict[str, str] = {}
         self._host_status: dict[str, str] = {}
@@ -117,13 +130,19 @@
         self._note_heard(agent, now_s)
         return True
 
-    def host_list_said(self, hosts: Sequence[HostEntry], now_s: float) -> None:
-        """Apply a complete reading of the host list.
+    def host_list_said(
+        self,
+        hosts: Sequence[HostEntry],
+        now_s: float,
+        asked_at_s: float | None = None,
+    ) -> None:
+        """Apply a complete reading of the host list, requested at ``asked_at_s``.
 
         A leaving host that is no longer listed stays leaving until the list has it as
         live, or until a new agent run there says it is live.
         """
-        del now_s
+        self._host_list_asked_at_s = now_s if asked_at_s is None else asked_at_s
+        self._is_host_list_down = False
         self._host_status = {host.host: host.status for host in hosts}
         self._host_status.update({host.address: host.status for host in hosts})
         for name, agent in self._agents.items():
@@ -132,6 +151,11 @@
                 is_leaving = listed == LEAVING
                 agent.left_incarnation = agent.incarnation if is_leaving else None
 
+    def host_list_failed(self, now_s: float) -> None:
+        """Note that the list can't be read; only the agents' own notices count now."""
+        del now_s
+        self._is_host_list_down = True
+
     def heard(self, agent: str, now_s: float) -> None:
         """Note that any message of the agent's current run arrived."""
         known = self._agents.get(agent)
@@ -221,7 +245,14 @@
             return Reason.HOST_LEAVING
         if agent.is_unreachable:
             return Reason.UNREACHABLE
-        return Reason.SILENT if self._is_silent(agent, now_s) else None
+        if self._is_silent(agent, now_s):
+            return Reason.SILENT
+        return Reason.STALE if self._is_list_stale(now_s) else None
+
+    def _is_list_stale(self, now_s: float) -> bool:
+        if self._host_list_max_age_s is None or self._is_host_list_down:
+            return False
+        return now_s - self._host_list_asked_at_s > self._host_list_max_age_s
 
     def _switch(self, agent: _Agent, state: TargetState, now_s: float) -> bool:
         """Change to another agent run; False if the state is from an earlier run."""
--- a/lentiltally/decisions/ownership.py
+++ b/lentiltally/decisions/ownership.py
@@ -11,6 +11,7 @@
 import msgspec
 
 LEASE_S = 10.0
+_REMEMBERED_OWNERS = 256
 
 
 class LeaseRecord(msgspec.Struct, frozen=True, tag="lease"):
@@ -48,7 +49,10 @@
         self._own_token: int | None = None
         self._provisional_token: int | None = None
         self._engine_token: int | None = None
+        self._owner: str | None = None
+        self._past_owners: dict[str, None] = {}
         self._is_superseded = False
+        self._was_paused = False
         self._is_log_down = False
 
     @property
@@ -74,7 +78,11 @@
         """Return whether a (new) lease record must be appended."""
         if self._is_superseded:
             return False
-        return self._own_token is None or self._own_token < (self._engine_token or 0)
+        if self._own_token is None:
+            return True
+        # A higher token at the engine may be that of a new owner, so the stream is
+        # checked before this run claims the target again.
+        return not self.needs_check and self._own_token < (self._engine_token or 0)
 
     def record(self) -> LeaseRecord:
         """Return the record by which this run takes the target over."""
@@ -85,15 +93,21 @@
 
     def apply(self, record: LeaseRecord, offset: int) -> None:
         """Apply a record of the stream; records come in offset order."""
-        if record.target != self._target:
+        incarnation = record.agent_incarnation
+        if record.target != self._target or incarnation in self._past_owners:
+            # A run that was superseded once never owns the target again.
             return
+        if self._owner is not None and incarnation != self._owner:
+            self._past_owners[self._owner] = None
+            if len(self._past_owners) > _REMEMBERED_OWNERS:
+                del self._past_owners[next(iter(self._past_owners))]
+        self._owner = incarnation
         # Two owners that read the same last token of the engine must not get the same
         # token, so each record's token is also above the one before it.
         self._stream_token = max(offset, record.min_token, self._stream_token + 1)
-        if record.agent_incarnation == self._agent_incarnation:
-            if not self._is_superseded:
-                self._own_token = self._stream_token
-        elif self._own_token is not None or self._provisional_token is not None:
+        if incarnation == self._agent_incarnation:
+            self._own_token = self._stream_token
+        elif self._own_token is not None:
             self._is_superseded = True
 
     def followed(self, asked_at_s: float, now_s: float) -> None:
@@ -104,6 +118,7 @@
         self._notice(now_s)
         self._is_log_down = False
         self._checked(asked_at_s)
+        self._was_paused = self._was_paused and self.needs_check
 
     def log_unavailable(self, now_s: float) -> None:
         """Note that the log can't be read; the engine's last token must do."""
@@ -117,7 +132,10 @@
         self._engine_token = max(last_token, self._engine_token or 0)
         self._take_provisional_token()
         token = self.token
-        if self._is_log_down and token is not None and last_token <= token:
+        # After a pause only the stream can tell that nobody else took the target over,
+        # because a new owner may not have sent an order yet.
+        is_enough = self._is_log_down and not self._was_paused
+        if is_enough and token is not None and last_token <= token:
             self._checked(asked_at_s)
 
     def may_order(self, now_s: float) -> bool:
@@ -137,4 +155,5 @@
     def _notice(self, now_s: float) -> None:
         if now_s - self._seen_s > self._lease_s:
             self._check_after_s = now_s
+            self._was_paused = True
         self._seen_s = max(self._seen_s, now_s)
