--- a/bench/_system.py
+++ b/bench/_system.py
@@ -21,7 +21,6 @@
 MODEL = "m"
 LOG_APPEND_S = 0.01
 LOG_FOLLOW_S = 0.005
-RETURN_AFTER_S = QueueSettings().return_after_s
 
 
 def _unpack(item: QueuedWork) -> tuple[Job, BenchEntry]:
@@ -73,19 +72,8 @@
             entry.ended(self, job, False)
             return
         self.loop.at(latest_start_s, self._expire)
-        self.loop.after(RETURN_AFTER_S, self._return_stranded)
         self.pump()
 
-    def _return_stranded(self) -> None:
-        """Hand back work that would wait for a slot of this target for long."""
-        engine, now_s = self.engine, self.loop.now_s
-        resident = {str(adapter) for adapter in engine.resident}
-        free_slots = engine.slots - len(engine.pinned())
-        for item in self.queue.stranded(resident, free_slots, now_s):
-            job, entry = _unpack(item)
-            job.load_wait_s += now_s - item.enqueued_s
-            entry.returned(self, job)
-
     def pump(self) -> None:
         """Start what can start and order the loads that queued work needs."""
         now_s = self.loop.now_s
@@ -143,7 +131,7 @@
         absent = self.queue.adapters() - resident
         absent |= {str(adapter) for adapter in engine.loading}
         free_slots = engine.slots - len(engine.pinned()) - len(absent)
-        return self.queue.count_ready(resident), len(engine.running), free_slots
+        return len(self.queue), len(engine.running), free_slots
 
     def _request_permits(self, resident: set[str]) -> None:
         absent = len(self.queue.wanted(resident, self.loop.now_s))
@@ -252,17 +240,6 @@
             self._waits_for_load.add(job.number)
         self._send(choice, wanted, job)
 
-    def _dispatch(self, job: Job, excluded: frozenset[str]) -> None:
-        job.attempts += 1
-        wanted = PlacementRequest(MODEL, job.adapter, excluded=excluded)
-        choice = self.placement.choose(wanted, self.loop.now_s)
-        if choice is None:
-            self._load_wait_ended(job)
-            self.admission.finished(str(job.team), self.loop.now_s)
-            self._refuse(job)
-        else:
-            self._send(choice, wanted, job)
-
     def _send(
         self, choice: PlacementChoice, wanted: PlacementRequest, job: Job
     ) -> None:
@@ -281,18 +258,6 @@
             lambda: self._count(agent.engine.name, counts, job, is_whole),
         )
 
-    def returned(self, agent: BenchAgent, job: Job) -> None:
-        """Take back work that has not run, and place it elsewhere."""
-        counts = agent.counts()
-        name = agent.engine.name
-
-        def place_again() -> None:
-            self.placement.finished(name, self.loop.now_s)
-            self.placement.counted(name, *counts, self.loop.now_s)
-            self._dispatch(job, frozenset({name}))
-
-        self.loop.after(self.shape.one_way_s, place_again)
-
     def first_token(self, job: Job) -> None:
         """Take the first token of an answer."""
         self.loop.after(self.shape.one_way_s, lambda: self._load_wait_ended(job))
@@ -308,7 +273,7 @@
         self._load_wait_ended(job)
         self.admission.finished(str(job.team), self.loop.now_s)
         self.placement.finished(name, self.loop.now_s)
-        self.placement.counted(name, *counts, self.loop.now_s)
+        self.placement.counted(name, counts[0], counts[1], self.loop.now_s, counts[2])
         if not is_whole:
             self._refuse(job)
 
--- a/lentiltally/decisions/placement.py
+++ b/lentiltally/decisions/placement.py
@@ -22,7 +22,7 @@
 
     ``free_slots`` is how many slots could take another adapter: all slots less those of
     running adapters, of loads under way and of absent adapters that queued work waits
-    for; it may be negative. ``queued`` counts work that waits only for a batch place.
+    for; it may be negative.
     ``reported_at_s`` is the entry's estimate of the time at which the counts were
     true. Own dispatches and answers after that time are added by ``Placement``.
     """
@@ -165,7 +165,12 @@
         self._index(view.name, wanted - known, known - wanted)
 
     def counted(
-        self, name: str, queued: int, running: int, free_slots: int, now_s: float
+        self,
+        name: str,
+        queued: int,
+        running: int,
+        now_s: float,
+        free_slots: int | None = None,
     ) -> None:
         """Take over the true counts that an answer or a refusal carries."""
         target = self._targets.get(name)
@@ -175,7 +180,7 @@
             target.view,
             queued=queued,
             running=running,
-            free_slots=free_slots,
+            free_slots=target.view.free_slots if free_slots is None else free_slots,
             reported_at_s=now_s,
         )
         target.forget_covered()
--- a/lentiltally/decisions/work_queue.py
+++ b/lentiltally/decisions/work_queue.py
@@ -39,8 +39,7 @@
     Head starts are added to the arrival time and the sum is the sort key, so each
     item is overtaken only by work that arrives within its head start. That bounds
     the wait of every class. ``max_absent_s`` is how long work may wait for a slot
-    before the queue stops serving a resident adapter to free one, and
-    ``return_after_s`` how long before it is handed back if no slot can be had.
+    before the queue stops serving a resident adapter to free one.
     """
 
     max_length: int = 128
@@ -51,7 +50,6 @@
     long_tokens: float = 1000.0
     reserved_share: float = 0.25
     max_absent_s: float = 4.0
-    return_after_s: float = 1000.0
     seconds_per_token: float = 0.0
 
 
@@ -152,13 +150,6 @@
         ]
         return sorted(demands, key=lambda demand: (demand.oldest_s, demand.adapter))
 
-    def count_ready(self, resident: Container[str]) -> int:
-        """Return how many items wait only for a batch place."""
-        return sum(
-            not item.adapter or item.adapter in resident
-            for item in self._items.values()
-        )
-
     def adapters(self) -> set[str]:
         """Return the adapters that queued work needs."""
         return {item.adapter for item in self._items.values() if item.adapter}
@@ -180,29 +171,6 @@
                 waiting[item.adapter] += 1
         return min(waiting, key=lambda adapter: waiting[adapter], default=None)
 
-    def stranded(
-        self, resident: Container[str], free_slots: int, now_s: float
-    ) -> list[QueuedWork]:
-        """Remove and return work for which no slot is left, to be placed elsewhere.
-
-        The oldest absent adapters keep their claim on the free slots. Without this,
-        work stays bound to a target whose slots are held by long answers while other
-        targets have some.
-        """
-        demands = self.wanted(resident, now_s)
-        kept = {demand.adapter for demand in demands[: max(0, free_slots)]}
-        before_s = now_s - self._settings.return_after_s
-        items = [
-            item
-            for item in self._items.values()
-            if item.adapter
-            and item.adapter not in resident
-            and item.adapter not in kept
-            and item.enqueued_s <= before_s
-        ]
-        self._drop(items)
-        return items
-
     def expired(self, now_s: float) -> list[QueuedWork]:
         """Remove and return the items that can't be served in time any more."""
         late = [item for item in self._items.values() if self._is_late(item, now_s)]
