--- a/bench/_runs.py
+++ b/bench/_runs.py
@@ -98,3 +98,9 @@
         shares[team] = min(offered[team], left / (shape.teams - position))
         left -= shares[team]
     return min(answered[team] / max(1.0, share) for team, share in shares.items())
+
+
+def quantile(values: Sequence[float], part: float) -> float:
+    """Return a quantile without interpolation; 0 for no values."""
+    ordered = sorted(values)
+    return ordered[min(len(ordered) - 1, int(part * len(ordered)))] if ordered else 0.0
