Record outcomes before an agent leaves, and bound its drain

Cause: an agent that drains waited its whole drain time for the release of answers whose entry had been killed, and ended without recording them, so a resend would have got 'unknown'.

--- a/bench/_guarantees/agent.py
+++ b/bench/_guarantees/agent.py
@@ -174,14 +174,14 @@
         elif not work.call.is_streamed:
             if work.is_ended:
                 body = repr([(e.number, i) for e, i in work.events]).encode()
-                whole = messages.AnswerWhole(attempt_id, 200, "", body, 0, 0)
+                whole = messages.AnswerWhole(attempt_id, 200, "", body)
                 self._reply(work.reply, whole)
         else:
             if next_index == 0:
                 self._reply(work.reply, messages.AnswerHead(attempt_id, 200, ""))
             self.send_events(work, next_index)
             if work.is_ended:
-                end = messages.AnswerEnd(attempt_id, len(work.events), 0, 0)
+                end = messages.AnswerEnd(attempt_id, len(work.events))
                 self._reply(work.reply, end)
 
     def send_events(self, work: Work, first: int) -> None:
@@ -219,8 +219,7 @@
             status=status,
             reason="",
             engine_incarnation=self.slots.engine_incarnation,
-            queued=len(self.queue),
-            running=0,
+            counts=messages.Counts(len(self.queue)),
             batch_places=BATCH_PLACES,
             adapter_slots=self.engine.slots,
             resident=(),
--- a/bench/_guarantees/entry.py
+++ b/bench/_guarantees/entry.py
@@ -97,9 +97,13 @@
             if current is not None and current != self._bound(request):
                 # The state may be an old run's, so the process that listens is asked.
                 index = request.assembly.next_index
-                resume = messages.Resume(request.attempt_id, self.name, index)
+                resume = self._resume_message(request, index)
                 self._send_bound(request, resume)
 
+    def _resume_message(self, request: Request, index: int) -> messages.Resume:
+        bound = self._bound(request)
+        return messages.Resume(request.attempt_id, self.name, bound, index, False)
+
     def _bound(self, request: Request) -> str:
         return self.directory.bound[request.attempt_id]
 
@@ -157,7 +161,6 @@
             stream=call.is_streamed,
             priority=0,
             idempotent=call.is_idempotent,
-            claim_id="",
             fingerprint="",
             deadline_left_s=request.deadline_s - self.now_s,
             config_offset=0,
@@ -197,9 +200,7 @@
             case answers.Complete():
                 self._completed(request)
             case answers.AskResume():
-                resume = messages.Resume(
-                    request.attempt_id, self.name, action.next_index
-                )
+                resume = self._resume_message(request, action.next_index)
                 self._send_bound(request, resume)
             case answers.Reconnect():
                 self.network.reconnect(self.name, request.agent)
@@ -267,7 +268,9 @@
         if request.assembly is not None and not request.is_cancelled:
             request.is_cancelled = True
             request.deadline_s = self.now_s + 2.0
-            cancel = messages.Cancel(request.attempt_id, self.name, "deadline")
+            cancel = messages.Cancel(
+                request.attempt_id, self.name, self._bound(request), "deadline"
+            )
             self._send_bound(request, cancel)
         elif request.resolution is not None:
             self.act(request, request.resolution.timed_out())
--- a/bench/_guarantees/entry_claims.py
+++ b/bench/_guarantees/entry_claims.py
@@ -176,7 +176,9 @@
             return
         query_id = f"q{next(self._queries)}"
         self._query_of[query_id] = (request, claim.claim_id)
-        query = messages.ClaimQuery(query_id, self.name, claim.claim_id)
+        query = messages.ClaimQuery(
+            query_id, self.name, claim.agent_incarnation, claim.claim_id
+        )
         to_run = ToRun(query, claim.agent_incarnation)
         self.network.send(self.name, claim.agent, to_run)
         self.later(2.0, lambda: self._query_again(query_id, request, claim))
--- a/bench/_system.py
+++ b/bench/_system.py
@@ -4,10 +4,9 @@
 
 import random
 
-from lentiltally.decisions.admission import Admission, AdmissionRequest, Shed
-
 from bench._fakes import FakeEngine, FakeLog, FakeWeightStore, LaggingReport, Loop, Run
 from bench._shapes import Job, Shape
+from lentiltally.decisions.admission import Admission, AdmissionRequest, Shed
 from lentiltally.decisions.load_order import AdapterUse, LoadOrder
 from lentiltally.decisions.load_permits import LoadPermits, LoadRelease, LoadRequest
 from lentiltally.decisions.placement import (
--- a/lentiltally/agent/process.py
+++ b/lentiltally/agent/process.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 import threading
+from collections.abc import Callable
 from datetime import timedelta
 
 from lentiltally.agent.engine_target import EngineTarget
@@ -42,6 +43,7 @@
 _log = logging.getLogger(__name__)
 
 TICK_S = 0.1
+RELEASE_WAIT_S = 3.0
 
 
 class Agent:
@@ -147,8 +149,11 @@
             runner.leave()
         self._reporter.broadcast()
         until_s = self._clock.monotonic_s() + self._settings.process.drain_s
-        while self._clock.monotonic_s() < until_s and not self._is_idle():
-            self._clock.sleep(timedelta(seconds=TICK_S))
+        self._wait(self._is_idle, until_s)
+        # Entries that live release what they have within moments.
+        release_s = self._clock.monotonic_s() + RELEASE_WAIT_S
+        self._wait(self._is_released, min(until_s, release_s))
+        self._state.record_outcomes()
         for runner in self._runners.values():
             runner.abort()
         for target in self._targets.values():
@@ -165,9 +170,15 @@
         _log.info("agent stopped")
 
     def _is_idle(self) -> bool:
+        return all(runner.is_idle() for runner in self._runners.values())
+
+    def _is_released(self) -> bool:
         with self._state.lock:
-            has_answers = not self._state.attempts.is_idle
-        return not has_answers and all(r.is_idle() for r in self._runners.values())
+            return self._state.attempts.is_idle
+
+    def _wait(self, is_done: Callable[[], bool], until_s: float) -> None:
+        while self._clock.monotonic_s() < until_s and not is_done():
+            self._clock.sleep(timedelta(seconds=TICK_S))
 
     def _is_ready(self) -> bool:
         return not self._is_draining and any(
@@ -206,7 +217,7 @@
                 self._resume(message)
             case Release():
                 with self._state.lock:
-                    self._state.attempts.released(message.attempt_id)
+                    self._state.released(message.attempt_id)
             case Hello():
                 self._reporter.greeted(message)
             case ClaimQuery():
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -172,7 +172,6 @@
         with state.lock:
             for item in self._queue.expired(now_s):
                 self._give_back(item, "deadline")
-            self._return_stranded(now_s)
             free = self.places - len(self._running)
             if free > 0:
                 self._start(free, now_s)
@@ -317,14 +316,6 @@
             else:
                 self._begin(job, now_s)
 
-    def _return_stranded(self, now_s: float) -> None:
-        """Hand back work for which no slot is left, to be placed elsewhere."""
-        resident = self._target.resident()
-        absent = self._queue.adapters() - resident
-        free = self._target.free_slots() + len(absent)
-        for item in self._queue.stranded(resident, free, now_s):
-            self._give_back(item, "no-slot")
-
     def _put_back(self, item: QueuedWork, now_s: float) -> None:
         if not self._queue.put(item, now_s):
             self._give_back(item, "deadline")
@@ -334,6 +325,8 @@
         state.attempts.started(job.item.attempt_id)
         state.quarantine.started(self.name, job.execute.fingerprint)
         self._running[job.item.attempt_id] = job
+        if job.execute.key:
+            state.claimed[job.item.attempt_id] = (job.execute.team, job.execute.key)
         state.metrics.timing("queue_wait", now_s - job.item.enqueued_s)
         self._pool.submit(self._run, job)
 
@@ -366,6 +359,7 @@
             return
         with self._state.lock:
             self._state.attempts.returned(job.item.attempt_id)
+            self._state.claimed.pop(job.item.attempt_id, None)
         self.emit(job, self._not_run(job, "target-unreachable", error.step))
 
     def _end(self, job: Job, is_finished: bool) -> None:
@@ -418,7 +412,7 @@
 
     def _counts(self, ended: int = 0) -> Counts:
         return Counts(
-            self._queue.count_ready(self._target.resident()),
+            len(self._queue),
             max(0, len(self._running) - ended),
             self._target.free_slots(),
         )
--- a/lentiltally/agent/shared.py
+++ b/lentiltally/agent/shared.py
@@ -13,6 +13,7 @@
 from lentiltally.agent.reporter import Reporter
 from lentiltally.clock import Clock
 from lentiltally.decisions.attempts import AttemptTable
+from lentiltally.decisions.claims import outcome_of
 from lentiltally.decisions.quarantine import Quarantine, QuarantineRecord
 from lentiltally.errors import LentiltallyError
 from lentiltally.metrics import Metrics
@@ -22,6 +23,7 @@
 _log = logging.getLogger(__name__)
 
 QUARANTINE_STREAM = "quarantine"
+CLAIMS_STREAM = "claims"
 _decoder = msgspec.json.Decoder(QuarantineRecord)
 
 
@@ -39,6 +41,8 @@
     attempts: AttemptTable
     quarantine: Quarantine = field(default_factory=Quarantine)
     config_offset: int = 0
+    # Team and key of the claims that ran here and whose outcome no entry has recorded.
+    claimed: dict[str, tuple[str, str]] = field(default_factory=dict)
     live: dict[str, KeptAnswer] = field(default_factory=dict)
     lock: threading.RLock = field(default_factory=threading.RLock)
     background: ThreadPoolExecutor = field(
@@ -53,6 +57,36 @@
             kept = found if isinstance(found, KeptAnswer) else None
         return kept
 
+    def released(self, attempt_id: str) -> None:
+        """Forget an answer that was received, and for a claim also recorded."""
+        self.attempts.released(attempt_id)
+        self.claimed.pop(attempt_id, None)
+
+    def record_outcomes(self) -> None:
+        """Append the outcomes of claims that no entry has recorded.
+
+        Called before the agent ends: the entry that dispatched them may have died.
+        """
+        with self.lock:
+            records = [
+                outcome_of(
+                    team,
+                    key,
+                    attempt_id,
+                    status=whole.status,
+                    content_type=whole.content_type,
+                    body=whole.body,
+                )
+                for attempt_id, (team, key) in self.claimed.items()
+                if (kept := self.kept(attempt_id)) and (whole := kept.whole())
+            ]
+        if not records:
+            return
+        try:
+            self.log.append(CLAIMS_STREAM, records)
+        except LentiltallyError as error:
+            _log.error("outcomes not recorded", extra={"error": str(error)})
+
     def record_quarantine(self, record: QuarantineRecord) -> None:
         """Append a quarantine record in the background."""
         self.background.submit(self._append_quarantine, record)
--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -57,6 +57,7 @@
 _log = logging.getLogger(__name__)
 
 HOST_LIST_TIMEOUT_S = 2.0
+SIGNAL_CHECK_S = 0.25
 TICK = timedelta(milliseconds=50)
 
 
@@ -145,7 +146,9 @@
             signal.signal(number, lambda *_: self._stopping.set())
         self._start()
         _log.info("entry ready", extra={"address": self._settings.callers.listen})
-        self._stopping.wait()
+        # A wait without a timeout can miss a signal that arrives just before it.
+        while not self._stopping.wait(SIGNAL_CHECK_S):
+            pass
         self._drain()
         return 0
 
--- a/lentiltally/routing/attempts.py
+++ b/lentiltally/routing/attempts.py
@@ -108,6 +108,7 @@
             config_offset=work.config_offset,
             prefix_hash=work.prefix_hash,
             is_suspect=exchange.is_suspect,
+            key=exchange.key if exchange.claim_id else "",
         )
         try:
             self._context.outboxes.put(self._address, execute)
--- a/lentiltally/routing/targets.py
+++ b/lentiltally/routing/targets.py
@@ -105,7 +105,7 @@
         with self._lock:
             now_s = self._clock.monotonic_s()
             self._placement.counted(
-                target, counts.queued, counts.running, counts.free_slots, now_s
+                target, counts.queued, counts.running, now_s, counts.free_slots
             )
 
     def choose(
--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -12,9 +12,8 @@
 class Counts(msgspec.Struct, frozen=True, array_like=True):
     """How busy a target is at the moment of a message.
 
-    ``queued`` is work that waits only for a batch place; ``free_slots`` is how many
-    adapter slots could take another adapter, below 0 if more wait for one than there
-    are.
+    ``free_slots`` is how many adapter slots could take another adapter, below 0 if
+    more wait for one than there are.
     """
 
     queued: int = 0
@@ -62,6 +61,8 @@
 
     ``agent_incarnation`` names the agent run for which the attempt is meant; any other
     run refuses it. ``deadline_left_s`` is relative, because hosts' clocks differ.
+    ``key`` is the idempotency key of work under a claim; the attempt id is then the
+    claim id.
     """
 
     attempt_id: str
@@ -84,6 +85,7 @@
     config_offset: int
     prefix_hash: int = 0
     is_suspect: bool = False
+    key: str = ""
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
