Make the stand-ins stop reliably

One run in some hundreds ignored SIGTERM: the handler set an event just before the main thread began to wait for it, and nothing woke the wait. A peer that doesn't read can't hold up the fault switches or stop() any more, and a reader that is behind gets one wake-up instead of one per token.

--- a/standins/__main__.py
+++ b/standins/__main__.py
@@ -8,14 +8,13 @@
 import argparse
 import signal
 import sys
-import threading
 from collections.abc import Callable
 from pathlib import Path
 from typing import Any
 
 import msgspec
 
-from standins._http import StandIn, serve_until
+from standins._http import StandIn
 from standins.engine import EngineStandIn
 from standins.engine_state import EngineSettings
 from standins.host_list import Host, HostListStandIn
@@ -24,6 +23,8 @@
 from standins.plain_service import PlainServiceStandIn
 from standins.weight_store import WeightStoreSettings, WeightStoreStandIn
 
+_STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+
 Build = Callable[[argparse.Namespace], StandIn]
 
 
@@ -103,10 +104,13 @@
 def main() -> int:
     """Run the stand-in that the command line names until SIGTERM or SIGINT."""
     options = _parser().parse_args()
-    stop = threading.Event()
-    for number in (signal.SIGTERM, signal.SIGINT):
-        signal.signal(number, lambda *_: stop.set())
-    serve_until(options.build(options), stop)
+    # A handler that sets an event can come too early to wake the wait for the event.
+    signal.pthread_sigmask(signal.SIG_BLOCK, _STOP_SIGNALS)
+    stand_in = options.build(options)
+    stand_in.start()
+    print(f"ready {stand_in.url}", flush=True)
+    signal.sigwait(_STOP_SIGNALS)
+    stand_in.stop()
     return 0
 
 
--- a/standins/_connections.py
+++ b/standins/_connections.py
@@ -105,9 +105,13 @@
             self._socket.sendall(data)
 
     def close_gate(self) -> None:
-        """Let nothing more pass; returns after a write under way has ended."""
-        with self._lock:
-            self._closed = True
+        """Let nothing more pass.
+
+        Returns after a write under way has ended, unless the peer doesn't read.
+        """
+        self._closed = True
+        if self._lock.acquire(timeout=1.0):
+            self._lock.release()
 
 
 def _make_file(sock: Any, mode: str, _: int) -> Any:
@@ -145,9 +149,9 @@
         self.silent = True
         self.wfile.close_gate()
 
-    def cut(self) -> None:
+    def cut(self, *, even_silent: bool = False) -> None:
         """Close the connection towards the peer at once."""
-        if not self.silent:
+        if even_silent or not self.silent:
             with contextlib.suppress(OSError):
                 self.socket.shutdown(socket.SHUT_RDWR)
 
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import socket
-import sys
 import threading
 from collections.abc import Callable, Iterable, Mapping
 from typing import Any
@@ -171,7 +170,7 @@
         self.wake()
         if self._server is not None:
             for connection in self._server.table.all():
-                connection.cut()
+                connection.cut(even_silent=True)
             self._server.stop()
         if self._thread is not None:
             self._thread.join()
@@ -271,12 +270,3 @@
     reason = _REASONS.get(response.status, "Status")
     start_response(f"{response.status} {reason}", headers)
     return (response.body,) if response.events is None else response.events
-
-
-def serve_until(stand_in: StandIn, stop: threading.Event) -> None:
-    """Run a stand-in as a process: print the ready line and wait for the event."""
-    stand_in.start()
-    print(f"ready {stand_in.url}", flush=True)
-    stop.wait()
-    stand_in.stop()
-    sys.stdout.flush()
--- a/standins/engine_state.py
+++ b/standins/engine_state.py
@@ -128,7 +128,7 @@
         return self.entry.ended_s is not None
 
     def subscribe(self, *, tokens: bool) -> SimpleQueue[None]:
-        """Return a queue that gets an item at the end and, if asked, per token."""
+        """Return a queue that gets an item at the end and, if asked, after tokens."""
         wakeups: SimpleQueue[None] = SimpleQueue()
         (self._streams if tokens else self._waiters).append(wakeups)
         return wakeups
@@ -142,7 +142,9 @@
         """Extend the answer by one token."""
         self.entry.tokens += 1
         for wakeups in tuple(self._streams):
-            wakeups.put(None)
+            # A reader looks at the state after it took an item, so one is enough.
+            if wakeups.empty():
+                wakeups.put(None)
 
     def end(self, outcome: Outcome, now_s: float) -> None:
         """Record the end and wake every reader."""
