--- /dev/null
+++ b/tests/steps/membership_steps.py
@@ -0,0 +1,75 @@
+"""Steps for membership."""
+
+from __future__ import annotations
+
+from types import SimpleNamespace
+
+from behave import given, then
+
+from lentiltally.decisions.membership import HOST_LIST_BOUND_S, Membership
+from lentiltally.wire.messages import TargetState
+
+
+def _state(run, sequence, status):
+    return TargetState(
+        agent="agent",
+        agent_address="addr",
+        agent_incarnation=run,
+        sequence=sequence,
+        target="x",
+        kind="engine",
+        base_model="m",
+        failure_domain="d1",
+        status=status,
+        reason="",
+        engine_incarnation="",
+        queued=0,
+        running=0,
+        batch_places=1,
+        adapter_slots=1,
+        resident=(),
+        config_offset=0,
+    )
+
+
+def _list(membership, status, now_s):
+    host = SimpleNamespace(host="host", address="addr", status=status)
+    if status == "fails":
+        membership.host_list_failed(now_s)
+    else:
+        membership.host_list_said([] if status == "absent" else [host], now_s)
+
+
+@given("membership after {history}")
+def membership_after(context, history):
+    events = [event.split() for event in history.split(", ")]
+    is_strict = events[0][1] == "strict"
+    membership = Membership(HOST_LIST_BOUND_S if is_strict else None)
+    for at, word, *rest in events:
+        now_s = float(at)
+        if ":" in word:
+            run, _, sequence = word.partition(":")
+            membership.agent_said(_state(run, int(sequence), rest[0]), now_s)
+        elif word == "list":
+            _list(membership, rest[0], now_s)
+        elif word == "unreachable":
+            membership.unreachable("agent", now_s)
+        elif word == "heard":
+            membership.heard("agent", now_s)
+        elif word == "sent":
+            membership.dispatched("agent", now_s)
+        elif word == "ended":
+            membership.completed("agent")
+    context.membership = membership
+
+
+@then("membership at {now_s:g} says {reason}")
+def membership_says(context, now_s, reason):
+    eligibility = context.membership.eligible("x", now_s)
+    assert eligibility.reason.name == reason, eligibility
+    assert eligibility.ok == (reason == "OK")
+
+
+@then("membership at {now_s:g} has unreachable domains {names}")
+def membership_domains(context, now_s, names):
+    assert context.membership.unreachable_domains(now_s) == set(names.split())
