--- /dev/null
+++ b/tests/decisions/quarantine.feature
@@ -0,0 +1,35 @@
+Feature: Requests that crash targets
+
+  # "crash X RUN F..." is a record; times are minutes of the log.
+  Scenario Outline: Quarantine names the request that crashes targets
+    Given quarantine after <history>
+    Then quarantine holds suspects <suspects> and quarantined <quarantined>
+
+    Examples:
+      | history                                       | suspects | quarantined |
+      | 0 crash x 1 a b                               | a b      | -           |
+      | 0 crash x 1 a b, 1 crash y 1 a c              | b        | a           |
+      | 0 crash x 1 a b, 1 crash y 1 a b              | a b      | -           |
+      | 0 crash x 1 a b, 1 clear b, 2 crash y 1 a b   | -        | a           |
+      | 0 crash x 1 a, 1 crash x 1 a                  | a        | -           |
+      | 0 crash x 1 a, 1 crash x 2 a, 2 lift a        | -        | -           |
+      | 0 crash x 1 a, 1 crash x 2 a, 2 crash x 3 a b | b        | a           |
+      | 0 crash x 1 a, 10 crash y 1 b                 | a b      | -           |
+      | 0 crash x 1 a, 11 crash y 1 b                 | b        | -           |
+      | 0 crash x 1 a, 1 crash x 2 a, 1442 clear b    | -        | -           |
+      | 0 crash x 1 a b c d                           | b c d    | -           |
+
+  # Guards against two suspects in one batch, which would hide the cause.
+  Scenario: Quarantine lets one suspect run on a target at a time
+    Given quarantine after 0 crash x 1 a b
+    Then quarantine admits a to y as RUN
+    And quarantine admits b to y as HOLD
+    And quarantine admits c to y as RUN
+    And quarantine admits b to z as RUN
+    And quarantine asks for a clear record when a finishes on y
+    And quarantine admits b to y as RUN
+
+  # Guards against a crashing request that takes down more than two targets, whatever
+  # runs beside it.
+  Scenario: Quarantine stops a crashing request after two targets
+    Then quarantine stops one crashing request among others after two crashes
--- /dev/null
+++ b/tests/steps/quarantine_steps.py
@@ -0,0 +1,78 @@
+"""Steps for the quarantine."""
+
+from __future__ import annotations
+
+from behave import given, then
+from hypothesis import given as property_of
+from hypothesis import strategies as st
+
+from lentiltally.decisions.quarantine import (
+    Admission,
+    ClearRecord,
+    CrashRecord,
+    LiftRecord,
+    Quarantine,
+)
+
+
+def _record(word, arguments):
+    if word == "crash":
+        target, run, *fingerprints = arguments
+        return CrashRecord(target, run, tuple(fingerprints))
+    return LiftRecord(arguments[0], "op") if word == "lift" else ClearRecord(*arguments)
+
+
+@given("quarantine after {history}")
+def quarantine_after(context, history):
+    context.quarantine = Quarantine(max_suspects=3)
+    for offset, event in enumerate(history.split(", ")):
+        minute, word, *arguments = event.split()
+        record = _record(word, arguments)
+        context.quarantine.apply(record, offset, int(minute) * 60_000)
+
+
+@then("quarantine holds suspects {suspects} and quarantined {quarantined}")
+def quarantine_holds(context, suspects, quarantined):
+    held = [entry.fingerprint for entry in context.quarantine.quarantined()]
+    assert (" ".join(context.quarantine.suspects()) or "-") == suspects
+    assert (" ".join(held) or "-") == quarantined
+
+
+@then("quarantine admits {fingerprint} to {target} as {admission}")
+def quarantine_admits(context, fingerprint, target, admission):
+    found = context.quarantine.admit(target, fingerprint)
+    assert found.name == admission, found
+    if found is Admission.RUN:
+        context.quarantine.started(target, fingerprint)
+
+
+@then("quarantine asks for a clear record when {fingerprint} finishes on {target}")
+def quarantine_clears(context, fingerprint, target):
+    assert context.quarantine.ended(target, fingerprint, finished=True)
+
+
+@then("quarantine stops one crashing request among others after two crashes")
+def quarantine_property(context):
+    batches = st.lists(st.sets(st.sampled_from("abcd"), max_size=4), min_size=6)
+
+    @property_of(batches)
+    def check(companions):
+        quarantine, crashes, offset = Quarantine(), 0, 0
+        for run, batch in enumerate(companions):
+            target = f"x{run % 3}"
+            for fingerprint in ["bad", *sorted(batch)]:
+                if quarantine.admit(target, fingerprint) is Admission.RUN:
+                    quarantine.started(target, fingerprint)
+            if quarantine.admit(target, "bad") is Admission.QUARANTINED:
+                continue
+            record = quarantine.crashed(target, str(run))
+            assert record is not None
+            assert "bad" in record.fingerprints
+            offset += 1
+            quarantine.apply(record, offset, offset)
+            crashes += 1
+        held = [entry.fingerprint for entry in quarantine.quarantined()]
+        assert crashes == 2
+        assert held == ["bad"], held
+
+    check()
