--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -9,6 +9,19 @@
 import msgspec
 
 
+class Counts(msgspec.Struct, frozen=True, array_like=True):
+    """How busy a target is at the moment of a message.
+
+    ``queued`` is work that waits only for a batch place; ``free_slots`` is how many
+    adapter slots could take another adapter, below 0 if more wait for one than there
+    are.
+    """
+
+    queued: int = 0
+    running: int = 0
+    free_slots: int = 0
+
+
 class Hello(msgspec.Struct, frozen=True, tag="hello", array_like=True):
     """An entry introduces itself; the agent answers with its target states."""
 
@@ -36,8 +49,7 @@
     status: str
     reason: str
     engine_incarnation: str
-    queued: int
-    running: int
+    counts: Counts
     batch_places: int
     adapter_slots: int
     resident: tuple[int, ...]
@@ -67,7 +79,6 @@
     stream: bool
     priority: int
     idempotent: bool
-    claim_id: str
     fingerprint: str
     deadline_left_s: float
     config_offset: int
@@ -76,19 +87,30 @@
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
-    """Stop an attempt; if it has not run, refuse it for good."""
+    """Stop an attempt; if it has not run, refuse it for good.
+
+    ``agent_incarnation`` is the run to which the attempt was sent. Another run can't
+    know whether the attempt ran.
+    """
 
     attempt_id: str
     reply_address: str
+    agent_incarnation: str
     reason: str
 
 
 class Resume(msgspec.Struct, frozen=True, tag="resume", array_like=True):
-    """Send the answer of an attempt again, from the event with the given index."""
+    """Send the answer of an attempt again, from the event with the given index.
+
+    ``agent_incarnation`` is the run to which the attempt was sent. ``reconnect`` asks
+    for a new connection to the entry, because the present one may be silent for good.
+    """
 
     attempt_id: str
     reply_address: str
+    agent_incarnation: str
     next_index: int
+    reconnect: bool
 
 
 class Release(msgspec.Struct, frozen=True, tag="release", array_like=True):
@@ -100,11 +122,14 @@
 class ClaimQuery(msgspec.Struct, frozen=True, tag="claim-query", array_like=True):
     """Ask the agent to which a claim is bound what became of it.
 
-    An agent that has never seen the claim refuses it for good before it answers.
+    The id of a claim is the id of the one attempt that it allows. An agent run that
+    has never seen the claim refuses it for good before it answers; a run other than
+    ``agent_incarnation`` answers that it can't know.
     """
 
     query_id: str
     reply_address: str
+    agent_incarnation: str
     claim_id: str
 
 
@@ -134,8 +159,7 @@
 
     attempt_id: str
     total: int
-    queued: int
-    running: int
+    counts: Counts = Counts()
 
 
 class AnswerWhole(msgspec.Struct, frozen=True, tag="whole", array_like=True):
@@ -145,8 +169,7 @@
     status: int
     content_type: str
     body: bytes
-    queued: int
-    running: int
+    counts: Counts = Counts()
 
 
 class Refused(msgspec.Struct, frozen=True, tag="refused", array_like=True):
@@ -161,8 +184,7 @@
     step: str
     peer: str
     retry_after_s: float
-    queued: int = 0
-    running: int = 0
+    counts: Counts = Counts()
 
 
 class Progress(msgspec.Struct, frozen=True, tag="progress", array_like=True):
