--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -7,7 +7,7 @@
 from behave import given, then
 
 from lentiltally.decisions.membership import HOST_LIST_BOUND_S, Membership
-from lentiltally.wire.messages import TargetState
+from lentiltally.wire.messages import Counts, TargetState
 
 
 def _state(run, sequence, status):
@@ -23,8 +23,7 @@
         status=status,
         reason="",
         engine_incarnation="",
-        queued=0,
-        running=0,
+        counts=Counts(),
         batch_places=1,
         adapter_slots=1,
         resident=(),
