--- a/lentiltally/admin/tokens.py
+++ b/lentiltally/admin/tokens.py
@@ -11,6 +11,8 @@
 import msgspec
 from msgspec import Meta
 
+from lentiltally.settings import TokenSettings
+
 MAX_TOKEN_CHARACTERS = 512
 
 
@@ -31,8 +33,8 @@
 
     actor: str
     sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
-    expires_at: Annotated[datetime, Meta(tz=True)]
     scopes: tuple[Scope, ...]
+    expires_at: Annotated[datetime, Meta(tz=True)] | None = None
 
     def may(self, access: Literal["read", "write"], path: str) -> bool:
         """Return whether the token allows an access to a path."""
@@ -49,6 +51,21 @@
         """Take the tokens; the tuple is not changed afterwards."""
         self._tokens = tuple(tokens)
 
+    @classmethod
+    def from_settings(cls, settings: Sequence[TokenSettings]) -> Tokens:
+        """Take the tokens of a process; their scopes allow reading and writing."""
+        return cls(
+            [
+                Token(
+                    held.name,
+                    held.sha256,
+                    tuple(Scope(prefix, "write") for prefix in held.scopes),
+                    held.expires,
+                )
+                for held in settings
+            ]
+        )
+
     def find(self, authorization: str, now: datetime) -> Token | None:
         """Return the token of an Authorization header, or None if it is not valid.
 
@@ -63,4 +80,6 @@
         for token in self._tokens:
             if hmac.compare_digest(token.sha256, digest):
                 found = token
-        return found if found is not None and now < found.expires_at else None
+        if found is None or (found.expires_at is not None and now >= found.expires_at):
+            return None
+        return found
--- a/tests/fakes/config_log.py
+++ b/tests/fakes/config_log.py
@@ -25,6 +25,7 @@
         self.first = {}
         self.is_down = False
         self.losses = []  # one entry per append: "written", "dropped" or "no"
+        self.ahead = []  # values that another appender writes first
         self.moved = threading.Condition()
 
     def append(self, stream, values):
@@ -32,11 +33,12 @@
             self._require_up()
             fault = self.losses.pop(0) if self.losses else "no"
             records = self.streams.setdefault(stream, [])
-            first = len(records)
+            first = len(records) + len(self.ahead)
             if fault != "dropped":
-                for value in values:
+                for value in [*self.ahead, *values]:
                     data = msgspec.Raw(msgspec.json.encode(value))
                     records.append(LogRecord(len(records), 1000 * len(records), data))
+                self.ahead = []
                 self.moved.notify_all()
             if fault != "no":
                 raise LogAnswerLost("answer lost", step="append", peer="log")
--- a/tests/steps/admin_steps.py
+++ b/tests/steps/admin_steps.py
@@ -44,8 +44,8 @@
             Token(
                 name,
                 hashlib.sha256(secret.encode()).hexdigest(),
-                now + timedelta(days=-1 if name == "expired" else 1),
                 tuple(SCOPES[name]),
+                now + timedelta(days=-1 if name == "expired" else 1),
             )
             for name, secret in SECRETS.items()
         ]
@@ -391,7 +391,9 @@
             )
             answers[index].append((path, 1 + number * 2 + index, answer))
 
-    workers = [threading.Thread(target=operate, args=(i,)) for i in range(2)]
+    workers = [
+        threading.Thread(target=operate, args=(i,), daemon=True) for i in range(2)
+    ]
     for worker in workers:
         worker.start()
     for worker in workers:
