Send target states only on change, heartbeats in between

Agents now send a 41-byte heartbeat every 10 s and a state when anything but its counts changed; a heartbeat whose sequence is ahead makes the entry ask for all states. Hellos go out every 30 s.

--- a/bench/__main__.py
+++ b/bench/__main__.py
@@ -23,6 +23,7 @@
     "load-limit": "bench.load_limit",
     "decide": "bench.decide",
     "binary": "bench.binary",
+    "capacity": "bench.capacity",
 }
 DEFAULT_SEED = 1
 DEFAULT_SCHEDULES = 20_000
--- a/bench/_guarantees/agent.py
+++ b/bench/_guarantees/agent.py
@@ -223,7 +223,6 @@
             batch_places=BATCH_PLACES,
             adapter_slots=self.engine.slots,
             resident=(),
-            config_offset=0,
         )
 
     def _report(self) -> None:
--- a/lentiltally/agent/process.py
+++ b/lentiltally/agent/process.py
@@ -31,6 +31,7 @@
     ClaimAnswer,
     ClaimQuery,
     Execute,
+    Heartbeat,
     Hello,
     Inbox,
     Message,
@@ -79,8 +80,7 @@
             outboxes=self._outboxes,
             states=self._target_states,
             attempts=self._live_by_entry,
-            agent=settings.process.name,
-            agent_incarnation=incarnation,
+            heartbeat=self._heartbeat,
             clock=clock,
         )
         self._permits = Permits(log, settings.process.name, clock, PermitSettings())
@@ -199,6 +199,13 @@
     def _target_states(self) -> list[TargetState]:
         return [runner.state() for runner in self._runners.values()]
 
+    def _heartbeat(self) -> Heartbeat:
+        state = self._state
+        with state.lock:
+            return Heartbeat(
+                state.name, state.incarnation, state.state_sequence, state.config_offset
+            )
+
     def _live_by_entry(self) -> dict[str, dict[str, int]]:
         with self._state.lock:
             live = {
--- a/lentiltally/agent/reporter.py
+++ b/lentiltally/agent/reporter.py
@@ -11,6 +11,7 @@
 from lentiltally.clock import Clock
 from lentiltally.wire import (
     ChannelError,
+    Heartbeat,
     Hello,
     Message,
     Outboxes,
@@ -21,7 +22,7 @@
 _log = logging.getLogger(__name__)
 
 PROGRESS_S = 1.0
-STATE_S = 10.0
+HEARTBEAT_S = 10.0
 # Entries greet every 30 s; one that missed two greetings is gone.
 ENTRY_SILENT_S = 90.0
 
@@ -41,16 +42,15 @@
         outboxes: Outboxes,
         states: Callable[[], list[TargetState]],
         attempts: Callable[[], Mapping[str, dict[str, int]]],
-        agent: str,
-        agent_incarnation: str,
+        heartbeat: Callable[[], Heartbeat],
         clock: Clock,
     ) -> None:
         """``states`` gives all target states, ``attempts`` live ones by entry."""
+        self._heartbeat = heartbeat
+        self._sent_sequence = 0
         self._outboxes = outboxes
         self._states = states
         self._attempts = attempts
-        self._agent = agent
-        self._incarnation = agent_incarnation
         self._clock = clock
         self._entries: dict[str, _Entry] = {}
         self._lock = threading.Lock()
@@ -75,9 +75,12 @@
             self.send(hello.reply_address, state)
 
     def broadcast(self) -> None:
-        """Send all states to all entries now, after a change of status."""
-        states = self._states()
+        """Send the states that have changed to all entries."""
         with self._lock:
+            states = [s for s in self._states() if s.sequence > self._sent_sequence]
+            if not states:
+                return
+            self._sent_sequence = max(state.sequence for state in states)
             addresses = list(self._entries)
         for address in addresses:
             for state in states:
@@ -91,17 +94,27 @@
             _log.warning("message not sent", extra={"error": str(error)})
 
     def _run(self) -> None:
-        next_state_s = self._clock.monotonic_s() + STATE_S
+        next_beat_s = self._clock.monotonic_s() + HEARTBEAT_S
         while not self._stopped.wait(PROGRESS_S):
             self._send_progress()
-            if self._clock.monotonic_s() >= next_state_s:
-                next_state_s += STATE_S
+            self.broadcast()
+            if self._clock.monotonic_s() >= next_beat_s:
+                next_beat_s += HEARTBEAT_S
                 self._drop_silent()
-                self.broadcast()
+                self._send_heartbeats()
 
     def _send_progress(self) -> None:
+        beat = self._heartbeat()
         for address, attempts in self._attempts().items():
-            self.send(address, Progress(self._agent, self._incarnation, attempts))
+            progress = Progress(beat.agent, beat.agent_incarnation, attempts)
+            self.send(address, progress)
+
+    def _send_heartbeats(self) -> None:
+        beat = self._heartbeat()
+        with self._lock:
+            addresses = list(self._entries)
+        for address in addresses:
+            self.send(address, beat)
 
     def _drop_silent(self) -> None:
         limit_s = self._clock.monotonic_s() - ENTRY_SILENT_S
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -125,7 +125,7 @@
         self._lengths = LengthEstimates()
         self._running: dict[str, Job] = {}
         self._is_leaving = False
-        self._sequence = 0
+        self._last_state: TargetState | None = None
         self._pool = ThreadPoolExecutor(self.places, f"run-{settings.name}")
 
     def submit(self, execute: Execute) -> None:
@@ -200,30 +200,38 @@
                 self.emit(job, self._unknown(job, "shutdown", "drain"))
 
     def state(self) -> TargetState:
-        """Return the target's state with the next sequence number."""
+        """Return the target's state; a changed one gets the next sequence number."""
         shared = self._state
         with shared.lock:
-            self._sequence += 1
-            return TargetState(
-                agent=shared.name,
-                agent_address=shared.address,
-                agent_incarnation=shared.incarnation,
-                sequence=self._sequence,
-                target=self.name,
-                kind=self.settings.kind,
-                base_model=self.settings.base_model or "",
-                failure_domain=shared.failure_domain,
-                status=self._status(),
-                reason="",
-                engine_incarnation=self._target.incarnation,
-                counts=self._counts(),
-                batch_places=self.places,
-                adapter_slots=self.settings.adapter_slots or 0,
-                resident=tuple(
-                    adapter_name_hash(name) for name in self._target.resident()
-                ),
-                config_offset=shared.config_offset,
-            )
+            known = self._last_state
+            state = self._make_state(known.sequence if known is not None else 0)
+            if known is None or not _is_same(known, state):
+                shared.state_sequence += 1
+                state = msgspec.structs.replace(state, sequence=shared.state_sequence)
+            self._last_state = state
+            return state
+
+    def _make_state(self, sequence: int) -> TargetState:
+        shared = self._state
+        return TargetState(
+            agent=shared.name,
+            agent_address=shared.address,
+            agent_incarnation=shared.incarnation,
+            sequence=sequence,
+            target=self.name,
+            kind=self.settings.kind,
+            base_model=self.settings.base_model or "",
+            failure_domain=shared.failure_domain,
+            status=self._status(),
+            reason="",
+            engine_incarnation=self._target.incarnation,
+            counts=self._counts(),
+            batch_places=self.places,
+            adapter_slots=self.settings.adapter_slots or 0,
+            resident=tuple(
+                adapter_name_hash(name) for name in sorted(self._target.resident())
+            ),
+        )
 
     def running(self) -> dict[str, Job]:
         """Return the running jobs by attempt id."""
@@ -428,6 +436,14 @@
         return LIVE if self._target.is_ready() else STARTING
 
 
+def _is_same(one: TargetState, other: TargetState) -> bool:
+    """Return whether two states agree in everything but the counts."""
+    counts = Counts()
+    return msgspec.structs.replace(one, counts=counts) == msgspec.structs.replace(
+        other, counts=counts
+    )
+
+
 def queue_settings(settings: TargetSettings) -> QueueSettings:
     """Return the queue's order for a target."""
     return QueueSettings(max_length=settings.max_queue)
--- a/lentiltally/agent/shared.py
+++ b/lentiltally/agent/shared.py
@@ -41,6 +41,8 @@
     attempts: AttemptTable
     quarantine: Quarantine = field(default_factory=Quarantine)
     config_offset: int = 0
+    # Grows with each change of any target's state.
+    state_sequence: int = 0
     # Team and key of the claims that ran here and whose outcome no entry has recorded.
     claimed: dict[str, tuple[str, str]] = field(default_factory=dict)
     live: dict[str, KeptAnswer] = field(default_factory=dict)
--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -44,6 +44,7 @@
     ClaimAnswer,
     ConfigFetch,
     ConfigSnapshot,
+    Heartbeat,
     Hello,
     Inbox,
     Message,
@@ -220,6 +221,8 @@
             case Progress():
                 self._directory.heard(message.agent)
                 self._pending.progress(message)
+            case Heartbeat():
+                self._directory.heartbeat(message)
             case TargetState():
                 self._directory.agent_said(message)
             case ClaimAnswer():
--- a/lentiltally/entry/status.py
+++ b/lentiltally/entry/status.py
@@ -65,7 +65,7 @@
                     "running": state.counts.running,
                     "free_slots": state.counts.free_slots,
                     "resident_adapters": len(state.resident),
-                    "config_offset": state.config_offset,
+                    "config_offset": self._directory.config_offset(state.agent),
                 }
                 for state, reason in self._directory.states()
             ],
--- a/lentiltally/routing/targets.py
+++ b/lentiltally/routing/targets.py
@@ -16,11 +16,18 @@
 )
 from lentiltally.errors import LentiltallyError
 from lentiltally.platform.host_list import HostListClient
-from lentiltally.wire import ChannelError, Counts, Hello, Outboxes, TargetState
+from lentiltally.wire import (
+    ChannelError,
+    Counts,
+    Heartbeat,
+    Hello,
+    Outboxes,
+    TargetState,
+)
 
 _log = logging.getLogger(__name__)
 
-HELLO_S = 10.0
+HELLO_S = 30.0
 # Agents that have not answered yet are greeted this often, for a quick start.
 FIRST_HELLO_S = 0.25
 MAX_CHOICES = 64
@@ -50,6 +57,7 @@
         self._on_agent_restart = on_agent_restart
         self._membership = Membership()
         self._placement = Placement(random.Random())
+        self._config_offsets: dict[str, int] = {}
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         self._threads = [
@@ -100,6 +108,23 @@
         with self._lock:
             self._membership.heard(agent, self._clock.monotonic_s())
 
+    def heartbeat(self, beat: Heartbeat) -> None:
+        """Note that an agent lives; ask for its states if one was missed."""
+        with self._lock:
+            self._membership.heard(beat.agent, self._clock.monotonic_s())
+            self._config_offsets[beat.agent] = beat.config_offset
+            known = [s for s in self._known_states() if s.agent == beat.agent]
+        has_missed = any(s.agent_incarnation != beat.agent_incarnation for s in known)
+        if known and not has_missed:
+            has_missed = max(s.sequence for s in known) < beat.sequence
+        if has_missed:
+            self._send_hello(known[0].agent_address)
+
+    def config_offset(self, agent: str) -> int:
+        """Return the configuration offset that an agent last reported."""
+        with self._lock:
+            return self._config_offsets.get(agent, 0)
+
     def counted(self, target: str, counts: Counts) -> None:
         """Take over the true counts that an answer carries."""
         with self._lock:
--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -33,7 +33,8 @@
 class TargetState(msgspec.Struct, frozen=True, tag="state", array_like=True):
     """What an agent says of one of its targets.
 
-    ``sequence`` grows with each state of one agent incarnation, so that an entry can
+    It is sent when anything but ``counts`` has changed, and in answer to a hello.
+    ``sequence`` grows with each change at one agent incarnation, so that an entry can
     drop a state that arrives late.
     """
 
@@ -52,8 +53,19 @@
     batch_places: int
     adapter_slots: int
     resident: tuple[int, ...]
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag="beat", array_like=True):
+    """An agent lives; sent to every entry at intervals.
+
+    ``sequence`` is the highest one of the agent's target states. An entry that has
+    missed a state sees that here and asks for all of them with a new hello.
+    """
+
+    agent: str
+    agent_incarnation: str
+    sequence: int
     config_offset: int
-    recent_claims: int = 0
 
 
 class Execute(msgspec.Struct, frozen=True, tag="execute", array_like=True):
@@ -224,6 +236,7 @@
 
 Message = (
     Hello
+    | Heartbeat
     | TargetState
     | Execute
     | Cancel
--- a/tests/steps/membership_steps.py
+++ b/tests/steps/membership_steps.py
@@ -27,7 +27,6 @@
         batch_places=1,
         adapter_slots=1,
         resident=(),
-        config_offset=0,
     )
 
 
