--- a/lentiltally/cli/_operators.py
+++ b/lentiltally/cli/_operators.py
@@ -102,7 +102,8 @@
     decorate = cappa.command(
         name="lentiltally",
         help="Serving layer for very many LoRA adapters.",
-        description="Exit codes: 0 done, 1 error, 2 wrong usage or bad settings.",
+        description="Exit codes: 0 done, 1 error, 2 wrong usage or bad settings."
+        " Commands of operators have further codes, which their help lists.",
     )
     return decorate(root)
 
