Answer unreadable requests with problem documents and close after them

Cause: cheroot answered what it could not parse with plain text, kept the connection open although the head said "Connection: close", and read the rest of a refused chunked body, or trailers, as the next request. A body with a length and chunks was accepted. Conclusion: every refusal of an entry is a problem document, and a connection whose request was not read to its end is closed.

--- a/lentiltally/entry/server.py
+++ b/lentiltally/entry/server.py
@@ -5,14 +5,17 @@
 import logging
 import math
 import threading
+from collections import deque
 from collections.abc import Callable, Iterable
 from http import HTTPStatus
 from typing import Any
 
 from cheroot import wsgi
+from cheroot.errors import MaxSizeExceeded
 from cheroot.ssl.builtin import BuiltinSSLAdapter
 
 from lentiltally.clock import Clock
+from lentiltally.entry._connections import STEP, CallerConnection
 from lentiltally.exchange import Answer, CallerRequest, Exchange, Handler
 from lentiltally.ids import new_incarnation
 from lentiltally.metrics import Metrics
@@ -23,8 +26,8 @@
 _log = logging.getLogger(__name__)
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-STEP = "receive"
 TEXT = "text/plain; charset=utf-8"
+CLOSE = (("Connection", "close"),)
 HEADER_PREFIX = "HTTP_"
 
 
@@ -112,19 +115,25 @@
         length = int(length_text) if length_text.isdigit() else limit + 1
         if length_text and length > limit:
             raise self._too_large()
+        if length_text and is_chunked:
+            # With two lengths, the rest of the body could pass for another request.
+            raise _unreadable("two-lengths", "the body has a length and is chunked")
         stream = environ["wsgi.input"]
         try:
             body: bytes = stream.read(length if length_text else limit + 1)
+            if is_chunked and len(body) <= limit:
+                # Trailers left unread would be taken for the next request.
+                deque(stream.read_trailer_lines(), maxlen=0)
+        except MaxSizeExceeded as error:
+            raise self._too_large() from error
         except (OSError, ValueError) as error:
-            raise Refusal(
-                400, "body-not-read", f"the body can't be read: {error}", step=STEP
+            raise _unreadable(
+                "body-not-read", f"the body can't be read: {error}"
             ) from error
         if len(body) > limit:
             raise self._too_large()
         if length_text and len(body) < length:
-            raise Refusal(
-                400, "body-cut", "the body is shorter than announced", step=STEP
-            )
+            raise _unreadable("body-cut", "the body is shorter than announced")
         return body
 
     def _too_large(self) -> Refusal:
@@ -133,7 +142,7 @@
             "body-too-large",
             f"the body is larger than {self._settings.max_body_bytes} bytes",
             step=STEP,
-            headers=(("Connection", "close"),),
+            headers=CLOSE,
         )
 
     def _respond(
@@ -173,6 +182,11 @@
             self._on_close()
 
 
+def _unreadable(reason: str, detail: str) -> Refusal:
+    """Return the refusal of a body whose end is not known."""
+    return Refusal(400, reason, detail, step=STEP, headers=CLOSE)
+
+
 def _status_line(status: int) -> str:
     try:
         return f"{status} {HTTPStatus(status).phrase}"
@@ -201,6 +215,7 @@
         timeout=math.ceil(read_timeout_s),
         request_queue_size=128,
     )
+    server.ConnectionClass = CallerConnection
     server.max_request_header_size = max_header_bytes
     # The application refuses larger bodies with a problem document; this limit only
     # bounds what is read of a body without a length.
--- a/lentiltally/problems.py
+++ b/lentiltally/problems.py
@@ -18,6 +18,7 @@
     403: "Forbidden",
     404: "Not found",
     405: "Method not allowed",
+    408: "Request not received in time",
     409: "Conflict",
     411: "Length required",
     412: "Precondition failed",
--- /dev/null
+++ b/tests/fakes/system.py
@@ -0,0 +1,233 @@
+"""A deployment of processes for the system tests, and what tests ask of it."""
+
+from __future__ import annotations
+
+import json
+import signal
+import tempfile
+import time
+from concurrent.futures import ThreadPoolExecutor
+from pathlib import Path
+
+import urllib3
+import xxhash
+
+from standins import answer_text
+from tools._deployment import BASE_MODEL, OPERATOR_TOKEN, Deployment, EngineSpec
+from tools._processes import Processes
+
+TEAM = "depot"
+TIMEOUT_S = 40.0
+#: Longest wait for a state that has to come; no verdict depends on how long it took.
+WAIT_S = 20.0
+TOKEN_S = 0.04
+PATH = "/v1/completions"
+ADAPTERS = {"drafts": False, "notes": False, "brief": False, "bookings": True}
+BROKEN = (urllib3.exceptions.HTTPError, OSError)
+
+
+class Reply:
+    """What a caller received; ``status`` is 0 if the connection broke."""
+
+    def __init__(self, status=0, headers=None, data=b""):
+        self.status, self.headers, self.data = status, headers or {}, data
+
+    def json(self):
+        return json.loads(self.data)
+
+    @property
+    def executed(self):
+        return self.json()["executed"]
+
+    def __repr__(self):
+        return f"{self.status} {dict(self.headers)} {self.data[:400]!r}"
+
+
+class System:
+    """Stand-ins, entries and agents; ended by ``stop``."""
+
+    def __init__(self, entries, *, enforcing=(), load_s=0.05, deadline_s=20.0):
+        self._folder = tempfile.TemporaryDirectory()
+        self.processes = Processes(Path(self._folder.name))
+        self.pool = ThreadPoolExecutor(32)
+        self.deployment = Deployment.start(
+            self.processes,
+            Path(self._folder.name),
+            ("--starts-per-s", "0", "--load-s", str(load_s)),
+        )
+        self._start_targets(enforcing)
+        self.deployment.publish(_configuration(deadline_s))
+        for number in range(1, entries + 1):
+            self.start_entry(f"entry-{number}")
+        self.wait(lambda: all(self._is_placed(n) for n in self.deployment.entry_urls))
+
+    def start_entry(self, name, *, peers=(), wait=True):
+        lines = ("read_timeout_s = 1.0", "max_body_bytes = 8192")
+        self.deployment.start_entry(
+            name, "domain-a", caller_lines=lines, peers=peers, wait=wait
+        )
+
+    def _start_targets(self, enforcing):
+        for number, domain in ((1, "domain-a"), (2, "domain-b")):
+            name = f"engine-{number}"
+            options = ["--token-s", str(TOKEN_S)]
+            options += ["--enforces-fencing"] * (name in enforcing)
+            self.deployment.start_engine(EngineSpec(name, tuple(options)))
+            targets = [name]
+            if number == 2:
+                self.deployment.start_service("shelf")
+                targets.append("shelf")
+            lines = ("silence_timeout_s = 1.0",)
+            self.deployment.start_agent(f"agent-{number}", targets, domain, lines)
+
+    def stop(self):
+        """End the entries, then the agents; fail if one had to be killed."""
+        codes = {}
+        for names in (self.deployment.entry_urls, self.deployment.agent_health):
+            running = [name for name in names if self.is_running(name)]
+            ended = self.pool.map(self.processes.stop, running)
+            codes |= dict(zip(running, ended, strict=True))
+        self.processes.stop_all()
+        self.pool.shutdown()
+        self._folder.cleanup()
+        assert not any(codes.values()), f"exit codes {codes}"
+
+    # Requests
+
+    def body(self, prompt, adapter="drafts", tokens=5, version="1", **fields):
+        model = f"{TEAM}/{adapter}@{version}"
+        fields = {"model": model, "prompt": prompt, "max_tokens": tokens, **fields}
+        return json.dumps(fields).encode()
+
+    def send(self, body, entry="entry-1", key="", path=PATH, method="POST"):
+        headers = {"Content-Type": "application/json"}
+        if key:
+            headers["Idempotency-Key"] = key
+        url = self.deployment.entry_urls[entry] + path
+        try:
+            answer = urllib3.request(
+                method,
+                url,
+                body=body,
+                headers=headers,
+                timeout=TIMEOUT_S,
+                retries=False,
+            )
+        except BROKEN:
+            return Reply()
+        return Reply(answer.status, answer.headers, answer.data)
+
+    def later(self, body, **options):
+        return self.pool.submit(self.send, body, **options)
+
+    # What happened
+
+    def journal(self, name):
+        urls = {**self.deployment.engine_urls, **self.deployment.service_urls}
+        return self._get(f"{urls[name]}/journal").json()
+
+    def executions(self, body=None):
+        digest = None if body is None else xxhash.xxh3_128_hexdigest(body)
+        return [
+            {**run, "engine": name}
+            for name in self.deployment.engine_urls
+            for run in self.journal(name)["executions"]
+            if digest in (None, run["body_digest"])
+        ]
+
+    def running(self, body):
+        return [run for run in self.executions(body) if run["outcome"] == "running"]
+
+    def wait_running(self, body):
+        self.wait(lambda: self.running(body))
+        return self.running(body)[0]["engine"]
+
+    def violations(self):
+        return [
+            violation
+            for name in self.deployment.engine_urls
+            for violation in self.journal(name)["violations"]
+        ]
+
+    def wait(self, condition):
+        until_s = time.monotonic() + WAIT_S
+        while not condition():
+            assert time.monotonic() < until_s, "the state did not come"
+            time.sleep(0.02)
+
+    # Faults
+
+    def fault(self, name, **switches):
+        urls = {
+            **self.deployment.engine_urls,
+            **self.deployment.service_urls,
+            "log": self.deployment.log_url,
+            "weights": self.deployment.weights_url,
+            "hosts": self.deployment.hosts_url,
+        }
+        for url in urls.values() if name == "all" else [urls[name]]:
+            answer = urllib3.request("PUT", f"{url}/faults", json=switches)
+            assert answer.status == 200, answer.data
+
+    def engines(self, **switches):
+        for name in self.deployment.engine_urls:
+            self.fault(name, **switches)
+
+    def kill(self, name):
+        self.processes.stop(name, signal.SIGKILL)
+
+    def agent_of(self, engine):
+        return engine.replace("engine", "agent")
+
+    def restore(self):
+        """Undo the faults of a scenario and start what it ended."""
+        off = {"down": False, "crash_on": "", "lose_answers": 0, "lose_path": ""}
+        off |= {"fail_loads": 0, "base_model_fallback": False, "slow_factor": 1.0}
+        self.fault("all", **off, delay_s=0.0)
+        for name in self.deployment.agent_health:
+            if not self.is_running(name):
+                self.deployment.restart_agent(name)
+        for name in self.deployment.entry_urls:
+            if not self.is_running(name):
+                self.deployment.restart_entry(name)
+        self.wait(lambda: all(self._is_placed(n) for n in self.deployment.entry_urls))
+
+    def is_running(self, name):
+        try:
+            return self.processes.process(name).poll() is None
+        except KeyError:
+            return False
+
+    def _is_placed(self, entry):
+        """Return whether an entry gives work to every target."""
+        targets = self.targets(entry)
+        return len(targets) == 3 and all(t["eligible"] == "ok" for t in targets)
+
+    def targets(self, entry):
+        url = f"{self.deployment.admin_urls[entry]}/status"
+        return self._get(url, OPERATOR_TOKEN).json()["targets"]
+
+    def _get(self, url, token=""):
+        headers = {"Authorization": f"Bearer {token}"} if token else {}
+        return urllib3.request("GET", url, headers=headers, timeout=TIMEOUT_S)
+
+
+def text_of(prompt, adapter, tokens, version="1"):
+    return answer_text(f"{TEAM}/{adapter}@{version}", prompt, tokens)
+
+
+def _configuration(deadline_s):
+    values = {
+        f"/teams/{TEAM}/adapters/{name}": {
+            "base_model": BASE_MODEL,
+            "versions": {"1": {"source": f"{name}/1"}, "2": {"source": f"{name}/2"}},
+            "non_idempotent": is_booking,
+        }
+        for name, is_booking in ADAPTERS.items()
+    }
+    values[f"/teams/{TEAM}/services/shelf"] = {
+        "targets": ["shelf"],
+        "non_idempotent": [{"method": "POST", "path_prefix": "/holds"}],
+    }
+    values[f"/teams/{TEAM}/limits"] = {"deadline_s": deadline_s}
+    return values
--- /dev/null
+++ b/tests/steps/system_steps.py
@@ -0,0 +1,166 @@
+"""Steps of the system tests: deployment and malformed requests."""
+
+from __future__ import annotations
+
+import json
+import socket
+from urllib.parse import urlsplit
+
+from behave import given, then, when
+
+from tests.fakes.system import PATH, System, text_of
+
+HEAD = b"POST /v1/completions HTTP/1.1\r\nHost: entry\r\n"
+BODY = b'{"model": "depot/drafts@1"'
+OVERSIZE = b"ffff\r\n" + b" " * 0xFFFF + b"\r\n"
+RAW = {
+    "half a request line, then nothing": (b"POST /v1/comp", False),
+    "half a body, then nothing": (HEAD + b"Content-Length: 90\r\n\r\n" + BODY, False),
+    "half a body, then its end": (HEAD + b"Content-Length: 90\r\n\r\n" + BODY, True),
+    "a length that is no number": (HEAD + b"Content-Length: ten\r\n\r\n" + BODY, False),
+    "a negative length": (HEAD + b"Content-Length: -5\r\n\r\n" + BODY, False),
+    "a broken chunk": (HEAD + b"Transfer-Encoding: chunked\r\n\r\nzz\r\n", False),
+    "an endless chunked body": (
+        HEAD + b"Transfer-Encoding: chunked\r\n\r\n" + OVERSIZE * 4,
+        False,
+    ),
+    "a length and chunks": (
+        HEAD
+        + b"Content-Length: 1\r\nTransfer-Encoding: chunked\r\n\r\n"
+        + b"1\r\n{\r\n0\r\n\r\n",
+        False,
+    ),
+    "nothing": (b"", False),
+}
+SOCKET_TIMEOUT_S = 30.0
+
+
+def running_system(context, make):
+    """Give the scenario the feature's deployment, without faults of others."""
+    if not hasattr(context.feature, "system"):
+        context.feature.system = make()
+        context.add_cleanup(context.feature.system.stop, layer="feature")
+    context.system = context.feature.system
+    context.system.restore()
+    # Prompts differ between scenarios, so that journals tell them apart.
+    context.prompt = context.scenario.name
+    context.runs_before = len(context.system.executions())
+    context.calls_before = len(context.system.journal("shelf")["calls"])
+
+
+@given("system of {count:d} entry runs")
+@given("system of {count:d} entries runs")
+def system_runs(context, count):
+    running_system(context, lambda: System(count))
+
+
+def _body(text):
+    bodies = {"nothing": b"", "nested": b"[" * 4000, "oversize": b" " * 9000}
+    if text.startswith("model:"):
+        document = {"model": text[6:], "prompt": "Book", "max_tokens": 2}
+        return json.dumps(document).encode()
+    return bodies.get(text, text.encode())
+
+
+@when('system gets {method} "{path}" with key "{key}" and body {body}')
+@when('system gets {method} "{path}" with key "" and body {body}')
+def gets(context, method, path, body, key=""):
+    key = "k" * 200 if key == "long" else key
+    context.reply = context.system.send(_body(body), key=key, path=path, method=method)
+
+
+@then('system refused it with {status:d} at step "{step}", not executed')
+def refused(context, status, step):
+    reply = context.reply
+    assert reply.status == status, reply
+    assert reply.headers["Content-Type"] == "application/problem+json", reply
+    document = reply.json()
+    assert (document["executed"], document["step"]) == ("no", step), document
+    assert document["status"] == status, document
+
+
+@then("no target of the system got anything")
+def nothing_ran(context):
+    _ran_since(context, 0)
+
+
+@then("no target of the system got anything else")
+def nothing_else_ran(context):
+    _ran_since(context, 1)
+
+
+def _ran_since(context, count):
+    runs = len(context.system.executions()) - context.runs_before
+    calls = len(context.system.journal("shelf")["calls"]) - context.calls_before
+    assert (runs, calls) == (count, 0), (runs, calls)
+
+
+def _connection(context):
+    url = urlsplit(context.system.deployment.entry_urls["entry-1"])
+    return socket.create_connection((url.hostname, url.port), SOCKET_TIMEOUT_S)
+
+
+@when("system has {count:d} connections that send {case}")
+def has_connections(context, count, case):
+    sent, is_end = RAW[case]
+    context.sockets = [_connection(context) for _ in range(count)]
+    for one in context.sockets:
+        context.add_cleanup(one.close)
+        try:
+            one.sendall(sent)
+            if is_end:
+                one.shutdown(socket.SHUT_WR)
+        except ConnectionError:
+            # The entry may close before all was sent.
+            continue
+
+
+def _received(one):
+    data = b""
+    try:
+        while part := one.recv(65536):
+            data += part
+    except ConnectionError:
+        pass
+    return data
+
+
+@then("system closes them all, with a problem document or without an answer")
+def closes_all(context):
+    for one in context.sockets:
+        data = _received(one)
+        if not data:
+            continue
+        head, _, body = data.partition(b"\r\n\r\n")
+        assert head.split()[1][:1] == b"4", data
+        assert b"application/problem+json" in head, data
+        assert json.loads(body)["executed"] == "no", data
+
+
+@then("system answers an ordinary request")
+def answers_ordinary(context):
+    prompt = context.prompt
+    reply = context.system.send(context.system.body(prompt))
+    assert reply.status == 200, reply
+    assert reply.json()["choices"][0]["text"] == text_of(prompt, "drafts", 5), reply
+
+
+@when("system gets a chunked body")
+def chunked(context):
+    body = context.system.body(context.prompt)
+    parts = [body[:10], body[10:]]
+    chunks = b"".join(b"%x\r\n%b\r\n" % (len(part), part) for part in parts)
+    with _connection(context) as one:
+        one.sendall(
+            HEAD
+            + b"Transfer-Encoding: chunked\r\nConnection: close\r\n\r\n"
+            + chunks
+            + b"0\r\n\r\n"
+        )
+        context.data = _received(one)
+
+
+@then("system answered it whole")
+def answered_raw(context):
+    assert context.data.startswith(b"HTTP/1.1 200"), context.data
+    assert text_of(context.prompt, "drafts", 5).encode() in context.data, PATH
--- a/tools/_deployment.py
+++ b/tools/_deployment.py
@@ -5,6 +5,7 @@
 from collections.abc import Sequence
 from dataclasses import dataclass, field
 from datetime import UTC, datetime
+from hashlib import sha256
 from pathlib import Path
 
 from lentiltally.clock import SystemClock
@@ -19,6 +20,8 @@
 
 BASE_MODEL = "base-1"
 LOG_TIMEOUT_S = 2.0
+#: Accepted by the administration API of the deployment's entries.
+OPERATOR_TOKEN = "loopback-operator"
 
 
 @dataclass(frozen=True, slots=True)
@@ -43,6 +46,7 @@
     agent_addresses: dict[str, str] = field(default_factory=dict)
     agent_health: dict[str, str] = field(default_factory=dict)
     entry_urls: dict[str, str] = field(default_factory=dict)
+    entry_addresses: dict[str, str] = field(default_factory=dict)
     admin_urls: dict[str, str] = field(default_factory=dict)
 
     @classmethod
@@ -72,15 +76,24 @@
         self.service_urls[name] = url
         return url
 
-    def start_agent(self, name: str, targets: Sequence[str], domain: str) -> None:
-        """Write an agent's settings, start it and wait until it is alive."""
+    def start_agent(
+        self,
+        name: str,
+        targets: Sequence[str],
+        domain: str,
+        target_lines: Sequence[str] = (),
+    ) -> None:
+        """Write an agent's settings, start it and wait until it is alive.
+
+        ``target_lines`` are further TOML lines of each target.
+        """
         port, health = free_port(), free_port()
         self.agent_addresses[name] = f"tcp://127.0.0.1:{port}"
         self.agent_health[name] = f"http://127.0.0.1:{health}"
         text = self._common("agent", name, domain, port)
         text += f'[health]\nlisten = "127.0.0.1:{health}"\n'
         for target in targets:
-            text += self._target(target)
+            text += self._target(target) + "".join(f"{line}\n" for line in target_lines)
         (self.folder / f"{name}.toml").write_text(text)
         self.restart_agent(name)
 
@@ -90,18 +103,34 @@
         self.processes.start(name, ["lentiltally", "agent", "--settings", str(path)])
         self.processes.wait_http(name, f"{self.agent_health[name]}/readyz")
 
-    def start_entry(self, name: str, domain: str, *, wait: bool = True) -> str:
-        """Write an entry's settings, start it and return its URL."""
+    def start_entry(
+        self,
+        name: str,
+        domain: str,
+        *,
+        wait: bool = True,
+        caller_lines: Sequence[str] = (),
+        peers: Sequence[str] = (),
+    ) -> str:
+        """Write an entry's settings, start it and return its URL.
+
+        ``caller_lines`` are further TOML lines of the listener for callers, ``peers``
+        the channel addresses asked for the configuration while the log is down.
+        """
         port, callers, admin = free_port(), free_port(), free_port()
         self.entry_urls[name] = f"http://127.0.0.1:{callers}"
         self.admin_urls[name] = f"http://127.0.0.1:{admin}"
         addresses = ", ".join(f'"{a}"' for a in self.agent_addresses.values())
-        text = self._common("entry", name, domain, port)
+        self.entry_addresses[name] = f"tcp://127.0.0.1:{port}"
+        text = self._common("entry", name, domain, port, peers)
         text += (
             f'[callers]\nlisten = "127.0.0.1:{callers}"\n'
-            f'[admin]\nlisten = "127.0.0.1:{admin}"\n'
+            + "".join(f"{line}\n" for line in caller_lines)
+            + f'[admin]\nlisten = "127.0.0.1:{admin}"\n'
             f"[agents]\naddresses = [{addresses}]\n"
             f'[host_list]\nurl = "{self.hosts_url}"\n'
+            '[[admin.tokens]]\nname = "operator"\nscopes = ["/"]\n'
+            f'sha256 = "{sha256(OPERATOR_TOKEN.encode()).hexdigest()}"\n'
         )
         (self.folder / f"{name}.toml").write_text(text)
         self.restart_entry(name, wait=wait)
@@ -130,11 +159,14 @@
         log = LogClient(self.log_url, LOG_TIMEOUT_S, SystemClock())
         log.append(CONFIG_STREAM, [record])
 
-    def _common(self, role: str, name: str, domain: str, port: int) -> str:
+    def _common(
+        self, role: str, name: str, domain: str, port: int, peers: Sequence[str] = ()
+    ) -> str:
+        listed = ", ".join(f'"{address}"' for address in peers)
         return (
             f'[process]\nrole = "{role}"\nname = "{name}"\nregion = "region-1"\n'
             f'failure_domain = "{domain}"\ndrain_s = 30.0\n'
-            f'[channel]\nlisten = "tcp://127.0.0.1:{port}"\n'
+            f'[channel]\nlisten = "tcp://127.0.0.1:{port}"\npeers = [{listed}]\n'
             f'[log]\nurl = "{self.log_url}"\n'
         )
 
