--- a/bench/_guarantees/agent.py
+++ b/bench/_guarantees/agent.py
@@ -6,7 +6,7 @@
 
 from bench._guarantees.agent_target import BATCH_PLACES, AgentTarget, Work
 from bench._guarantees.platform import FakeEngine
-from bench._guarantees.world import Shared, ToRun
+from bench._guarantees.world import Shared
 from lentiltally.decisions import attempts, minted_keys
 from lentiltally.wire import messages
 
@@ -31,6 +31,7 @@
         self.minted = shared.parts.minted()
         self.entries: set[str] = set()
         self.left_at_s: float | None = None
+        self._stay_until_s = 0.0
         self._sequence = 0
         self.network.listen(name, self, self.receive)
         self.every(1.0, self._report)
@@ -40,6 +41,7 @@
         if self.left_at_s is not None:
             return
         self.left_at_s = self.now_s
+        self._stay_until_s = self.now_s + self.kernel.rng.choice([0.0, 4.0, 12.0])
         for work in self.works.values():
             state = self.table.state(work.execute.attempt_id)
             work.was_running_at_leave = state is attempts.AttemptState.RUNNING
@@ -65,12 +67,12 @@
                 self._execute(message)
             case messages.Release():
                 self.table.released(message.attempt_id)
-            case ToRun(messages.Cancel() as inner, run):
-                self._cancel(inner, run)
-            case ToRun(messages.Resume() as inner, run):
-                self._resume_answer(inner, run)
-            case ToRun(messages.ClaimQuery() as inner, run):
-                self._claim_query(inner, run)
+            case messages.Cancel():
+                self._cancel(message)
+            case messages.Resume():
+                self._resume_answer(message)
+            case messages.ClaimQuery():
+                self._claim_query(message)
 
     def _execute(self, message: messages.Execute) -> None:
         attempt_id, now_s = message.attempt_id, self.now_s
@@ -126,8 +128,8 @@
         refusal = self._refused(work.execute.attempt_id, executed, reason)
         self._reply(work.reply, refusal)
 
-    def _cancel(self, message: messages.Cancel, run: str) -> None:
-        result = self.table.refuse(message.attempt_id, run)
+    def _cancel(self, message: messages.Cancel) -> None:
+        result = self.table.refuse(message.attempt_id, message.agent_incarnation)
         executed = "no" if isinstance(result, attempts.Refused) else "unknown"
         work = self.works.get(message.attempt_id)
         if work is not None and executed == "no":
@@ -135,9 +137,9 @@
         refusal = self._refused(message.attempt_id, executed, "cancelled")
         self._reply(message.reply_address, refusal)
 
-    def _resume_answer(self, message: messages.Resume, run: str) -> None:
+    def _resume_answer(self, message: messages.Resume) -> None:
         attempt_id = message.attempt_id
-        result = self.table.query(attempt_id, run)
+        result = self.table.query(attempt_id, message.agent_incarnation)
         work = self.works.get(attempt_id)
         match result:
             case attempts.Refused():
@@ -149,8 +151,8 @@
             case _ if work is not None:
                 self.send_answer(work, message.next_index)
 
-    def _claim_query(self, message: messages.ClaimQuery, run: str) -> None:
-        result = self.table.query(message.claim_id, run)
+    def _claim_query(self, message: messages.ClaimQuery) -> None:
+        result = self.table.query(message.claim_id, message.agent_incarnation)
         state, body = "unknown", b""
         match result:
             case attempts.Refused():
@@ -246,6 +248,7 @@
         is_idle = self.table.is_idle
         if not self.parts.waits_for_release:
             is_idle = not any(work.pin for work in self.works.values())
+        is_idle = is_idle and self.now_s >= self._stay_until_s
         if is_idle or self.now_s - self.left_at_s > DRAIN_S:
             if not self.parts.waits_for_release or is_idle:
                 self._note_interrupted()
--- /dev/null
+++ b/bench/_guarantees/find.py
@@ -0,0 +1,36 @@
+"""Finds the first schedules that break a guarantee, with or without a mutation.
+
+``python -m bench._guarantees.find [MUTATION] [--seed N] [--schedules N]``
+"""
+
+from __future__ import annotations
+
+import argparse
+
+from bench._guarantees.mutations import MUTATIONS
+from bench._guarantees.parts import Parts
+from bench._guarantees.schedule import Schedule
+
+
+def main() -> None:
+    """Print the first schedule of each broken guarantee, and the counts."""
+    parser = argparse.ArgumentParser(prog="bench._guarantees.find")
+    parser.add_argument("mutation", nargs="?", choices=list(MUTATIONS))
+    parser.add_argument("--seed", type=int, default=1)
+    parser.add_argument("--schedules", type=int, default=400)
+    options = parser.parse_args()
+    parts = MUTATIONS[options.mutation].parts if options.mutation else Parts()
+    first: dict[str, int] = {}
+    counts: dict[str, int] = {}
+    for index in range(options.schedules):
+        violations = Schedule(options.seed, index, parts).run()
+        for guarantee, count in (+violations).items():
+            first.setdefault(guarantee, index)
+            counts[guarantee] = counts.get(guarantee, 0) + count
+    for guarantee, index in sorted(first.items()):
+        print(f"{guarantee}: first in schedule {index}, {counts[guarantee]} in all")
+    print(f"{options.schedules} schedules, {sum(counts.values())} violations")
+
+
+if __name__ == "__main__":
+    main()
--- a/bench/_guarantees/journal.py
+++ b/bench/_guarantees/journal.py
@@ -16,6 +16,7 @@
     "g5": "g5_at_most_once",
     "g6": "g6_leaving",
     "g7": "g7_graceful_shutdown",
+    "g8": "g8_configuration",
 }
 OWN_NOTICE_BOUND_S = 2.0
 
--- a/bench/_guarantees/kernel.py
+++ b/bench/_guarantees/kernel.py
@@ -5,13 +5,16 @@
 import heapq
 import itertools
 import random
+from collections import deque
 from collections.abc import Callable
+from functools import partial
 from typing import TYPE_CHECKING
 
 if TYPE_CHECKING:
     from bench._guarantees.journal import Journal
 
 Action = Callable[[], None]
+_REPLAYED = 8
 
 
 class Kernel:
@@ -50,6 +53,7 @@
         self.is_dead = False
         self.is_paused = False
         self._held: list[Action] = []
+        self._pauses: list[tuple[float, float]] = []
 
     @property
     def now_s(self) -> float:
@@ -83,9 +87,14 @@
         if self.is_paused:
             return
         self.is_paused = True
-        self.kernel.at(duration_s, self._resume)
+        self._pauses.append((self.now_s, self.now_s + duration_s))
+        self.kernel.at(duration_s, self._end_pause)
 
-    def _resume(self) -> None:
+    def was_paused_between(self, start_s: float, end_s: float) -> bool:
+        """Return whether the process was paused at any time from start to end."""
+        return any(start < end_s and end > start_s for start, end in self._pauses)
+
+    def _end_pause(self) -> None:
         self.is_paused = False
         held, self._held = self._held, []
         for action in held:
@@ -103,6 +112,7 @@
         self._late = late
         self._receivers: dict[str, tuple[Process, Callable[[object], None]]] = {}
         self._silent_until_s: dict[tuple[str, str], float] = {}
+        self._recent: dict[str, deque[object]] = {}
 
     def listen(
         self, address: str, process: Process, receive: Callable[[object], None]
@@ -130,12 +140,19 @@
             return
         if self._kernel.flip(self._loss):
             return
+        self._recent.setdefault(receiver, deque(maxlen=_REPLAYED)).append(message)
         for _ in range(2 if self._kernel.flip(self._copies) else 1):
             delay_s = self._kernel.rng.uniform(0.001, 0.02)
             if self._kernel.flip(self._late):
                 delay_s = self._kernel.rng.uniform(0.1, 6.0)
             self._kernel.at(delay_s, lambda: self._deliver(receiver, message))
 
+    def replay(self, address: str) -> None:
+        """Deliver copies of the last messages again, to a new process."""
+        for message in list(self._recent.get(address, ())):
+            delay_s = self._kernel.rng.uniform(0.0, 2.0)
+            self._kernel.at(delay_s, partial(self._deliver, address, message))
+
     def _deliver(self, address: str, message: object) -> None:
         receiver = self._receivers.get(address)
         if receiver is not None:
--- a/bench/_guarantees/mutations.py
+++ b/bench/_guarantees/mutations.py
@@ -236,6 +236,9 @@
         ("host-list", Parts(membership=_NoHostList), "g6", "host list"),
         ("host-list-age", Parts(membership=_OldHostList), "g6", "age of the host list"),
         ("release-wait", Parts(waits_for_release=False), "g7", "end after release"),
+        ("config-revision", Parts(checks_revisions=False), "g8", "expected revision"),
+        ("config-id", Parts(checks_change_ids=False), "g8", "known change ids"),
+        ("config-offset", Parts(keeps_newer_tree=False), "g8", "never a lower offset"),
     ]
     return {
         name: Mutation(parts, guarantee, mechanism)
--- a/bench/_guarantees/parts.py
+++ b/bench/_guarantees/parts.py
@@ -30,3 +30,6 @@
     checks_minted_incarnation: bool = True
     waits_for_release: bool = True
     fences_before_pin: bool = True
+    checks_revisions: bool = True
+    checks_change_ids: bool = True
+    keeps_newer_tree: bool = True
--- a/bench/_guarantees/platform.py
+++ b/bench/_guarantees/platform.py
@@ -22,6 +22,7 @@
         self._lost_answers = lost_answers
         self._down_until_s = 0.0
         self._up_until_s = 0.0
+        self._outages: list[tuple[float, float]] = []
         self.records: dict[str, list[tuple[object, int]]] = {}
 
     @property
@@ -33,6 +34,11 @@
         """Be down for a while."""
         if self._kernel.now_s >= self._up_until_s:
             self._down_until_s = self._kernel.now_s + duration_s
+            self._outages.append((self._kernel.now_s, self._down_until_s))
+
+    def was_down_between(self, start_s: float, end_s: float) -> bool:
+        """Return whether the log was down at any time from start to end."""
+        return any(start < end_s and end > start_s for start, end in self._outages)
 
     def stay_up(self, duration_s: float) -> bool:
         """Ignore outages for a while; False if the log is down."""
@@ -130,7 +136,11 @@
 
         incarnation = self.incarnation
 
-        def arrive() -> None:
+        def arrive(may_wait: bool = True) -> None:
+            if process.is_dead and may_wait and self.enforces_fencing:
+                # The engine may read what a dead process has sent much later.
+                self.kernel.at(rng.uniform(1.0, 8.0), lambda: arrive(False))
+                return
             # A restart breaks the connection, so the order never reaches the new run.
             is_broken = incarnation != self.incarnation
             outcome = OrderOutcome.FAILED if is_broken else self._carry_out(order)
