--- a/bench/_fakes.py
+++ b/bench/_fakes.py
@@ -55,7 +55,9 @@
         self._loop = loop
         self._tokens = self.BURST
         self._tokens_at_s = 0.0
+        self.slow_factor = 1.0
         self.in_flight = 0
+        self.most_in_flight = 0
         self.loads = 0
         self.over_limit_s = 0.0
         self._changed_s = 0.0
@@ -70,6 +72,7 @@
         self._tokens_at_s = now_s
         wait_s = max(0.0, -self._tokens / self.PER_S)
         load_s = self.LOAD_S * max(1.0, self.in_flight / self.LIMIT)
+        load_s *= self.slow_factor
         self._loop.after(wait_s + load_s, lambda: self._end(done))
 
     def _end(self, done: Callable[[], None]) -> None:
@@ -81,6 +84,7 @@
             self.over_limit_s += self._loop.now_s - self._changed_s
         self._changed_s = self._loop.now_s
         self.in_flight += by
+        self.most_in_flight = max(self.most_in_flight, self.in_flight)
 
 
 @dataclass(slots=True, eq=False)
@@ -112,6 +116,8 @@
         self.resident: dict[int, float] = {}
         self.loading: set[int] = set()
         self.factor = 1.0
+        self.worked_s = 0.0
+        self.wasted_s = 0.0
 
     @property
     def free_places(self) -> int:
@@ -149,10 +155,19 @@
         return run
 
     def cancel(self, run: Run) -> None:
-        """Stop a job and free its place."""
+        """Stop a job, free its place and count its work as wasted."""
         if not run.is_over:
-            run.is_over = True
-            self.running.remove(run)
+            self.wasted_s += self._release(run)
+
+    def _release(self, run: Run) -> float:
+        """Free the place and return the seconds of work done in it."""
+        self._progress(run)
+        run.is_over = True
+        self.running.remove(run)
+        nominal_s = self.shape.first_token_s + run.job.tokens * self.shape.token_s
+        done_s = nominal_s - run.left_s
+        self.worked_s += done_s
+        return done_s
 
     def slow(self, factor: float) -> None:
         """Change the factor; running jobs keep the work they have done."""
@@ -192,7 +207,7 @@
     def _end(self, run: Run, version: int) -> None:
         if run.is_over or run.version != version:
             return
-        self.cancel(run)
+        self._release(run)
         run.on_end(run)
 
 
--- a/lentiltally/decisions/_fair_shares.py
+++ b/lentiltally/decisions/_fair_shares.py
@@ -20,7 +20,7 @@
     admitted: float = 0.0
     open: int = 0
     at_s: float = 0.0
-    fair: float = 0.0
+    ratio: float = 1.0
 
 
 class FairShares:
@@ -64,10 +64,7 @@
         """Return the team's fair part over what it was given, within 1/most to most."""
         if now_s - self._shared_at_s >= 0.5:
             self._share(now_s)
-        entry = self._decayed(team, now_s)
-        # One request of slack keeps the ratio steady for teams with little traffic.
-        ratio = (entry.fair + 1.0) / (entry.admitted + 1.0)
-        return min(most, max(1.0 / most, ratio))
+        return min(most, max(1.0 / most, self._decayed(team, now_s).ratio))
 
     def _decayed(self, team: str, now_s: float) -> _Team:
         entry = self._teams.get(team)
@@ -91,8 +88,10 @@
         weight = sum(team.limits.share for team in teams)
         for team in sorted(teams, key=lambda team: team.offered / team.limits.share):
             part = left * team.limits.share / weight if weight > 0 else 0.0
-            team.fair = min(team.offered, part)
-            left -= team.fair
+            fair = min(team.offered, part)
+            # One request of slack keeps the ratio steady for teams with little traffic.
+            team.ratio = (fair + 1.0) / (team.admitted + 1.0)
+            left -= fair
             weight -= team.limits.share
 
 
--- a/lentiltally/decisions/admission.py
+++ b/lentiltally/decisions/admission.py
@@ -8,6 +8,7 @@
 
 import msgspec
 
+from lentiltally.decisions._adapter_use import AdapterUse
 from lentiltally.decisions._fair_shares import FairShares, TeamLimits
 
 
@@ -16,8 +17,8 @@
 
     ``patience_s`` is the time left until the answer would begin too late.
     ``criticality`` is 0 (non-idempotent), 1 (interactive) or 2 (deferrable).
-    ``demand`` is how many requests for the adapter came lately, this one included; a
-    load for a wanted adapter serves more than one request.
+    ``adapter`` names what is to be loaded; a load for an adapter that is asked for
+    often serves more than one request, so it may be waited for longer.
     """
 
     team: str
@@ -25,7 +26,7 @@
     patience_s: float
     queue_wait_s: float
     needs_load: bool = False
-    demand: float = 1.0
+    adapter: str = ""
 
 
 class Admitted(msgspec.Struct, frozen=True):
@@ -50,7 +51,6 @@
 
     queue_parts: tuple[float, float, float] = (0.9, 0.6, 0.5)
     load_parts: tuple[float, float, float] = (0.8, 0.25, 0.1)
-    demand_gain: float = 1.0
     max_load_part: float = 0.8
     max_share_factor: float = 2.0
     min_retry_after_s: float = 0.5
@@ -76,11 +76,14 @@
         self._rng = rng
         self._settings = settings or AdmissionSettings()
         self._shares = FairShares(limits or {})
+        self._use = AdapterUse()
         self._loads = _LoadWaits(self._settings.usual_load_wait_s)
 
     def offer(self, request: AdmissionRequest, now_s: float) -> Admitted | Shed:
         """Decide on a request; an admitted one counts until it has finished."""
         self._shares.offered(request.team, now_s)
+        if request.adapter:
+            self._use.used(request.adapter, now_s)
         if self._shares.is_at_limit(request.team):
             return Shed("team limit", self._retry_after_s(1.0))
         factor = self._shares.factor(
@@ -92,7 +95,7 @@
             return Shed("queue", self._retry_after_s(over_s))
         if request.needs_load:
             part = self._settings.load_parts[request.criticality]
-            gain = max(1.0, request.demand * self._settings.demand_gain)
+            gain = max(1.0, self._use.score(request.adapter, now_s))
             part = min(self._settings.max_load_part, part * gain)
             wait_s = self._loads.wait_s(request.criticality, now_s)
             over_s = wait_s - part * factor * request.patience_s
--- a/lentiltally/decisions/load_permits.py
+++ b/lentiltally/decisions/load_permits.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 
 import msgspec
 
@@ -25,12 +25,25 @@
     request_id: str
 
 
+class LoadRenewal(msgspec.Struct, frozen=True, tag="renewal"):
+    """The load is still under way; its permit counts for another ``expiry_s``.
+
+    Without it, a store that needs longer than ``expiry_s`` per load would get more
+    than ``max_in_flight`` loads.
+    """
+
+    request_id: str
+
+
+LoadRecord = LoadRequest | LoadRelease | LoadRenewal
+
+
 @dataclass(frozen=True, slots=True)
 class PermitSettings:
     """The store's limits, and how long a permit counts without a release.
 
-    A load takes 0.25 s, so 2 s cover a slow one; a permit whose holder has died stops
-    counting after that.
+    A load takes 0.25 s, so 2 s cover a slow one; a permit that its holder, perhaps
+    dead, doesn't renew stops counting after that.
     """
 
     max_in_flight: int = 8
@@ -56,9 +69,7 @@
         self._time_s: float | None = None
         self._offset = -1
 
-    def apply(
-        self, record: LoadRequest | LoadRelease, offset: int, log_time_s: float
-    ) -> None:
+    def apply(self, record: LoadRecord, offset: int, log_time_s: float) -> None:
         """Apply a record; one at or below the last offset is ignored.
 
         ``log_time_s`` is the log's time stamp in seconds. One that goes back counts as
@@ -71,13 +82,19 @@
         if isinstance(record, LoadRequest):
             if record.request_id not in self._granted:
                 self._waiting.setdefault(record.request_id)
+        elif isinstance(record, LoadRenewal):
+            if self._granted.pop(record.request_id, None) is not None:
+                # Kept in the order of expiry.
+                self._granted[record.request_id] = self._now_s()
         else:
             self._waiting.pop(record.request_id, None)
             self._granted.pop(record.request_id, None)
         self._advance(log_time_s)
 
     def grants(self, log_now_s: float) -> dict[str, float]:
-        """Return the permits that count at a log time, with the times of their grants.
+        """Return the permits that count at a log time, with their last confirmation.
+
+        That is the time of the grant or of the last renewal.
 
         The table itself moves only with records, because a record with an earlier time
         may still arrive.
@@ -118,6 +135,10 @@
             self._tokens = max(0.0, self._tokens - 1.0)
         self._move(to_s)
 
+    def _now_s(self) -> float:
+        assert self._time_s is not None
+        return self._time_s
+
     def _next_grant_s(self) -> float:
         """Return when the first waiting request gets its permit."""
         assert self._time_s is not None
@@ -151,24 +172,29 @@
     def __init__(self, agents: int, settings: PermitSettings | None = None) -> None:
         """Divide the limits by the number of agents."""
         limits = settings or PermitSettings()
-        self._limits = replace(
-            limits, max_in_flight=max(1, limits.max_in_flight // max(1, agents))
-        )
+        self._max_in_flight = limits.max_in_flight
+        self._own_limit = max(1, limits.max_in_flight // max(1, agents))
         self._spacing_s = max(1, agents) / limits.max_per_s
+        self._agents = max(1, agents)
         self._next_s = float("-inf")
         self._started: dict[str, float] = {}
 
     def may_start(self, request_id: str, now_s: float) -> bool:
         """Return whether a load may start now, and count it if so."""
-        for other, at_s in list(self._started.items()):
-            if at_s + self._limits.expiry_s <= now_s:
-                del self._started[other]
-        if now_s < self._next_s or len(self._started) >= self._limits.max_in_flight:
+        if now_s < self._next_s or len(self._started) >= self._own_limit:
             return False
         self._started[request_id] = now_s
         self._next_s = now_s + self._spacing_s
         return True
 
-    def ended(self, request_id: str) -> None:
-        """Count the end of a load."""
-        self._started.pop(request_id, None)
+    def ended(self, request_id: str, now_s: float | None = None) -> None:
+        """Count the end of a load; its time, if given, sets the next spacing.
+
+        While the store is slow, loads of all agents together stay within the limit
+        only if each agent pauses in proportion.
+        """
+        at_s = self._started.pop(request_id, None)
+        if at_s is None or now_s is None:
+            return
+        pause_s = (now_s - at_s) * self._agents / self._max_in_flight
+        self._next_s = max(self._next_s, at_s + pause_s)
--- a/lentiltally/decisions/placement.py
+++ b/lentiltally/decisions/placement.py
@@ -43,7 +43,8 @@
 class PlacementRequest(msgspec.Struct, frozen=True):
     """What is to be placed; ``prefix_hash`` 0 means no known prefix.
 
-    ``adapter_hash`` 0 means that no adapter is needed (plain services).
+    ``adapter_hash`` 0 means that no adapter is needed (plain services). ``excluded``
+    targets are never chosen; ``slow`` ones only where the others cost more.
     """
 
     base_model: str
@@ -51,6 +52,7 @@
     prefix_hash: int = 0
     failure_domain: str = ""
     excluded: frozenset[str] = frozenset()
+    slow: frozenset[str] = frozenset()
 
 
 class PlacementChoice(msgspec.Struct, frozen=True):
@@ -74,7 +76,9 @@
     one; it keeps equal targets level. ``away_s`` is the cost of a cold start away from
     the adapter's home on the ring; it is more than the spread between usual loads, so
     that entries with different views load an adapter once. ``slot_wait_s`` is the cost
-    of a cold start where running work holds every slot. ``assumed_resident_s`` covers
+    of a cold start where running work holds every slot. ``slow_s`` is what a slowed
+    target adds to the first token; it is less than a cold start, so work stays with
+    its adapter. ``assumed_resident_s`` covers
     the 10 s between two full states of a target.
     """
 
@@ -82,13 +86,15 @@
     spread_s: float = 0.6
     away_s: float = 0.4
     service_s: float = 10.0
+    slow_s: float = 1.0
     remote_domain_s: float = 0.003
     prefix_gain_s: float = 0.2
     slot_wait_s: float = 8.0
     assumed_resident_s: float = 12.0
     resident_candidates: int = 2
     ring_candidates: int = 2
-    sampled_candidates: int = 2
+    sampled_candidates: int = 6
+    fallback_candidates: int = 32
     max_prefixes: int = 20_000
     queue_limit_per_place: float = 4.0
 
@@ -211,8 +217,10 @@
         candidates = self._candidates(wanted, peers, homes)
         best = self._cheapest(candidates, wanted, home, now_s)
         if best is None:
-            # All candidates are full or excluded: look at every target once.
-            best = self._cheapest(peers, wanted, home, now_s)
+            # All candidates are full or excluded: look at more, but not at thousands.
+            few = min(len(peers), self._settings.fallback_candidates)
+            more = self._rng.sample(peers, few)
+            best = self._cheapest(more, wanted, home, now_s)
         if best is None:
             return None
         reason = "service"
@@ -243,6 +251,17 @@
         if entry is not None:
             entry.changed(now_s, -1)
 
+    def not_loaded(self, target: str, adapter_hash: int) -> None:
+        """Forget the assumption that a target has loaded an adapter.
+
+        To be called when the target hands work back because it has no slot for it.
+        """
+        entry = self._targets.get(target)
+        if entry is None or entry.assumed.pop(adapter_hash, None) is None:
+            return
+        if adapter_hash not in entry.view.resident:
+            self._index(target, set(), {adapter_hash})
+
     def load_of(self, name: str) -> int:
         """Return the estimated number of queued and running attempts of a target."""
         return self._targets[name].load()
@@ -357,6 +376,8 @@
                 cost_s += settings.away_s
             if view.free_slots - target.cold <= 0:
                 cost_s += settings.slot_wait_s
+        if view.name in wanted.slow:
+            cost_s += settings.slow_s
         if wanted.failure_domain and wanted.failure_domain != view.failure_domain:
             cost_s += settings.remote_domain_s
         if wanted.prefix_hash and self._prefixes.get(wanted.prefix_hash) == view.name:
