Admit, retry within a budget, and watch for slow targets

The decision classes for load now run in the daemons: AdmitFilter sheds before anything is sent, retries draw on each team's budget, the time between tokens of each stream marks slowed targets, work that finds no slot is handed back at most twice, and permits of slow loads are renewed.

--- a/lentiltally/agent/engine_target.py
+++ b/lentiltally/agent/engine_target.py
@@ -124,6 +124,11 @@
         absent = self.queue.adapters() - resident
         return self._slots.limit - pinned - len(absent)
 
+    def lacks_slot(self, adapter: str) -> bool:
+        """Return whether the adapter is absent and no slot is left for it."""
+        is_here = adapter in self._slots.resident or adapter in self.queue.adapters()
+        return not is_here and self.free_slots() <= 0
+
     def accepted(self, execute: Execute) -> None:
         """Remember where the adapter's weights are."""
         model = f"{execute.team}/{execute.adapter}@{execute.version}"
--- a/lentiltally/agent/permits.py
+++ b/lentiltally/agent/permits.py
@@ -10,7 +10,9 @@
 from lentiltally.clock import Clock
 from lentiltally.decisions.load_permits import (
     LoadPermits,
+    LoadRecord,
     LoadRelease,
+    LoadRenewal,
     LoadRequest,
     PermitSettings,
     StaticShare,
@@ -27,7 +29,8 @@
 # takes several hundred appends a second.
 START_RECORDS = 1_000
 CHECK_S = 0.02
-_decoder = msgspec.json.Decoder(LoadRequest | LoadRelease)
+RENEWAL_S = 1.0
+_decoder = msgspec.json.Decoder(LoadRecord)
 
 
 class Permits:
@@ -45,6 +48,11 @@
         self._agents = {agent}
         self._share = StaticShare(1, settings)
         self._log_ahead_s = 0.0
+        self._held: set[str] = set()
+        self._stopped = threading.Event()
+        self._renewer = threading.Thread(
+            target=self._renew, daemon=True, name="permits"
+        )
         self._lock = threading.Lock()
         self._follower = StreamFollower(
             log, STREAM, self._apply, clock, newest_only=START_RECORDS
@@ -53,9 +61,11 @@
     def start(self) -> None:
         """Begin to follow the stream."""
         self._follower.start()
+        self._renewer.start()
 
     def stop(self) -> None:
         """Stop following."""
+        self._stopped.set()
         self._follower.stop()
 
     def acquire(self, timeout_s: float) -> str | None:
@@ -70,6 +80,8 @@
         while self._clock.monotonic_s() < until_s:
             with self._lock:
                 granted = request_id in self._table.grants(self._log_now_s())
+                if granted:
+                    self._held.add(request_id)
             if granted:
                 return request_id
             if self._follower.is_log_down:
@@ -81,6 +93,7 @@
     def release(self, request_id: str) -> None:
         """Give a permit back, or withdraw the request for one."""
         with self._lock:
+            self._held.discard(request_id)
             self._share.ended(request_id)
         try:
             self._log.append(STREAM, [LoadRelease(request_id)])
@@ -88,6 +101,18 @@
             # The permit expires by itself.
             _log.info("release not recorded", extra={"error": str(error)})
 
+    def _renew(self) -> None:
+        """Renew the permits of loads that take longer than usual."""
+        while not self._stopped.wait(RENEWAL_S):
+            with self._lock:
+                renewals = [LoadRenewal(request_id) for request_id in self._held]
+            if not renewals:
+                continue
+            try:
+                self._log.append(STREAM, renewals)
+            except LentiltallyError as error:
+                _log.info("permits not renewed", extra={"error": str(error)})
+
     def _request(self, request_id: str) -> bool:
         if self._follower.is_log_down or not self._follower.is_caught_up:
             return False
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -71,6 +71,10 @@
         """Return how many adapter slots could take another adapter."""
         ...
 
+    def lacks_slot(self, adapter: str) -> bool:
+        """Return whether the adapter is absent and no slot is left for it."""
+        ...
+
     def accepted(self, execute: Execute) -> None:
         """Take notice of work that was queued."""
         ...
@@ -288,6 +292,9 @@
         fingerprint = execute.fingerprint
         if state.quarantine.suspicion(fingerprint) is Suspicion.QUARANTINED:
             return "quarantined"
+        model = f"{execute.team}/{execute.adapter}@{execute.version}"
+        if execute.may_return and self._target.lacks_slot(model):
+            return "no-slot"
         return ""
 
     def _repeat(self, execute: Execute, known: AlreadyKnown) -> None:
--- a/lentiltally/agent/service_target.py
+++ b/lentiltally/agent/service_target.py
@@ -47,6 +47,11 @@
         """Return no adapters."""
         return frozenset()
 
+    def lacks_slot(self, adapter: str) -> bool:
+        """Return False; a service needs no slots."""
+        del adapter
+        return False
+
     def accepted(self, execute: Execute) -> None:
         """Do nothing; there is nothing to load."""
 
--- a/lentiltally/decisions/_fair_shares.py
+++ b/lentiltally/decisions/_fair_shares.py
@@ -40,6 +40,13 @@
         self._teams: dict[str, _Team] = {}
         self._shared_at_s = float("-inf")
 
+    def set_limits(self, team: str, limits: TeamLimits) -> None:
+        """Take the limits of a team, which may have changed."""
+        self._limits[team] = limits
+        entry = self._teams.get(team)
+        if entry is not None:
+            entry.limits = limits
+
     def offered(self, team: str, now_s: float) -> None:
         """Count a request of a team."""
         self._decayed(team, now_s).offered += 1.0
--- a/lentiltally/decisions/admission.py
+++ b/lentiltally/decisions/admission.py
@@ -11,6 +11,15 @@
 from lentiltally.decisions._adapter_use import AdapterUse
 from lentiltally.decisions._fair_shares import FairShares, TeamLimits
 
+__all__ = [
+    "Admission",
+    "AdmissionRequest",
+    "AdmissionSettings",
+    "Admitted",
+    "Shed",
+    "TeamLimits",
+]
+
 
 class AdmissionRequest(msgspec.Struct, frozen=True):
     """A request with the waits that its placement expects.
@@ -79,6 +88,10 @@
         self._use = AdapterUse()
         self._loads = _LoadWaits(self._settings.usual_load_wait_s)
 
+    def set_limits(self, team: str, limits: TeamLimits) -> None:
+        """Take the limits of a team as they are configured now."""
+        self._shares.set_limits(team, limits)
+
     def offer(self, request: AdmissionRequest, now_s: float) -> Admitted | Shed:
         """Decide on a request; an admitted one counts until it has finished."""
         self._shares.offered(request.team, now_s)
--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -17,6 +17,7 @@
 from lentiltally.ids import AttemptIds, new_incarnation
 from lentiltally.metrics import Metrics
 from lentiltally.pipeline import (
+    AdmitFilter,
     ClaimFilter,
     Dispatch,
     Handler,
@@ -33,7 +34,7 @@
 from lentiltally.routing.claims import Claims
 from lentiltally.routing.pending import PendingAttempts
 from lentiltally.routing.queries import ClaimQueries
-from lentiltally.routing.retry_policy import JitteredRetries
+from lentiltally.routing.retry_policy import BudgetedRetries
 from lentiltally.routing.targets import TargetDirectory
 from lentiltally.settings import EntrySettings
 from lentiltally.wire import (
@@ -195,7 +196,7 @@
 
     def _pipeline(self) -> Handler:
         domain = self._settings.process.failure_domain
-        retries = JitteredRetries(random.Random())
+        retries = BudgetedRetries(random.Random())
         return pipeline(
             (
                 RefusalFilter(),
@@ -203,6 +204,7 @@
                 ModelsFilter(lambda: self._config.tree),
                 ResolveFilter(lambda: self._config.tree),
                 QuarantineFilter(self._quarantine),
+                AdmitFilter(self._directory, domain, self._clock, self._metrics),
                 ClaimFilter(self._claims, self._queries, self._context, domain),
             ),
             Dispatch(self._context, retries, self._metrics, domain),
--- a/lentiltally/pipeline/__init__.py
+++ b/lentiltally/pipeline/__init__.py
@@ -11,6 +11,7 @@
     Work,
     pipeline,
 )
+from lentiltally.pipeline.admit import AdmitFilter
 from lentiltally.pipeline.claim import ClaimFilter
 from lentiltally.pipeline.dispatch import Dispatch
 from lentiltally.pipeline.models import ModelsFilter
@@ -20,6 +21,7 @@
 from lentiltally.pipeline.resolve import ResolveFilter
 
 __all__ = [
+    "AdmitFilter",
     "Answer",
     "CallerRequest",
     "ClaimFilter",
--- a/lentiltally/pipeline/dispatch.py
+++ b/lentiltally/pipeline/dispatch.py
@@ -24,12 +24,18 @@
 # A request that takes a target down must not reach a third one.
 MAX_TARGET_FAILURES = 2
 MAX_TRIES = 6
+# Work that a target without free slots may hand back before it has to keep it.
+MAX_RETURNS = 2
 CALLER_ERROR_REASONS = frozenset({"quarantined"})
 
 
 class RetryPolicy(Protocol):
     """Decides whether and when a failed attempt is tried again."""
 
+    def sent(self, work: Work) -> None:
+        """Count a first attempt."""
+        ...
+
     def retry_after_s(
         self, work: Work, failed: Failed, tries: int, left_s: float
     ) -> float | None:
@@ -62,9 +68,13 @@
         deadline_s = exchange.request.received_s + work.deadline_s
         excluded: set[str] = set()
         failures = 0
+        self._retries.sent(work)
         for tries in range(1, MAX_TRIES + 1):
             attempt = self._start(exchange, deadline_s, frozenset(excluded))
-            first = attempt.send(exchange) or attempt.first()
+            first = (
+                attempt.send(exchange, may_return=tries <= MAX_RETURNS)
+                or attempt.first()
+            )
             if isinstance(first, DeliverWhole):
                 attempt.close(release=not work.is_keyed)
                 return self._whole(exchange, attempt.target, first)
@@ -74,6 +84,7 @@
             attempt.close()
             excluded.add(attempt.target.target)
             failures += first.executed == "unknown"
+            self._note(work, attempt, first)
             delay_s = self._retry_delay_s(work, first, tries, deadline_s)
             is_last = tries == MAX_TRIES or failures >= MAX_TARGET_FAILURES
             if delay_s is None or is_last:
@@ -84,6 +95,11 @@
             self._wait(delay_s, exchange, attempt, first)
         raise AssertionError("the last try neither answered nor refused")
 
+    def _note(self, work: Work, attempt: Attempt, failed: Failed) -> None:
+        if failed.executed == "no" and work.kind == "model":
+            adapter = adapter_hash(work.team, work.adapter, work.version)
+            self._context.directory.not_run(attempt.target.target, adapter)
+
     def _start(
         self, exchange: Exchange, deadline_s: float, excluded: frozenset[str]
     ) -> Attempt:
--- a/lentiltally/routing/attempts.py
+++ b/lentiltally/routing/attempts.py
@@ -24,6 +24,7 @@
 from lentiltally.routing.targets import TargetDirectory
 from lentiltally.wire import (
     AnswerEnd,
+    AnswerEvents,
     AnswerWhole,
     Cancel,
     ChannelError,
@@ -81,10 +82,14 @@
         )
         self._assembly = AnswerAssembly(attempt_id, context.clock.monotonic_s())
         self._cancelled_s: float | None = None
+        self._events_s: float | None = None
         self._ready: list[AnswerAction] = []
 
-    def send(self, exchange: Exchange) -> Failed | None:
-        """Hand the attempt to the agent; Failed if nothing can have been sent."""
+    def send(self, exchange: Exchange, *, may_return: bool = False) -> Failed | None:
+        """Hand the attempt to the agent; Failed if nothing can have been sent.
+
+        ``may_return`` allows the agent to hand it back if no slot is left.
+        """
         work = exchange.resolved()
         now_s = self._context.clock.monotonic_s()
         execute = Execute(
@@ -109,6 +114,7 @@
             prefix_hash=work.prefix_hash,
             is_suspect=exchange.is_suspect,
             key=exchange.key if exchange.claim_id else "",
+            may_return=may_return,
         )
         try:
             self._context.outboxes.put(self._address, execute)
@@ -237,7 +243,17 @@
                 rest.append(action)
         return rest
 
+    def _observe(self, message: AnswerEvents) -> None:
+        """Report the time between tokens, which shows a slowed target at once."""
+        now_s = self._context.clock.monotonic_s()
+        since_s, self._events_s = self._events_s, now_s
+        if since_s is not None and message.count:
+            pace_s = (now_s - since_s) / message.count
+            self._context.directory.observed(self.target.target, pace_s)
+
     def _count(self, message: AttemptMessage) -> None:
+        if isinstance(message, AnswerEvents):
+            self._observe(message)
         if isinstance(message, (AnswerEnd, AnswerWhole, Refused)):
             self._context.directory.counted(self.target.target, message.counts)
 
--- a/lentiltally/routing/targets.py
+++ b/lentiltally/routing/targets.py
@@ -7,13 +7,17 @@
 import threading
 from collections.abc import Callable, Sequence
 
+import msgspec
+
 from lentiltally.clock import Clock
 from lentiltally.decisions.membership import Membership
 from lentiltally.decisions.placement import (
     Placement,
+    PlacementChoice,
     PlacementRequest,
     TargetView,
 )
+from lentiltally.decisions.slow_targets import SlowTargets
 from lentiltally.errors import LentiltallyError
 from lentiltally.platform.host_list import HostListClient
 from lentiltally.wire import (
@@ -58,6 +62,8 @@
         self._membership = Membership()
         self._placement = Placement(random.Random())
         self._config_offsets: dict[str, int] = {}
+        self._domains: dict[str, dict[str, str]] = {}
+        self._slow: dict[str, SlowTargets] = {}
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         self._threads = [
@@ -133,6 +139,35 @@
                 target, counts.queued, counts.running, now_s, counts.free_slots
             )
 
+    def outlook(
+        self, wanted: PlacementRequest, targets: Sequence[str] = ()
+    ) -> PlacementChoice | None:
+        """Return where work would go now, without counting it; None if nowhere."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            if not targets:
+                return self._eligible_choice(self._with_slow(wanted, now_s), now_s)
+            state = self._choose_among(targets, wanted, now_s)
+            if state is None:
+                return None
+            return PlacementChoice(state.target, state.agent, "service")
+
+    def observed(self, target: str, pace_s: float) -> None:
+        """Take the time between tokens of a target, by which slow ones show."""
+        now_s = self._clock.monotonic_s()
+        with self._lock:
+            state = self._membership.state(target)
+            if state is not None:
+                self._domains.setdefault(state.base_model, {})[target] = (
+                    state.failure_domain
+                )
+                self._slow_of(state.base_model).observed(target, pace_s, now_s)
+
+    def not_run(self, target: str, adapter: int) -> None:
+        """Note that a target handed work back, so its adapter is not loaded there."""
+        with self._lock:
+            self._placement.not_loaded(target, adapter)
+
     def choose(
         self, wanted: PlacementRequest, targets: Sequence[str] = ()
     ) -> TargetState | None:
@@ -199,16 +234,32 @@
     def _choose_placed(
         self, wanted: PlacementRequest, now_s: float
     ) -> TargetState | None:
+        choice = self._eligible_choice(self._with_slow(wanted, now_s), now_s)
+        return None if choice is None else self._membership.state(choice.target)
+
+    def _eligible_choice(
+        self, wanted: PlacementRequest, now_s: float
+    ) -> PlacementChoice | None:
         for _ in range(MAX_CHOICES):
             choice = self._placement.choose(wanted, now_s)
-            if choice is None:
-                return None
-            if self._membership.eligible(choice.target, now_s).ok:
-                return self._membership.state(choice.target)
+            if choice is None or self._membership.eligible(choice.target, now_s).ok:
+                return choice
             # It comes back with its agent's next state.
             self._placement.remove(choice.target)
         return None
 
+    def _with_slow(self, wanted: PlacementRequest, now_s: float) -> PlacementRequest:
+        slow = self._slow_of(wanted.base_model).ejected(now_s)
+        return msgspec.structs.replace(wanted, slow=slow) if slow else wanted
+
+    def _slow_of(self, base_model: str) -> SlowTargets:
+        """Return the watch over the targets of one base model, which are alike."""
+        found = self._slow.get(base_model)
+        if found is None:
+            domains = self._domains.setdefault(base_model, {})
+            found = self._slow[base_model] = SlowTargets(domains)
+        return found
+
     def _choose_among(
         self, targets: Sequence[str], wanted: PlacementRequest, now_s: float
     ) -> TargetState | None:
--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -74,7 +74,8 @@
     ``agent_incarnation`` names the agent run for which the attempt is meant; any other
     run refuses it. ``deadline_left_s`` is relative, because hosts' clocks differ.
     ``key`` is the idempotency key of work under a claim; the attempt id is then the
-    claim id.
+    claim id. ``may_return`` allows the agent to hand the attempt back at once if no
+    slot is left for its adapter.
     """
 
     attempt_id: str
@@ -98,6 +99,7 @@
     prefix_hash: int = 0
     is_suspect: bool = False
     key: str = ""
+    may_return: bool = False
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
