--- a/lentiltally/config/threads.py
+++ b/lentiltally/config/threads.py
@@ -11,7 +11,9 @@
 
 _LOGGER = logging.getLogger(__name__)
 
-LONG_POLL_MS = 2000
+# A connection that has gone silent is noticed after this time and the client's timeout;
+# both must fit the 4 s in which a change comes into force.
+LONG_POLL_MS = 1000
 ERROR_RETRY_S = 1.0
 
 
--- a/tests/steps/config_follower_steps.py
+++ b/tests/steps/config_follower_steps.py
@@ -8,8 +8,8 @@
 
 import msgspec
 from behave import given, then, when
+from hypothesis import Phase, settings
 from hypothesis import given as for_all
-from hypothesis import settings
 from hypothesis import strategies as st
 
 from lentiltally.clock import ManualClock
@@ -32,32 +32,32 @@
 from tests.fakes.config_log import FakeLog, SteppedFollowing
 
 AT = datetime(2026, 1, 1, tzinfo=UTC)
-PATHS = ("/teams/a/limits", "/teams/b/limits", "/teams/a/adapters/x")
-LIMITS = st.fixed_dictionaries({"share": st.sampled_from([1.0, 2.0, 0.0])})
 ADAPTER = {"base_model": "m", "versions": {"1": {"source": "w"}}}
-OPERATIONS = st.lists(
-    st.one_of(
-        st.tuples(
-            st.just("publish"),
-            st.integers(0, 2),
-            st.lists(
-                st.tuples(
-                    st.sampled_from(PATHS),
-                    st.sampled_from(["read", "read", "read", 0, 1, None]),
-                    st.one_of(st.none(), st.just(ADAPTER), LIMITS),
-                ),
-                min_size=1,
-                max_size=2,
-            ),
-            st.lists(st.sampled_from(["no", "no", "written", "dropped"]), max_size=3),
-        ),
-        st.tuples(st.just("copy"), st.integers(0, 30)),
-        st.tuples(st.just("garbage"), st.sampled_from([1, {"items": []}, "x"])),
-        st.tuples(st.sampled_from(["step", "snapshot", "restart"]), st.integers(0, 2)),
-        st.tuples(st.sampled_from(["truncate", "down", "up"])),
+VALUES = st.sampled_from([{"share": 1.0}, {"share": 2.0}, None])
+EXPECTED = st.sampled_from(["read", "read", 0, 1, None, None])
+ITEMS = st.one_of(
+    st.tuples(
+        st.sampled_from(["/teams/a/limits", "/teams/b/limits"]), EXPECTED, VALUES
     ),
-    max_size=40,
+    st.tuples(st.just("/teams/a/adapters/x"), EXPECTED, st.just(ADAPTER)),
 )
+LOSSES = st.lists(st.sampled_from(["no", "no", "written", "dropped"]), max_size=3)
+PROCESS = st.integers(0, 2)
+PUBLISH = st.tuples(
+    st.just("publish"), PROCESS, st.lists(ITEMS, min_size=1, max_size=2), LOSSES
+)
+OPERATION = st.one_of(
+    PUBLISH,
+    PUBLISH,
+    PUBLISH,
+    st.tuples(st.just("copy"), st.integers(0, 30)),
+    st.tuples(st.just("garbage"), st.sampled_from([1, {"items": []}, "x"])),
+    st.tuples(st.sampled_from(["step", "snapshot", "restart"]), PROCESS),
+    st.tuples(st.sampled_from(["snapshot", "restart"]), PROCESS),
+    st.tuples(st.sampled_from(["truncate", "down", "up", "up"])),
+)
+# Short schedules rarely have a snapshot, a truncation and a restart in this order.
+OPERATIONS = st.lists(OPERATION, min_size=25, max_size=40)
 
 
 class Cluster:
@@ -70,6 +70,8 @@
         self.results = []
         self.count = 0
         self.followers = [self.make() for _ in range(3)]
+        for index in range(3):
+            self.step(index)
 
     def make(self):
         return ConfigFollower(self.log, self.clock, self)
@@ -81,6 +83,7 @@
     def publish(self, index, items, losses):
         follower = self.followers[index]
         following = SteppedFollowing(follower)
+        follower.step(0)
         if follower.tree is None:
             return
         made = []
@@ -157,7 +160,8 @@
 
 @then("processes agree after random changes, losses, outages, retention and restarts")
 def processes_agree(context):
-    @settings(max_examples=300)
+    # Shrinking a failing schedule takes minutes, so it is shown as found.
+    @settings(max_examples=300, phases=[Phase.generate])
     @for_all(OPERATIONS)
     def check(operations):
         cluster = Cluster()
