Tell when the first order of an owner is due

The agent asks for orders only when work waits for a load, but a new owner's first order is due also when every wanted adapter is resident; needs_fence says so.

--- a/lentiltally/decisions/adapter_slots.py
+++ b/lentiltally/decisions/adapter_slots.py
@@ -103,6 +103,15 @@
         """Return the number of slots."""
         return self._limit
 
+    @property
+    def needs_fence(self) -> bool:
+        """Return whether the next order only makes the token known to the engine.
+
+        Nothing is pinned until then, so ``next_order`` is called also if nothing waits
+        for a load.
+        """
+        return self._needs_fence
+
     @property
     def resident(self) -> frozenset[str]:
         """Return the adapters that are certainly loaded."""
