--- a/bench/_agent.py
+++ b/bench/_agent.py
@@ -103,6 +103,13 @@
         self.loop.at(latest_start_s, self._expire)
         self.pump()
 
+    def cancel(self, job: Job) -> None:
+        """Stop a job that waits or runs here."""
+        if self.queue.cancel(str(job.number)) is None:
+            for run in [run for run in self.engine.running if run.job is job]:
+                self.engine.cancel(run)
+        self.pump()
+
     def pump(self) -> None:
         """Start what can start and order the loads that queued work needs."""
         now_s = self.loop.now_s
--- a/bench/_system.py
+++ b/bench/_system.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import random
+from dataclasses import replace
 
 from bench._agent import BenchAgent
 from bench._fakes import FakeEngine, FakeLog, FakeWeightStore, LaggingReport, Loop
 from bench._shapes import Job, Shape
 from lentiltally.decisions.admission import Admission, AdmissionRequest, Shed
+from lentiltally.decisions.hedging import HedgeBudget
 from lentiltally.decisions.load_permits import LoadRecord
 from lentiltally.decisions.placement import (
     Placement,
@@ -37,6 +39,9 @@
         self.admission = Admission(rng)
         self._waits_for_load: set[int] = set()
         self._tried: dict[int, set[str]] = {}
+        self.hedges = HedgeBudget()
+        self._copies: dict[int, tuple[Job, BenchAgent, BenchAgent]] = {}
+        self._copy_of: dict[int, Job] = {}
         self.agents: dict[str, BenchAgent] = {}
         self.slow = SlowTargets(
             {
@@ -110,6 +115,11 @@
     ) -> None:
         now_s = self.loop.now_s
         self.placement.dispatched(choice.target, wanted, now_s)
+        self.hedges.sent()
+        delay_s = self.hedges.hedge_after_s(job.criticality > 0)
+        if delay_s is not None:
+            agent = self.agents[choice.target]
+            self.loop.after(delay_s, lambda: self._hedge(job, agent))
         agent = self.agents[choice.target]
         self.loop.after(
             self.shape.one_way_s,
@@ -124,13 +134,59 @@
     def ended(self, agent: BenchAgent, job: Job, is_whole: bool) -> None:
         """Take an answer or a refusal, with the counts that it carries."""
         counts = agent.counts()
+        original = self._copy_of.get(job.number, job)
+        if original is not job:
+            if not is_whole:
+                self.placement.finished(agent.engine.name, self.loop.now_s)
+                self._copies.pop(original.number, None)
+                return
+            original.end_s = job.end_s
+            job = original
         self.loop.after(
             self.shape.one_way_s,
             lambda: self._count(agent.engine.name, counts, job, is_whole),
         )
 
+    def _hedge(self, job: Job, first: BenchAgent) -> None:
+        now_s = self.loop.now_s
+        is_over = job.first_s is not None or job.refused_s is not None
+        if is_over or job.number in self._copies or not self.hedges.take():
+            return
+        wanted = PlacementRequest(
+            MODEL,
+            job.adapter,
+            excluded=frozenset({first.engine.name}),
+            slow=self.slow.ejected(now_s),
+        )
+        choice = self.placement.choose(wanted, now_s)
+        if choice is None:
+            return
+        copy = replace(job, number=-1 - job.number, start_s=None, load_wait_s=0.0)
+        second = self.agents[choice.target]
+        self._copies[job.number] = (copy, first, second)
+        self._copy_of[copy.number] = job
+        self.placement.dispatched(choice.target, wanted, now_s)
+        second.execute(copy, job.latest_start_s, self)
+
+    def _settle(self, job: Job) -> None:
+        """Keep the copy that answered first and cancel the other."""
+        original = self._copy_of.get(job.number, job)
+        if original.number not in self._copies or original.refused_s is not None:
+            return
+        copy, first, second = self._copies.pop(original.number)
+        if job is original:
+            loser, agent = copy, second
+        else:
+            loser, agent = original, first
+            original.start_s, original.first_s = copy.start_s, copy.first_s
+        agent.cancel(loser)
+        self.placement.finished(agent.engine.name, self.loop.now_s)
+
     def first_token(self, job: Job) -> None:
         """Take the first token of an answer."""
+        self.hedges.first_token(self.loop.now_s - job.arrival_s)
+        self._settle(job)
+        job = self._copy_of.get(job.number, job)
         self.loop.after(self.shape.one_way_s, lambda: self._load_wait_ended(job))
 
     def _load_wait_ended(self, job: Job) -> None:
