--- a/lentiltally/admin/tokens.py
+++ b/lentiltally/admin/tokens.py
@@ -31,8 +31,8 @@
 
     actor: str
     sha256: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
-    expires_at: Annotated[datetime, Meta(tz=True)]
     scopes: tuple[Scope, ...]
+    expires_at: Annotated[datetime, Meta(tz=True)] | None = None
 
     def may(self, access: Literal["read", "write"], path: str) -> bool:
         """Return whether the token allows an access to a path."""
@@ -63,4 +63,6 @@
         for token in self._tokens:
             if hmac.compare_digest(token.sha256, digest):
                 found = token
-        return found if found is not None and now < found.expires_at else None
+        if found is None or (found.expires_at is not None and now >= found.expires_at):
+            return None
+        return found
--- a/lentiltally/agent/process.py
+++ b/lentiltally/agent/process.py
@@ -5,6 +5,7 @@
 import logging
 import signal
 import threading
+from collections.abc import Callable
 from datetime import timedelta
 
 from lentiltally.agent.engine_target import EngineTarget
@@ -15,7 +16,9 @@
 from lentiltally.agent.runner import TargetRunner
 from lentiltally.agent.service_target import ServiceTarget
 from lentiltally.agent.shared import QUARANTINE_STREAM, AgentState, refuse
+from lentiltally.agent.stream_reader import StreamReader
 from lentiltally.clock import Clock, SystemClock
+from lentiltally.config import ConfigFollower, ConfigTree, FollowerThread
 from lentiltally.decisions.attempts import AttemptTable, Refused
 from lentiltally.decisions.load_permits import PermitSettings
 from lentiltally.ids import new_incarnation
@@ -28,6 +31,7 @@
     ClaimAnswer,
     ClaimQuery,
     Execute,
+    Heartbeat,
     Hello,
     Inbox,
     Message,
@@ -40,6 +44,7 @@
 _log = logging.getLogger(__name__)
 
 TICK_S = 0.1
+RELEASE_WAIT_S = 3.0
 
 
 class Agent:
@@ -75,14 +80,15 @@
             outboxes=self._outboxes,
             states=self._target_states,
             attempts=self._live_by_entry,
-            agent=settings.process.name,
-            agent_incarnation=incarnation,
+            heartbeat=self._heartbeat,
             clock=clock,
         )
         self._permits = Permits(log, settings.process.name, clock, PermitSettings())
+        self._config = FollowerThread(ConfigFollower(log, clock), self._configured)
         self._quarantine = StreamFollower(
             log, QUARANTINE_STREAM, self._state.apply_quarantine, clock
         )
+        self._reader = StreamReader(clock)
         self._targets: dict[str, EngineTarget | ServiceTarget] = {}
         self._runners: dict[str, TargetRunner] = {}
         for target in settings.targets:
@@ -113,15 +119,24 @@
 
     def _start(self) -> None:
         self._state.metrics.start()
+        self._config.start()
         self._quarantine.start()
         self._permits.start()
         self._leases.start()
         for name, target in self._targets.items():
             target.start(self._runners[name])
+        self._reader.start()
         self._reporter.start()
         self._inbox.start()
         threading.Thread(target=self._health.serve, daemon=True).start()
 
+    def _configured(self, tree: ConfigTree) -> None:
+        """Note the offset in force, and retire adapters that are no longer declared."""
+        with self._state.lock:
+            self._state.config_offset = tree.offset
+            for target in self._targets.values():
+                target.configured(tree)
+
     def _tick(self) -> None:
         for runner in self._runners.values():
             runner.pump()
@@ -134,12 +149,16 @@
             runner.leave()
         self._reporter.broadcast()
         until_s = self._clock.monotonic_s() + self._settings.process.drain_s
-        while self._clock.monotonic_s() < until_s and not self._is_idle():
-            self._clock.sleep(timedelta(seconds=TICK_S))
+        self._wait(self._is_idle, until_s)
+        # Entries that live release what they have within moments.
+        release_s = self._clock.monotonic_s() + RELEASE_WAIT_S
+        self._wait(self._is_released, min(until_s, release_s))
+        self._state.record_outcomes()
         for runner in self._runners.values():
             runner.abort()
         for target in self._targets.values():
             target.stop()
+        self._reader.stop()
         self._reporter.stop()
         self._leases.stop()
         self._permits.stop()
@@ -151,9 +170,15 @@
         _log.info("agent stopped")
 
     def _is_idle(self) -> bool:
+        return all(runner.is_idle() for runner in self._runners.values())
+
+    def _is_released(self) -> bool:
         with self._state.lock:
-            has_answers = not self._state.attempts.is_idle
-        return not has_answers and all(r.is_idle() for r in self._runners.values())
+            return self._state.attempts.is_idle
+
+    def _wait(self, is_done: Callable[[], bool], until_s: float) -> None:
+        while self._clock.monotonic_s() < until_s and not is_done():
+            self._clock.sleep(timedelta(seconds=TICK_S))
 
     def _is_ready(self) -> bool:
         return not self._is_draining and any(
@@ -163,7 +188,7 @@
     def _add(self, settings: TargetSettings) -> None:
         target: EngineTarget | ServiceTarget
         if settings.kind == "engine":
-            target = EngineTarget(settings, self._state, self._permits)
+            target = EngineTarget(settings, self._state, self._permits, self._reader)
         else:
             target = ServiceTarget(settings)
         self._targets[settings.name] = target
@@ -174,6 +199,13 @@
     def _target_states(self) -> list[TargetState]:
         return [runner.state() for runner in self._runners.values()]
 
+    def _heartbeat(self) -> Heartbeat:
+        state = self._state
+        with state.lock:
+            return Heartbeat(
+                state.name, state.incarnation, state.state_sequence, state.config_offset
+            )
+
     def _live_by_entry(self) -> dict[str, dict[str, int]]:
         with self._state.lock:
             live = {
@@ -192,7 +224,7 @@
                 self._resume(message)
             case Release():
                 with self._state.lock:
-                    self._state.attempts.released(message.attempt_id)
+                    self._state.released(message.attempt_id)
             case Hello():
                 self._reporter.greeted(message)
             case ClaimQuery():
@@ -216,6 +248,9 @@
         )
 
     def _cancel(self, message: Cancel) -> None:
+        if message.agent_incarnation != self._state.incarnation:
+            self._refuse_other_run(message)
+            return
         for runner in self._runners.values():
             if runner.cancel(message):
                 return
@@ -232,6 +267,9 @@
     def _resume(self, message: Resume) -> None:
         if message.reconnect:
             self._outboxes.reconnect(message.reply_address)
+        if message.agent_incarnation != self._state.incarnation:
+            self._refuse_other_run(message)
+            return
         with self._state.lock:
             result = self._state.attempts.query(message.attempt_id)
             kept = self._state.kept(message.attempt_id)
@@ -242,6 +280,17 @@
         for part in kept.since(message.next_index):
             self._reporter.send(message.reply_address, part)
 
+    def _refuse_other_run(self, message: Cancel | Resume) -> None:
+        """Answer for an attempt of an earlier run, which may have run there."""
+        refuse(
+            self._reporter,
+            message.reply_address,
+            message.attempt_id,
+            "agent restarted",
+            self._state.name,
+            executed="unknown",
+        )
+
     def _refuse_resume(self, message: Resume, is_not_run: bool) -> None:
         refuse(
             self._reporter,
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -26,6 +26,7 @@
     AnswerHead,
     AnswerWhole,
     Cancel,
+    Counts,
     Execute,
     Refused,
     TargetState,
@@ -66,6 +67,10 @@
         """Return the adapters that work can use now."""
         ...
 
+    def free_slots(self) -> int:
+        """Return how many adapter slots could take another adapter."""
+        ...
+
     def accepted(self, execute: Execute) -> None:
         """Take notice of work that was queued."""
         ...
@@ -120,7 +125,7 @@
         self._lengths = LengthEstimates()
         self._running: dict[str, Job] = {}
         self._is_leaving = False
-        self._sequence = 0
+        self._last_state: TargetState | None = None
         self._pool = ThreadPoolExecutor(self.places, f"run-{settings.name}")
 
     def submit(self, execute: Execute) -> None:
@@ -195,31 +200,38 @@
                 self.emit(job, self._unknown(job, "shutdown", "drain"))
 
     def state(self) -> TargetState:
-        """Return the target's state with the next sequence number."""
+        """Return the target's state; a changed one gets the next sequence number."""
         shared = self._state
         with shared.lock:
-            self._sequence += 1
-            return TargetState(
-                agent=shared.name,
-                agent_address=shared.address,
-                agent_incarnation=shared.incarnation,
-                sequence=self._sequence,
-                target=self.name,
-                kind=self.settings.kind,
-                base_model=self.settings.base_model or "",
-                failure_domain=shared.failure_domain,
-                status=self._status(),
-                reason="",
-                engine_incarnation=self._target.incarnation,
-                queued=len(self._queue),
-                running=len(self._running),
-                batch_places=self.places,
-                adapter_slots=self.settings.adapter_slots or 0,
-                resident=tuple(
-                    adapter_name_hash(name) for name in self._target.resident()
-                ),
-                config_offset=0,
-            )
+            known = self._last_state
+            state = self._make_state(known.sequence if known is not None else 0)
+            if known is None or not _is_same(known, state):
+                shared.state_sequence += 1
+                state = msgspec.structs.replace(state, sequence=shared.state_sequence)
+            self._last_state = state
+            return state
+
+    def _make_state(self, sequence: int) -> TargetState:
+        shared = self._state
+        return TargetState(
+            agent=shared.name,
+            agent_address=shared.address,
+            agent_incarnation=shared.incarnation,
+            sequence=sequence,
+            target=self.name,
+            kind=self.settings.kind,
+            base_model=self.settings.base_model or "",
+            failure_domain=shared.failure_domain,
+            status=self._status(),
+            reason="",
+            engine_incarnation=self._target.incarnation,
+            counts=self._counts(),
+            batch_places=self.places,
+            adapter_slots=self.settings.adapter_slots or 0,
+            resident=tuple(
+                adapter_name_hash(name) for name in sorted(self._target.resident())
+            ),
+        )
 
     def running(self) -> dict[str, Job]:
         """Return the running jobs by attempt id."""
@@ -234,9 +246,8 @@
                     return
                 message = msgspec.structs.replace(
                     message,
-                    queued=len(self._queue),
                     # The job that ends here no longer counts.
-                    running=max(0, len(self._running) - 1),
+                    counts=self._counts(ended=1),
                 )
         job.kept.add(message)
         self._reporter.send(job.kept.reply_address, message)
@@ -322,6 +333,8 @@
         state.attempts.started(job.item.attempt_id)
         state.quarantine.started(self.name, job.execute.fingerprint)
         self._running[job.item.attempt_id] = job
+        if job.execute.key:
+            state.claimed[job.item.attempt_id] = (job.execute.team, job.execute.key)
         state.metrics.timing("queue_wait", now_s - job.item.enqueued_s)
         self._pool.submit(self._run, job)
 
@@ -354,6 +367,7 @@
             return
         with self._state.lock:
             self._state.attempts.returned(job.item.attempt_id)
+            self._state.claimed.pop(job.item.attempt_id, None)
         self.emit(job, self._not_run(job, "target-unreachable", error.step))
 
     def _end(self, job: Job, is_finished: bool) -> None:
@@ -395,8 +409,7 @@
             self.name,
             executed=executed,
             retry_after_s=retry_after_s,
-            queued=len(self._queue),
-            running=len(self._running),
+            counts=self._counts(),
         )
 
     def _unknown(self, job: Job, reason: str, step: str) -> Refused:
@@ -405,6 +418,13 @@
     def _not_run(self, job: Job, reason: str, step: str) -> Refused:
         return Refused(job.item.attempt_id, "no", reason, step, self.name, 1.0)
 
+    def _counts(self, ended: int = 0) -> Counts:
+        return Counts(
+            len(self._queue),
+            max(0, len(self._running) - ended),
+            self._target.free_slots(),
+        )
+
     def _running_long(self) -> int:
         return sum(
             self._queue.is_long(job.kept.next_index) for job in self._running.values()
@@ -416,6 +436,14 @@
         return LIVE if self._target.is_ready() else STARTING
 
 
+def _is_same(one: TargetState, other: TargetState) -> bool:
+    """Return whether two states agree in everything but the counts."""
+    counts = Counts()
+    return msgspec.structs.replace(one, counts=counts) == msgspec.structs.replace(
+        other, counts=counts
+    )
+
+
 def queue_settings(settings: TargetSettings) -> QueueSettings:
     """Return the queue's order for a target."""
     return QueueSettings(max_length=settings.max_queue)
--- a/lentiltally/routing/attempts.py
+++ b/lentiltally/routing/attempts.py
@@ -108,6 +108,7 @@
             config_offset=work.config_offset,
             prefix_hash=work.prefix_hash,
             is_suspect=exchange.is_suspect,
+            key=exchange.key if exchange.claim_id else "",
         )
         try:
             self._context.outboxes.put(self._address, execute)
@@ -227,6 +228,7 @@
                     Resume(
                         self.attempt_id,
                         self._context.reply_address,
+                        self.target.agent_incarnation,
                         action.next_index,
                         is_new_connection,
                     )
@@ -237,12 +239,17 @@
 
     def _count(self, message: AttemptMessage) -> None:
         if isinstance(message, (AnswerEnd, AnswerWhole, Refused)):
-            self._context.directory.counted(
-                self.target.target, message.queued, message.running
-            )
+            self._context.directory.counted(self.target.target, message.counts)
 
     def _cancel(self, reason: str) -> None:
-        self._send(Cancel(self.attempt_id, self._context.reply_address, reason))
+        self._send(
+            Cancel(
+                self.attempt_id,
+                self._context.reply_address,
+                self.target.agent_incarnation,
+                reason,
+            )
+        )
 
     def _send(self, message: Message) -> None:
         try:
--- a/lentiltally/routing/targets.py
+++ b/lentiltally/routing/targets.py
@@ -16,11 +16,18 @@
 )
 from lentiltally.errors import LentiltallyError
 from lentiltally.platform.host_list import HostListClient
-from lentiltally.wire import ChannelError, Hello, Outboxes, TargetState
+from lentiltally.wire import (
+    ChannelError,
+    Counts,
+    Heartbeat,
+    Hello,
+    Outboxes,
+    TargetState,
+)
 
 _log = logging.getLogger(__name__)
 
-HELLO_S = 10.0
+HELLO_S = 30.0
 # Agents that have not answered yet are greeted this often, for a quick start.
 FIRST_HELLO_S = 0.25
 MAX_CHOICES = 64
@@ -50,6 +57,7 @@
         self._on_agent_restart = on_agent_restart
         self._membership = Membership()
         self._placement = Placement(random.Random())
+        self._config_offsets: dict[str, int] = {}
         self._lock = threading.Lock()
         self._stopped = threading.Event()
         self._threads = [
@@ -100,11 +108,30 @@
         with self._lock:
             self._membership.heard(agent, self._clock.monotonic_s())
 
-    def counted(self, target: str, queued: int, running: int) -> None:
+    def heartbeat(self, beat: Heartbeat) -> None:
+        """Note that an agent lives; ask for its states if one was missed."""
+        with self._lock:
+            self._membership.heard(beat.agent, self._clock.monotonic_s())
+            self._config_offsets[beat.agent] = beat.config_offset
+            known = [s for s in self._known_states() if s.agent == beat.agent]
+        has_missed = any(s.agent_incarnation != beat.agent_incarnation for s in known)
+        if known and not has_missed:
+            has_missed = max(s.sequence for s in known) < beat.sequence
+        if has_missed:
+            self._send_hello(known[0].agent_address)
+
+    def config_offset(self, agent: str) -> int:
+        """Return the configuration offset that an agent last reported."""
+        with self._lock:
+            return self._config_offsets.get(agent, 0)
+
+    def counted(self, target: str, counts: Counts) -> None:
         """Take over the true counts that an answer carries."""
         with self._lock:
             now_s = self._clock.monotonic_s()
-            self._placement.counted(target, queued, running, now_s)
+            self._placement.counted(
+                target, counts.queued, counts.running, now_s, counts.free_slots
+            )
 
     def choose(
         self, wanted: PlacementRequest, targets: Sequence[str] = ()
@@ -208,10 +235,11 @@
                 agent=state.agent,
                 batch_places=state.batch_places,
                 adapter_slots=state.adapter_slots,
-                queued=state.queued,
-                running=state.running,
+                queued=state.counts.queued,
+                running=state.counts.running,
                 resident=frozenset(state.resident),
                 reported_at_s=now_s,
+                free_slots=state.counts.free_slots,
             )
         )
 
@@ -228,6 +256,11 @@
             for address in addresses - known:
                 self._send_hello(address)
 
+    def greet(self, address: str) -> None:
+        """Send a hello if an agent is known at the address."""
+        if address in self._addresses:
+            self._send_hello(address)
+
     def _known_states(self) -> list[TargetState]:
         states = (self._membership.state(name) for name in self._membership.targets())
         return [state for state in states if state is not None]
--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -9,6 +9,18 @@
 import msgspec
 
 
+class Counts(msgspec.Struct, frozen=True, array_like=True):
+    """How busy a target is at the moment of a message.
+
+    ``free_slots`` is how many adapter slots could take another adapter, below 0 if
+    more wait for one than there are.
+    """
+
+    queued: int = 0
+    running: int = 0
+    free_slots: int = 0
+
+
 class Hello(msgspec.Struct, frozen=True, tag="hello", array_like=True):
     """An entry introduces itself; the agent answers with its target states."""
 
@@ -21,7 +33,8 @@
 class TargetState(msgspec.Struct, frozen=True, tag="state", array_like=True):
     """What an agent says of one of its targets.
 
-    ``sequence`` grows with each state of one agent incarnation, so that an entry can
+    It is sent when anything but ``counts`` has changed, and in answer to a hello.
+    ``sequence`` grows with each change at one agent incarnation, so that an entry can
     drop a state that arrives late.
     """
 
@@ -36,13 +49,23 @@
     status: str
     reason: str
     engine_incarnation: str
-    queued: int
-    running: int
+    counts: Counts
     batch_places: int
     adapter_slots: int
     resident: tuple[int, ...]
+
+
+class Heartbeat(msgspec.Struct, frozen=True, tag="beat", array_like=True):
+    """An agent lives; sent to every entry at intervals.
+
+    ``sequence`` is the highest one of the agent's target states. An entry that has
+    missed a state sees that here and asks for all of them with a new hello.
+    """
+
+    agent: str
+    agent_incarnation: str
+    sequence: int
     config_offset: int
-    recent_claims: int = 0
 
 
 class Execute(msgspec.Struct, frozen=True, tag="execute", array_like=True):
@@ -50,6 +73,8 @@
 
     ``agent_incarnation`` names the agent run for which the attempt is meant; any other
     run refuses it. ``deadline_left_s`` is relative, because hosts' clocks differ.
+    ``key`` is the idempotency key of work under a claim; the attempt id is then the
+    claim id.
     """
 
     attempt_id: str
@@ -72,25 +97,32 @@
     config_offset: int
     prefix_hash: int = 0
     is_suspect: bool = False
+    key: str = ""
 
 
 class Cancel(msgspec.Struct, frozen=True, tag="cancel", array_like=True):
-    """Stop an attempt; if it has not run, refuse it for good."""
+    """Stop an attempt; if it has not run, refuse it for good.
+
+    ``agent_incarnation`` is the run to which the attempt was sent. Another run can't
+    know whether the attempt ran.
+    """
 
     attempt_id: str
     reply_address: str
+    agent_incarnation: str
     reason: str
 
 
 class Resume(msgspec.Struct, frozen=True, tag="resume", array_like=True):
     """Send the answer of an attempt again, from the event with the given index.
 
-    ``reconnect`` asks for a new connection to the entry, because the present one may
-    be silent for good.
+    ``agent_incarnation`` is the run to which the attempt was sent. ``reconnect`` asks
+    for a new connection to the entry, because the present one may be silent for good.
     """
 
     attempt_id: str
     reply_address: str
+    agent_incarnation: str
     next_index: int
     reconnect: bool
 
@@ -141,8 +173,7 @@
 
     attempt_id: str
     total: int
-    queued: int
-    running: int
+    counts: Counts = Counts()
 
 
 class AnswerWhole(msgspec.Struct, frozen=True, tag="whole", array_like=True):
@@ -152,8 +183,7 @@
     status: int
     content_type: str
     body: bytes
-    queued: int
-    running: int
+    counts: Counts = Counts()
 
 
 class Refused(msgspec.Struct, frozen=True, tag="refused", array_like=True):
@@ -168,8 +198,7 @@
     step: str
     peer: str
     retry_after_s: float
-    queued: int = 0
-    running: int = 0
+    counts: Counts = Counts()
 
 
 class Progress(msgspec.Struct, frozen=True, tag="progress", array_like=True):
@@ -207,6 +236,7 @@
 
 Message = (
     Hello
+    | Heartbeat
     | TargetState
     | Execute
     | Cancel
