--- a/lentiltally/agent/_http.py
+++ b/lentiltally/agent/_http.py
@@ -3,10 +3,14 @@
 from __future__ import annotations
 
 import urllib3
+from urllib3.util import SKIP_HEADER
 
 from lentiltally.errors import LentiltallyError
 
-JSON_HEADERS = {"Content-Type": "application/json"}
+# Headers that say nothing to a target beside the agent are left out, because each one
+# costs processor time at both ends.
+PLAIN_HEADERS = {"User-Agent": SKIP_HEADER, "Accept-Encoding": SKIP_HEADER}
+JSON_HEADERS = {**PLAIN_HEADERS, "Content-Type": "application/json"}
 
 
 class TargetError(LentiltallyError):
--- a/lentiltally/agent/engine_client.py
+++ b/lentiltally/agent/engine_client.py
@@ -9,7 +9,13 @@
 import msgspec
 import urllib3
 
-from lentiltally.agent._http import JSON_HEADERS, TargetError, new_pool, target_error
+from lentiltally.agent._http import (
+    JSON_HEADERS,
+    PLAIN_HEADERS,
+    TargetError,
+    new_pool,
+    target_error,
+)
 
 CONNECT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 10.0
@@ -132,7 +138,7 @@
             "POST",
             f"/v1/cancel/{request_id}",
             body=b"",
-            headers={},
+            headers=PLAIN_HEADERS,
             timeout=urllib3.Timeout(REPORT_TIMEOUT_S),
             step="cancel",
             preload=True,
@@ -193,7 +199,7 @@
             "GET",
             path,
             body=None,
-            headers={},
+            headers=PLAIN_HEADERS,
             timeout=timeout,
             step="report",
             preload=True,
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -174,14 +174,14 @@
         state = self._state
         now_s = state.clock.monotonic_s()
         with state.lock:
+            if not len(self._queue):
+                return
             for item in self._queue.expired(now_s):
                 self._give_back(item, "deadline")
             free = self.places - len(self._running)
             if free > 0:
                 self._start(free, now_s)
-            is_waiting = bool(
-                len(self._queue) and self._queue.wanted(self._target.resident(), now_s)
-            )
+            is_waiting = len(self._queue) > 0
         if is_waiting:
             self._target.work_waits()
 
--- a/lentiltally/agent/service_client.py
+++ b/lentiltally/agent/service_client.py
@@ -7,7 +7,7 @@
 import msgspec
 import urllib3
 
-from lentiltally.agent._http import new_pool, target_error
+from lentiltally.agent._http import PLAIN_HEADERS, new_pool, target_error
 
 CONNECT_TIMEOUT_S = 1.0
 
@@ -34,7 +34,7 @@
         self, method: str, path: str, content_type: str, body: bytes, request_id: str
     ) -> ServiceAnswer:
         """Make one call; raises TargetError."""
-        headers = {"X-Request-Id": request_id}
+        headers = {**PLAIN_HEADERS, "X-Request-Id": request_id}
         if content_type:
             headers["Content-Type"] = content_type
         try:
--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -34,6 +34,7 @@
 from lentiltally.routing.claims import Claims
 from lentiltally.routing.pending import PendingAttempts
 from lentiltally.routing.queries import ClaimQueries
+from lentiltally.routing.releases import Releases
 from lentiltally.routing.retry_policy import BudgetedRetries
 from lentiltally.routing.targets import TargetDirectory
 from lentiltally.settings import EntrySettings
@@ -91,10 +92,12 @@
             clock=clock,
             on_agent_restart=self._pending.agent_restarted,
         )
+        self._releases = Releases(self._outboxes)
         self._context = AttemptContext(
             pending=self._pending,
             directory=self._directory,
             outboxes=self._outboxes,
+            releases=self._releases,
             ids=AttemptIds(incarnation),
             reply_address=settings.channel.listen,
             clock=clock,
@@ -161,6 +164,7 @@
         self._claims.start()
         self._inbox.start()
         self._directory.start()
+        self._releases.start()
         self._administration.start()
         threading.Thread(target=self._server.serve, daemon=True).start()
 
@@ -176,6 +180,7 @@
         self._directory.stop()
         self._claims.stop()
         self._quarantine.stop()
+        self._releases.stop()
         self._outboxes.close()
         self._inbox.close()
         self._metrics.close()
--- a/lentiltally/pipeline/claim.py
+++ b/lentiltally/pipeline/claim.py
@@ -24,7 +24,7 @@
 from lentiltally.routing.attempts import AttemptContext
 from lentiltally.routing.claims import Claims
 from lentiltally.routing.queries import ClaimQueries
-from lentiltally.wire import ChannelError, ClaimAnswer, Release
+from lentiltally.wire import ClaimAnswer
 
 _log = logging.getLogger(__name__)
 
@@ -213,12 +213,8 @@
 
     def _release(self, record: ClaimRecord) -> None:
         address = self._context.directory.agent_address(record.agent)
-        if address is None:
-            return
-        try:
-            self._context.outboxes.put(address, Release(record.claim_id))
-        except ChannelError as error:
-            _log.info("message not sent", extra={"error": str(error)})
+        if address is not None:
+            self._context.releases.put(address, record.claim_id)
 
     def _query(self, action: steps.QueryAgent) -> steps.Actions:
         claim = action.claim
--- a/lentiltally/routing/attempts.py
+++ b/lentiltally/routing/attempts.py
@@ -21,6 +21,7 @@
 from lentiltally.exchange import Exchange
 from lentiltally.ids import AttemptIds
 from lentiltally.routing.pending import AttemptMessage, PendingAttempt, PendingAttempts
+from lentiltally.routing.releases import Releases
 from lentiltally.routing.targets import TargetDirectory
 from lentiltally.wire import (
     AnswerEnd,
@@ -32,7 +33,6 @@
     Message,
     Outboxes,
     Refused,
-    Release,
     Resume,
     TargetState,
 )
@@ -52,6 +52,7 @@
     pending: PendingAttempts
     directory: TargetDirectory
     outboxes: Outboxes
+    releases: Releases
     ids: AttemptIds
     reply_address: str
     clock: Clock
@@ -158,7 +159,7 @@
         if not release:
             return
         if self._assembly.is_over:
-            self._send(Release(self.attempt_id))
+            self._context.releases.put(self._address, self.attempt_id)
         else:
             self._cancel("caller gone")
 
