Record every refused write in the audit trail

Writes refused before they reached the log (missing or malformed conditions, malformed bodies) left no audit record; the audit test now has such a case. Records of unauthorised requests name the configuration path as the others do, so that a filter by path finds them.

--- a/lentiltally/admin/application.py
+++ b/lentiltally/admin/application.py
@@ -29,6 +29,7 @@
 from lentiltally.clock import Clock
 from lentiltally.platform.log_client import LogError
 
+_WRITES = {"PUT", "DELETE", "POST"}
 _LOGGER = logging.getLogger(__name__)
 
 
@@ -78,7 +79,14 @@
         if request.path == "/openapi.json" and request.method in {"GET", "HEAD"}:
             return encode_document(self._openapi)
         token = self._authenticate(request)
-        return dispatch(Call(request, token, self._services))
+        call = Call(request, token, self._services)
+        try:
+            return dispatch(call)
+        except ProblemError as problem:
+            is_write = request.method in _WRITES and "dry_run" not in request.query
+            if is_write and not problem.is_recorded:
+                call.record("refused", request.config_path, reason=problem.detail)
+            raise
 
     def _authenticate(self, request: Request) -> Token:
         services = self._services
@@ -93,7 +101,7 @@
                 actor="",
                 source_address=request.source_address,
                 action=request.method[:20],
-                path=request.path[:200],
+                path=request.config_path[:200],
                 outcome="unauthorised",
                 config_offset=tree.offset if tree is not None else 0,
                 reason="token missing, unknown or expired",
--- a/lentiltally/admin/context.py
+++ b/lentiltally/admin/context.py
@@ -87,9 +87,11 @@
         if self.token.may(access, path):
             return
         self.record("unauthorised", path, reason=f"no {access} scope")
-        raise ProblemError(
+        problem = ProblemError(
             HTTPStatus.FORBIDDEN, f"the token has no {access} scope for {path[:200]}"
         )
+        problem.is_recorded = True
+        raise problem
 
     def parse_path(self, text: str) -> str:
         """Return a valid configuration path; raises ProblemError."""
--- a/lentiltally/admin/messages.py
+++ b/lentiltally/admin/messages.py
@@ -58,6 +58,8 @@
         self.detail = detail
         self.headers = headers or {}
         self.members = members
+        #: Whether the audit trail has a record of the refusal already.
+        self.is_recorded = False
 
     def response(self) -> Response:
         """Return the document as a response."""
@@ -104,6 +106,15 @@
             str(environment.get("REMOTE_ADDR", "")),
         )
 
+    @property
+    def config_path(self) -> str:
+        """Return the configuration path that the request names, or its own path."""
+        return self.path.removeprefix("/config") if self._names_path else self.path
+
+    @property
+    def _names_path(self) -> bool:
+        return self.path.startswith("/config/")
+
     def flag(self, name: str) -> bool:
         """Return whether a query parameter is 1; raises ProblemError for others."""
         value = self.query.get(name, "0")
--- a/lentiltally/admin/writes.py
+++ b/lentiltally/admin/writes.py
@@ -129,12 +129,18 @@
         reason = "; ".join(map(str, problems[:5]))
         for item in items:
             call.record("refused", item.path, reason=reason, after=item.value)
-        raise _unprocessable("the change is not valid", problems=shown)
+        problem = _unprocessable("the change is not valid", problems=shown)
+        problem.is_recorded = True
+        raise problem
     if call.request.flag("dry_run"):
         return _dry_run(call, record)
     result = call.services.publisher.publish(record)
     _audit(call, record, result)
-    return _answer(call, record, result)
+    try:
+        return _answer(call, record, result)
+    except ProblemError as problem:
+        problem.is_recorded = True
+        raise
 
 
 def _change_id(call: Call) -> str:
--- a/tests/admin/api.feature
+++ b/tests/admin/api.feature
@@ -88,12 +88,14 @@
     And admin token ann has set /teams/a/limits to {"share": 2.0}
     When admin token ann sends PUT /config/teams/a/limits with If-Match: "1" and {"share": 3.0}
     And admin token ann sends PUT /config/teams/a/limits with If-Match: "2" and {"share": 0.0}
+    And admin token ann sends DELETE /config/teams/a/limits with none and nothing
     Then admin audit of ann from 192.0.2.1 is
       | outcome  | before | after | revision | offset |
       | accepted | -      | 1.0   | 1        | 0      |
       | accepted | 1.0    | 2.0   | 2        | 1      |
       | conflict | 2.0    | 3.0   | -        | 2      |
       | refused  | -      | -     | -        | -      |
+      | refused  | -      | -     | -        | -      |
     And admin streams hold no token
 
   Scenario: Admin keeps records of refusals in bounded memory while the log is down
--- a/tests/steps/admin_steps.py
+++ b/tests/steps/admin_steps.py
@@ -198,7 +198,7 @@
 @then("admin audit has one record of {path} with outcome {outcome}")
 def admin_audit_one(context, path, outcome):
     (entry,) = audit_entries(context.api)
-    assert entry["path"].removeprefix("/config") == path, entry
+    assert entry["path"] == path, entry
     assert entry["outcome"] == outcome and entry["source_address"] == "192.0.2.1"
 
 
