--- a/lentiltally/config/follower.py
+++ b/lentiltally/config/follower.py
@@ -128,7 +128,12 @@
 
     def _tail(self, wait_ms: int) -> float:
         assert self.tree is not None
-        page = self._log.read(CONFIG_STREAM, self.offset, PAGE_RECORDS, wait_ms)
+        # A process is ready once it has reached the end, so it does not wait for a
+        # further record before that.
+        is_current = self.state is FollowerState.CURRENT
+        page = self._log.read(
+            CONFIG_STREAM, self.offset, PAGE_RECORDS, wait_ms if is_current else 0
+        )
         if page.records and page.records[0].offset > self.offset:
             raise LogTruncated(page.records[0].offset, step="follow", peer="log")
         self._apply(page)
--- a/lentiltally/config/schema.py
+++ b/lentiltally/config/schema.py
@@ -22,6 +22,11 @@
 Name = Annotated[str, Meta(pattern=NAME_PATTERN)]
 Version = Annotated[str, Meta(pattern=VERSION_PATTERN)]
 _Model = Annotated[str, Meta(pattern=r"^[A-Za-z0-9][A-Za-z0-9._/-]{0,126}\Z")]
+# A value without these keys is encoded with empty texts, and must be readable again.
+_OptionalModel = Annotated[
+    str, Meta(pattern=r"^([A-Za-z0-9][A-Za-z0-9._/-]{0,126})?\Z")
+]
+_OptionalName = Annotated[str, Meta(pattern=r"^([a-z0-9][a-z0-9._-]{0,62})?\Z")]
 _Source = Annotated[str, Meta(pattern=r"^[!-~]{1,512}\Z")]
 _Prefix = Annotated[str, Meta(pattern=r"^/[!-~]{0,255}\Z")]
 
@@ -86,11 +91,11 @@
 
     kind: Literal["engine", "service"]
     host: Name
-    base_model: _Model | Literal[""] = ""
+    base_model: _OptionalModel = ""
     enforces_fencing: bool = False
     adapter_slots: Annotated[int, Meta(ge=0, le=4096)] = 8
     batch_places: Annotated[int, Meta(ge=1, le=4096)] = 16
-    role: Name | Literal[""] = ""
+    role: _OptionalName = ""
 
     def __post_init__(self) -> None:
         """Require the base model of an engine, without which nothing is placed."""
