--- a/lentiltally/decisions/answers.py
+++ b/lentiltally/decisions/answers.py
@@ -139,7 +139,7 @@
                 return self._refused(message)
 
     def progress(self, next_index: int, now_s: float) -> list[AnswerAction]:
-        """Apply the agent's word that the attempt is alive and where it stands.
+        """Apply the agent's report of the index of the attempt's next event.
 
         Events may still be under way when the first such message names a higher index;
         if nothing has come by the second, they are lost.
@@ -153,7 +153,7 @@
     def tick(self, now_s: float) -> list[AnswerAction]:
         """Act on silence; called about once a second.
 
-        Without any word from the agent the connection is replaced. If the agent only
+        Without any message from the agent the connection is replaced. If the agent only
         reports progress, the end of the answer may be lost, so it is asked for again.
         """
         if self._is_over:
--- a/lentiltally/decisions/membership.py
+++ b/lentiltally/decisions/membership.py
@@ -261,7 +261,7 @@
             if state.sequence <= last_sequence:
                 return False
             if not self._is_quiet(agent, now_s):
-                # The order of the two runs is in doubt, so a notice to leave counts.
+                # The order of the two runs is in doubt, so a leaving notice is obeyed.
                 if state.status == LEAVING:
                     agent.doubtful.add(state.target)
                 return False
--- a/lentiltally/decisions/ownership.py
+++ b/lentiltally/decisions/ownership.py
@@ -113,7 +113,7 @@
     def followed(self, asked_at_s: float, now_s: float) -> None:
         """Note that the stream was read to its end by a read begun at ``asked_at_s``.
 
-        A read that began before a pause proves nothing about the time after it.
+        A read that began before a pause does not cover the time after it.
         """
         self._notice(now_s)
         self._is_log_down = False
@@ -121,7 +121,7 @@
         self._was_paused = self._was_paused and self.needs_check
 
     def log_unavailable(self, now_s: float) -> None:
-        """Note that the log can't be read; the engine's last token must do."""
+        """Note that the log can't be read; the engine's last token is used instead."""
         self._notice(now_s)
         self._is_log_down = True
         self._take_provisional_token()
