Admit fewer cold starts that would give up waiting

Requests that are admitted and then give up waiting for a load are refused late, against the 100 ms bound. Load waits may now use 0.5, 0.12 and 0.03 of the patience instead of 0.8, 0.25 and 0.1, at most 0.35 for popular adapters.

--- a/lentiltally/decisions/admission.py
+++ b/lentiltally/decisions/admission.py
@@ -45,13 +45,13 @@
     """Parts of the patience that the expected waits may use, per criticality.
 
     Less critical work is refused at a shorter expected wait, so that room is left for
-    the more critical. Load waits get less than queue waits, because they are estimated
-    from the entry's own work only.
+    the more critical. Load waits get little: their estimate comes from the entry's own
+    work only, and work that is admitted and then gives up is refused too late.
     """
 
     queue_parts: tuple[float, float, float] = (0.9, 0.6, 0.5)
-    load_parts: tuple[float, float, float] = (0.8, 0.25, 0.1)
-    max_load_part: float = 0.8
+    load_parts: tuple[float, float, float] = (0.5, 0.12, 0.03)
+    max_load_part: float = 0.35
     max_share_factor: float = 2.0
     min_retry_after_s: float = 0.5
     max_retry_after_s: float = 30.0
