--- a/lentiltally/agent/engine_target.py
+++ b/lentiltally/agent/engine_target.py
@@ -44,7 +44,9 @@
             settings.name, state.name, state.incarnation, state.clock.monotonic_s()
         )
         self._state = state
-        self._slots = AdapterSlots(settings.adapter_slots or 1)
+        self._slots = AdapterSlots(
+            settings.adapter_slots or 1, enforces_fencing=settings.enforces_fencing
+        )
         self._sources: dict[str, str] = {}
         self._client = EngineClient(
             settings.url,
@@ -124,6 +126,13 @@
         absent = self.queue.adapters() - resident
         return self._slots.limit - pinned - len(absent)
 
+    def may_start(self) -> bool:
+        """Return whether this agent run owns the engine now.
+
+        A run that was paused may have been superseded meanwhile.
+        """
+        return self.ownership.may_order(self._state.clock.monotonic_s())
+
     def lacks_slot(self, adapter: str) -> bool:
         """Return whether the adapter is absent and no slot is left for it."""
         is_here = adapter in self._slots.resident or adapter in self.queue.adapters()
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -71,6 +71,10 @@
         """Return how many adapter slots could take another adapter."""
         ...
 
+    def may_start(self) -> bool:
+        """Return whether work may be started now."""
+        ...
+
     def lacks_slot(self, adapter: str) -> bool:
         """Return whether the adapter is absent and no slot is left for it."""
         ...
@@ -179,7 +183,7 @@
             for item in self._queue.expired(now_s):
                 self._give_back(item, "deadline")
             free = self.places - len(self._running)
-            if free > 0:
+            if free > 0 and self._target.may_start():
                 self._start(free, now_s)
             is_waiting = len(self._queue) > 0
         if is_waiting:
--- a/lentiltally/agent/service_target.py
+++ b/lentiltally/agent/service_target.py
@@ -47,6 +47,10 @@
         """Return no adapters."""
         return frozenset()
 
+    def may_start(self) -> bool:
+        """Return True; a service takes no orders, so it has no owner."""
+        return True
+
     def lacks_slot(self, adapter: str) -> bool:
         """Return False; a service needs no slots."""
         del adapter
--- a/lentiltally/decisions/attempts.py
+++ b/lentiltally/decisions/attempts.py
@@ -102,8 +102,12 @@
 @dataclass(slots=True)
 class _Record:
     state: AttemptState
-    answer: object | None = None
-    size_bytes: int = 0
+
+
+@dataclass(frozen=True, slots=True)
+class _Kept:
+    answer: object
+    size_bytes: int
 
 
 @dataclass(slots=True)
@@ -138,7 +142,9 @@
         self._max_incarnations = max_incarnations
         self._entries: OrderedDict[str, _EntryAttempts] = OrderedDict()
         self._closed_order: deque[str] = deque()
-        self._answers: OrderedDict[str, int] = OrderedDict()
+        # Apart from the records: an unreleased answer outlives its record's bound, so
+        # that an agent does not end before its answers were received.
+        self._answers: OrderedDict[str, _Kept] = OrderedDict()
         self._answer_bytes = 0
         self._open_count = 0
 
@@ -164,7 +170,7 @@
             return self._offer_new(entry, sequence, attempt_id)
         if record.state is AttemptState.REFUSED:
             return RefusedForGood(attempt_id, RefusalReason.TOMBSTONE, False)
-        return AlreadyKnown(attempt_id, record.state, record.answer)
+        return AlreadyKnown(attempt_id, record.state, self.answer(attempt_id))
 
     def refuse(self, attempt_id: str, meant_for: str | None = None) -> RefuseResult:
         """Refuse an attempt for good if it has not been started.
@@ -184,7 +190,7 @@
         if record.state is AttemptState.RUNNING:
             return Running(attempt_id)
         if record.state in {AttemptState.FINISHED, AttemptState.RELEASED}:
-            return MayHaveRun(attempt_id, record.answer)
+            return MayHaveRun(attempt_id, self.answer(attempt_id))
         was_queued = record.state is AttemptState.QUEUED
         if was_queued:
             self._close(incarnation, entry, sequence, AttemptState.REFUSED)
@@ -228,9 +234,7 @@
         if record is None or record.state is not AttemptState.RUNNING:
             return
         incarnation, sequence = split_attempt_id(attempt_id)
-        record.answer = answer
-        record.size_bytes = size_bytes
-        self._answers[attempt_id] = size_bytes
+        self._answers[attempt_id] = _Kept(answer, size_bytes)
         self._answer_bytes += size_bytes
         self._close(
             incarnation, self._entries[incarnation], sequence, AttemptState.FINISHED
@@ -240,11 +244,10 @@
 
     def released(self, attempt_id: str) -> None:
         """Forget a finished answer that was received whole; remember that it ran."""
-        record = self._record(attempt_id)
-        if record is None or record.state is not AttemptState.FINISHED:
-            return
         self._forget_answer(attempt_id)
-        record.state = AttemptState.RELEASED
+        record = self._record(attempt_id)
+        if record is not None and record.state is AttemptState.FINISHED:
+            record.state = AttemptState.RELEASED
 
     def state(self, attempt_id: str) -> AttemptState | None:
         """Return the state of an attempt, or None if it is not remembered."""
@@ -253,8 +256,8 @@
 
     def answer(self, attempt_id: str) -> object | None:
         """Return the kept answer of a finished attempt."""
-        record = self._record(attempt_id)
-        return None if record is None else record.answer
+        kept = self._answers.get(attempt_id)
+        return None if kept is None else kept.answer
 
     @property
     def is_idle(self) -> bool:
@@ -335,17 +338,12 @@
         entry = self._entries[incarnation]
         sequence = heapq.heappop(entry.closed)
         record = entry.records[sequence]
-        self._forget_answer(f"{incarnation}-{sequence}")
         del entry.records[sequence]
         entry.low_mark = max(entry.low_mark, sequence)
         if record.state is not AttemptState.REFUSED:
             entry.ran_mark = max(entry.ran_mark, sequence)
 
     def _forget_answer(self, attempt_id: str) -> None:
-        size_bytes = self._answers.pop(attempt_id, None)
-        if size_bytes is None:
-            return
-        self._answer_bytes -= size_bytes
-        record = self._record(attempt_id)
-        if record is not None:
-            record.answer = None
+        kept = self._answers.pop(attempt_id, None)
+        if kept is not None:
+            self._answer_bytes -= kept.size_bytes
--- a/lentiltally/pipeline/claim.py
+++ b/lentiltally/pipeline/claim.py
@@ -226,9 +226,6 @@
                 return changed
         if self._left_s() <= 0:
             return self._resolution.timed_out()
-        known = self._context.directory.agent_incarnation(claim.agent)
-        if known is not None and known != claim.agent_incarnation:
-            return self._resolution.agent_gone(claim.claim_id)
         said = self._queries.ask(claim, min(QUERY_TIMEOUT_S, self._left_s()))
         if said is None:
             return [steps.QueryAgent(claim, steps.QUERY_INTERVAL_S)]
--- a/lentiltally/routing/attempts.py
+++ b/lentiltally/routing/attempts.py
@@ -186,8 +186,9 @@
         message = self._pending.take(self._timeout_s(now_s, until_s))
         now_s = self._context.clock.monotonic_s()
         if message is None:
-            if self._pending.agent_is_gone:
-                return self._assembly.agent_gone()
+            if self._pending.must_ask:
+                self._pending.must_ask = False
+                return self._act([AskResume(self._assembly.next_index)])
             return self._act(self._assembly.tick(now_s))
         if isinstance(message, int):
             return self._act(self._assembly.progress(message, now_s))
--- a/lentiltally/routing/pending.py
+++ b/lentiltally/routing/pending.py
@@ -27,7 +27,7 @@
         """Start with no message."""
         self.attempt_id = attempt_id
         self.agent_incarnation = agent_incarnation
-        self.agent_is_gone = False
+        self.must_ask = False
         self._messages: queue.SimpleQueue[AttemptMessage | int | None] = (
             queue.SimpleQueue()
         )
@@ -58,8 +58,12 @@
         self._messages.put(next_index)
 
     def agent_gone(self) -> None:
-        """Note that the agent run which had the attempt has ended, and wake up."""
-        self.agent_is_gone = True
+        """Note that the agent run which had the attempt seems to have ended.
+
+        The state that says so may be an earlier run's, so the process that listens at
+        the agent's address is asked.
+        """
+        self.must_ask = True
         self._messages.put(None)
 
 
--- a/lentiltally/routing/targets.py
+++ b/lentiltally/routing/targets.py
@@ -10,7 +10,7 @@
 import msgspec
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.membership import Membership
+from lentiltally.decisions.membership import HOST_LIST_BOUND_S, Membership
 from lentiltally.decisions.placement import (
     Placement,
     PlacementChoice,
@@ -59,7 +59,7 @@
         self._poll_s = poll_s
         self._clock = clock
         self._on_agent_restart = on_agent_restart
-        self._membership = Membership()
+        self._membership = Membership(HOST_LIST_BOUND_S)
         self._placement = Placement(random.Random())
         self._config_offsets: dict[str, int] = {}
         self._domains: dict[str, dict[str, str]] = {}
@@ -201,8 +201,12 @@
         now_s = self._clock.monotonic_s()
         with self._lock:
             state = self._membership.state(target)
+            # The target may have begun to leave since the claim was made.
+            is_eligible = self._membership.eligible(target, now_s).ok
             if state is None or state.agent_incarnation != agent_incarnation:
                 return None
+            if not is_eligible:
+                return None
             self._placement.dispatched(target, PlacementRequest("", 0), now_s)
             self._membership.dispatched(state.agent, now_s)
             return state
@@ -324,14 +328,17 @@
 
     def _poll(self) -> None:
         while not self._stopped.is_set():
+            asked_at_s = self._clock.monotonic_s()
             try:
                 hosts = self._host_list.fetch()
             except LentiltallyError as error:
                 _log.info("host list not read", extra={"error": str(error)})
+                with self._lock:
+                    self._membership.host_list_failed(self._clock.monotonic_s())
             else:
                 with self._lock:
                     now_s = self._clock.monotonic_s()
-                    self._membership.host_list_said(hosts, now_s)
+                    self._membership.host_list_said(hosts, now_s, asked_at_s)
                     self._addresses.update(
                         host.address for host in hosts if host.role == "agent"
                     )
