Close an outbox only after its sender has ended

Cause: on a drain whose peers are gone, the sender's last send timed out after 2 s at the moment at which close() gave up waiting for it, also 2 s, and closed the socket; nng then aborted the process (SIGABRT, "pthread_mutex_lock: Invalid argument"). Agents also left appends of quarantine records running in the background at their end. Conclusion: close() waits longer than a send may take, and a failed send ends the sender.

--- a/lentiltally/agent/process.py
+++ b/lentiltally/agent/process.py
@@ -163,6 +163,8 @@
         self._leases.stop()
         self._permits.stop()
         self._quarantine.stop()
+        # At most one append is under way, which the log's timeout bounds.
+        self._state.background.shutdown(cancel_futures=True)
         self._outboxes.close()
         self._inbox.close()
         self._health.stop()
--- a/lentiltally/wire/channel.py
+++ b/lentiltally/wire/channel.py
@@ -21,6 +21,9 @@
 # after a pause the first message leaves at once.
 COALESCE_S = 0.004
 SEND_TIMEOUT_MS = 2_000
+# Longer than a send may take: nng can abort the process when a socket is closed at the
+# moment at which a send on it times out.
+CLOSE_TIMEOUT_S = SEND_TIMEOUT_MS / 1000 + 1.0
 MIN_CONNECTION_AGE_S = 2.0
 MAX_WAITING_MESSAGES = 20_000
 # A frame holds at most a request or answer body plus its envelope.
@@ -138,8 +141,9 @@
         """Send what waits, as far as the peer takes it, and close."""
         self._closing.set()
         self._has_work.set()
-        self._thread.join(timeout=SEND_TIMEOUT_MS / 1000)
-        self._socket.close()
+        self._thread.join(timeout=CLOSE_TIMEOUT_S)
+        if not self._thread.is_alive():
+            self._socket.close()
 
     def _dial(self) -> Any:
         socket = pynng.Push0(
@@ -164,7 +168,8 @@
             self._has_work.clear()
             messages = self._take()
             if messages:
-                self._send_frame(messages)
+                if not self._send_frame(messages) and self._closing.is_set():
+                    return
                 self._closing.wait(COALESCE_S)
             elif self._closing.is_set():
                 return
@@ -177,9 +182,10 @@
             messages.append(self._waiting.popleft())
         return messages
 
-    def _send_frame(self, messages: list[Message]) -> None:
+    def _send_frame(self, messages: list[Message]) -> bool:
         try:
             self._socket.send(encode(messages))
+            return True
         except pynng.NNGException as error:
             # Receivers ask again for what they miss, so a lost frame is only reported.
             _log.warning(
@@ -190,6 +196,7 @@
                     "error": str(error),
                 },
             )
+            return False
 
 
 class Outboxes:
