Do not blame requests for engine restarts that came before them

Cause: an attempt that was answered by a restarted engine, or refused by it, counted as part of the batch that the restart had cut, and a retry could meet a second engine that had restarted unnoticed. With both engines restarted together, an innocent request was quarantined, and an answer of the base model counted as a crash of its target. The incarnation was also compared with the newest one, not with that of the pin. Conclusion: only attempts that may have run in the ended engine run become suspects, a suspect's engine run is read anew before it starts, and an answer-mismatch is retried.

--- a/lentiltally/agent/_http.py
+++ b/lentiltally/agent/_http.py
@@ -13,8 +13,11 @@
     """A call to a target failed; ``may_have_run`` says what it proves.
 
     ``may_have_run`` is False only if the target can't have acted on the call.
+    ``reason`` is the short name under which entries hear of the failure.
     """
 
+    reason = "target-failed"
+
     def __init__(
         self, message: str, *, step: str, peer: str, may_have_run: bool
     ) -> None:
--- a/lentiltally/agent/engine_run.py
+++ b/lentiltally/agent/engine_run.py
@@ -14,6 +14,7 @@
 )
 from lentiltally.agent.stream_reader import StreamReader
 from lentiltally.wire import (
+    ANSWER_MISMATCH,
     AnswerEnd,
     AnswerEvents,
     AnswerHead,
@@ -37,6 +38,8 @@
 class EngineMismatchError(TargetError):
     """The engine answered with another model or incarnation than was expected."""
 
+    reason = ANSWER_MISMATCH
+
 
 class EngineRun:
     """One attempt on an engine, from the request to the end of the answer.
--- a/lentiltally/agent/engine_target.py
+++ b/lentiltally/agent/engine_target.py
@@ -136,6 +136,7 @@
         """Pin the adapter for the job; called with the lock held."""
         result = self._slots.pin(job.item.adapter)
         job.pin = result if isinstance(result, Pinned) else None
+        job.engine_incarnation = self.incarnation
         return job.pin is not None
 
     def unpin(self, job: Job) -> None:
@@ -149,10 +150,12 @@
 
     def run(self, job: Job, runner: TargetRunner) -> None:
         """Run the job; raises TargetError."""
+        if job.item.is_suspect:
+            self._check_engine_run(job)
         run = EngineRun(
             self._client,
             job.execute,
-            self.incarnation,
+            job.engine_incarnation,
             lambda message: runner.emit(job, message),
             reader=self._reader,
             silence_timeout_s=self._silence_timeout_s,
@@ -168,11 +171,38 @@
 
     def failed(self, job: Job, error: TargetError) -> None:
         """Find out whether the engine has restarted, which the job may have caused."""
-        if isinstance(error, EngineMismatchError):
+        is_mismatch = isinstance(error, EngineMismatchError)
+        if is_mismatch:
             self._state.metrics.count("answer_mismatches")
+        fingerprint = job.execute.fingerprint
         with self._state.lock:
-            self._failed.append(job.execute.fingerprint)
+            if is_mismatch or not error.may_have_run:
+                # It was not in the batch of the engine run that may have ended.
+                self._state.quarantine.ended(self.name, fingerprint, finished=False)
+            else:
+                self._failed.append(fingerprint)
+        self._read_listing()
+
+    def _check_engine_run(self, job: Job) -> None:
+        """Raise TargetError if the engine restarted since the job's adapter was pinned.
+
+        A second crash quarantines a suspect, so a restart that came before it must be
+        noticed first. Two engines that restart together would otherwise condemn it.
+        """
+        fingerprint = job.execute.fingerprint
+        with self._state.lock:
+            self._state.quarantine.ended(self.name, fingerprint, finished=False)
         self._read_listing()
+        with self._state.lock:
+            self._state.quarantine.started(self.name, fingerprint)
+            is_same = job.engine_incarnation == self.incarnation
+        if not is_same:
+            raise TargetError(
+                "the engine has restarted",
+                step="run",
+                peer=self.name,
+                may_have_run=False,
+            )
 
     def _poll(self) -> None:
         while not self._stopped.is_set():
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -48,6 +48,8 @@
     execute: Execute
     kept: KeptAnswer
     pin: Pinned | None = None
+    #: The engine run in which the adapter was pinned.
+    engine_incarnation: str = ""
 
 
 class Target(Protocol):
@@ -355,7 +357,7 @@
         )
         self._target.failed(job, error)
         if error.may_have_run or job.kept.next_index:
-            self.emit(job, self._unknown(job, "target-failed", error.step))
+            self.emit(job, self._unknown(job, error.reason, error.step))
             return
         with self._state.lock:
             self._state.attempts.returned(job.item.attempt_id)
--- a/lentiltally/pipeline/dispatch.py
+++ b/lentiltally/pipeline/dispatch.py
@@ -16,7 +16,7 @@
 from lentiltally.metrics import Metrics
 from lentiltally.problems import Refusal, problem_body
 from lentiltally.routing.attempts import Attempt, AttemptContext
-from lentiltally.wire import TargetState
+from lentiltally.wire import ANSWER_MISMATCH, TargetState
 
 _log = logging.getLogger(__name__)
 
@@ -73,12 +73,13 @@
             assert first is not None
             attempt.close()
             excluded.add(attempt.target.target)
-            failures += first.executed == "unknown"
+            is_blamed = first.executed == "unknown" and first.reason != ANSWER_MISMATCH
+            failures += is_blamed
             delay_s = self._retry_delay_s(work, first, tries, deadline_s)
             is_last = tries == MAX_TRIES or failures >= MAX_TARGET_FAILURES
             if delay_s is None or is_last:
                 raise failure_refusal(first, attempt.target.target)
-            if first.executed == "unknown":
+            if is_blamed:
                 # The request may be what brought the target down.
                 exchange = msgspec.structs.replace(exchange, is_suspect=True)
             self._wait(delay_s, exchange, attempt, first)
@@ -186,7 +187,9 @@
         step=STEP,
         executed="unknown" if is_unknown else "no",
         peer=target,
-        retry_after_s=None if is_unknown else (failed.retry_after_s or 1.0),
+        retry_after_s=(
+            None if is_unknown or status == 422 else (failed.retry_after_s or 1.0)
+        ),
     )
 
 
--- a/lentiltally/problems.py
+++ b/lentiltally/problems.py
@@ -24,7 +24,7 @@
     412: "Precondition failed",
     413: "Body too large",
     415: "Unsupported media type",
-    422: "Key used with another body",
+    422: "Request not accepted",
     429: "Over the limit",
     500: "Internal error",
     502: "Target failed",
--- a/lentiltally/wire/__init__.py
+++ b/lentiltally/wire/__init__.py
@@ -5,6 +5,7 @@
 from lentiltally.wire.channel import ChannelError, Inbox, Outbox, Outboxes
 from lentiltally.wire.codec import PROTOCOL_VERSION, FrameError, decode, encode
 from lentiltally.wire.messages import (
+    ANSWER_MISMATCH,
     AnswerEnd,
     AnswerEvents,
     AnswerHead,
@@ -26,6 +27,7 @@
 )
 
 __all__ = [
+    "ANSWER_MISMATCH",
     "PROTOCOL_VERSION",
     "AnswerEnd",
     "AnswerEvents",
--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -8,6 +8,10 @@
 
 import msgspec
 
+#: ``Refused.reason`` when another model or engine run answered than was asked. The
+#: engine lives, so the request is not to blame for anything.
+ANSWER_MISMATCH = "answer-mismatch"
+
 
 class Counts(msgspec.Struct, frozen=True, array_like=True):
     """How busy a target is at the moment of a message.
--- a/tests/fakes/system.py
+++ b/tests/fakes/system.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+import logging
 import signal
 import tempfile
 import time
@@ -16,6 +17,9 @@
 from tools._deployment import BASE_MODEL, OPERATOR_TOKEN, Deployment, EngineSpec
 from tools._processes import Processes
 
+# Each fault is set over a new connection, which the pool then has no place for.
+logging.getLogger("urllib3.connectionpool").setLevel(logging.ERROR)
+
 TEAM = "depot"
 TIMEOUT_S = 40.0
 #: Longest wait for a state that has to come; no verdict depends on how long it took.
@@ -23,6 +27,7 @@
 TOKEN_S = 0.04
 PATH = "/v1/completions"
 ADAPTERS = {"drafts": False, "notes": False, "brief": False, "bookings": True}
+ADAPTERS |= {f"extra-{number}": False for number in range(24)}
 BROKEN = (urllib3.exceptions.HTTPError, OSError)
 
 
@@ -89,8 +94,10 @@
             codes |= dict(zip(running, ended, strict=True))
         self.processes.stop_all()
         self.pool.shutdown()
+        failed = [name for name, code in codes.items() if code]
+        outputs = [self.processes.output(name) for name in failed]
         self._folder.cleanup()
-        assert not any(codes.values()), f"exit codes {codes}"
+        assert not failed, "\n".join([f"exit codes {codes}", *outputs])
 
     # Requests
 
@@ -169,6 +176,9 @@
             answer = urllib3.request("PUT", f"{url}/faults", json=switches)
             assert answer.status == 200, answer.data
 
+    def switches(self, name):
+        return self._get(f"{self.deployment.engine_urls[name]}/faults").json()
+
     def engines(self, **switches):
         for name in self.deployment.engine_urls:
             self.fault(name, **switches)
