Send the metrics of requests and queues, ask the log about ownership at once

- After a pause an agent started no work until a long poll of up to 10 s had ended, because a poll begun earlier proves nothing.

--- a/lentiltally/agent/permits.py
+++ b/lentiltally/agent/permits.py
@@ -68,6 +68,11 @@
         self._stopped.set()
         self._follower.stop()
 
+    def held(self) -> int:
+        """Return how many permits of the log this agent holds."""
+        with self._lock:
+            return len(self._held)
+
     def acquire(self, timeout_s: float) -> str | None:
         """Return a permit's id, or None if there was none within the timeout.
 
--- a/lentiltally/agent/process.py
+++ b/lentiltally/agent/process.py
@@ -18,7 +18,12 @@
 from lentiltally.agent.shared import QUARANTINE_STREAM, AgentState, refuse
 from lentiltally.agent.stream_reader import StreamReader
 from lentiltally.clock import Clock, SystemClock
-from lentiltally.config import ConfigFollower, ConfigTree, FollowerThread
+from lentiltally.config import (
+    ConfigFollower,
+    ConfigTree,
+    FollowerState,
+    FollowerThread,
+)
 from lentiltally.decisions.attempts import AttemptTable, Refused
 from lentiltally.decisions.load_permits import PermitSettings
 from lentiltally.ids import new_incarnation
@@ -44,6 +49,7 @@
 _log = logging.getLogger(__name__)
 
 TICK_S = 0.1
+GAUGES_S = 10.0
 RELEASE_WAIT_S = 3.0
 
 
@@ -105,6 +111,7 @@
         )
         self._stopping = threading.Event()
         self._is_draining = False
+        self._next_gauges_s = 0.0
 
     def serve(self) -> int:
         """Run until SIGTERM, drain, and return the exit code."""
@@ -140,6 +147,24 @@
     def _tick(self) -> None:
         for runner in self._runners.values():
             runner.pump()
+            runner.sample()
+        now_s = self._clock.monotonic_s()
+        if now_s >= self._next_gauges_s:
+            self._next_gauges_s = now_s + GAUGES_S
+            self._set_gauges()
+
+    def _set_gauges(self) -> None:
+        follower, metrics = self._config.follower, self._state.metrics
+        is_down = follower.state is FollowerState.LOG_DOWN
+        metrics.gauge("config_offset", follower.offset)
+        metrics.gauge("config_lag", follower.unread_s() or 0.0)
+        metrics.gauge("log_unavailable", int(is_down))
+        with self._state.lock:
+            quarantined = len(self._state.quarantine.quarantined())
+        metrics.gauge("quarantined", quarantined)
+        metrics.gauge("loads_in_flight", self._permits.held())
+        for runner in self._runners.values():
+            runner.set_gauges()
 
     def _drain(self) -> None:
         """Announce that the agent leaves, let running work end, and stop."""
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -135,6 +135,9 @@
         self._lengths = LengthEstimates()
         self._running: dict[str, Job] = {}
         self._is_leaving = False
+        # Attempts whose adapter was absent when they arrived.
+        self._cold: set[str] = set()
+        self._fill_samples: list[float] = []
         self._last_state: TargetState | None = None
         self._pool = ThreadPoolExecutor(self.places, f"run-{settings.name}")
 
@@ -289,6 +292,8 @@
             return
         state.live[execute.attempt_id] = KeptAnswer(execute.reply_address)
         self._target.accepted(execute)
+        if adapter and adapter not in self._target.resident():
+            self._cold.add(execute.attempt_id)
 
     def _objection(self, execute: Execute) -> str:
         """Return why an attempt is refused on arrival, or an empty text."""
@@ -348,9 +353,35 @@
         self._running[job.item.attempt_id] = job
         if job.execute.key:
             state.claimed[job.item.attempt_id] = (job.execute.team, job.execute.key)
-        state.metrics.timing("queue_wait", now_s - job.item.enqueued_s)
+        self._time_wait(job, now_s)
         self._pool.submit(self._run, job)
 
+    def _time_wait(self, job: Job, now_s: float) -> None:
+        metrics, waited_s = self._state.metrics, now_s - job.item.enqueued_s
+        metrics.timing("queue_wait", waited_s)
+        is_cold = job.item.attempt_id in self._cold
+        self._cold.discard(job.item.attempt_id)
+        metrics.timing("load_wait", waited_s if is_cold else 0.0)
+        is_short = not self._queue.is_long(job.item.predicted_tokens)
+        if is_short and self._running_long():
+            metrics.timing("short_behind_long_wait", waited_s)
+
+    def sample(self) -> None:
+        """Take a sample of how full the batch is while work waits."""
+        with self._state.lock:
+            if len(self._queue):
+                self._fill_samples.append(100.0 * len(self._running) / self.places)
+
+    def set_gauges(self) -> None:
+        """Send the queue's length and the mean fill of the batch."""
+        with self._state.lock:
+            samples, self._fill_samples = self._fill_samples, []
+            queued = len(self._queue)
+        metrics = self._state.metrics
+        metrics.gauge("queue_length", queued, label=self.name)
+        if samples:
+            metrics.gauge("batch_fill", sum(samples) / len(samples), label=self.name)
+
     def _run(self, job: Job) -> None:
         is_finished = False
         try:
@@ -403,6 +434,7 @@
         state = self._state
         state.attempts.refuse(item.attempt_id)
         state.live.pop(item.attempt_id, None)
+        self._cold.discard(item.attempt_id)
         state.metrics.count("not_run")
         self._refuse(execute, reason, retry_after_s=1.0)
 
--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -22,6 +22,7 @@
     Dispatch,
     Handler,
     ModelsFilter,
+    ObserveFilter,
     ParseFilter,
     QuarantineFilter,
     RefusalFilter,
@@ -61,6 +62,7 @@
 
 HOST_LIST_TIMEOUT_S = 2.0
 SIGNAL_CHECK_S = 0.25
+GAUGES_S = 10.0
 TICK = timedelta(milliseconds=50)
 
 
@@ -152,8 +154,11 @@
         self._start()
         _log.info("entry ready", extra={"address": self._settings.callers.listen})
         # A wait without a timeout can miss a signal that arrives just before it.
+        next_gauges_s = 0.0
         while not self._stopping.wait(SIGNAL_CHECK_S):
-            pass
+            if self._clock.monotonic_s() >= next_gauges_s:
+                next_gauges_s = self._clock.monotonic_s() + GAUGES_S
+                self._set_gauges()
         self._drain()
         return 0
 
@@ -168,6 +173,17 @@
         self._administration.start()
         threading.Thread(target=self._server.serve, daemon=True).start()
 
+    def _set_gauges(self) -> None:
+        follower = self._config.follower
+        is_down = follower.state is FollowerState.LOG_DOWN
+        self._metrics.gauge("config_offset", follower.offset)
+        self._metrics.gauge("config_lag", follower.unread_s() or 0.0)
+        self._metrics.gauge("log_unavailable", int(is_down))
+        self._metrics.gauge("quarantined", len(self._quarantine.quarantined()))
+        states = self._directory.states()
+        leaving = sum(state.status == "leaving" for state, _ in states)
+        self._metrics.gauge("targets_leaving", leaving)
+
     def _drain(self) -> None:
         """Refuse readiness, let running requests end, and stop."""
         self._callers.is_draining = True
@@ -204,10 +220,11 @@
         retries = BudgetedRetries(random.Random())
         return pipeline(
             (
-                RefusalFilter(),
+                RefusalFilter(self._metrics, self._clock),
                 ParseFilter(self._settings.callers.max_key_bytes),
                 ModelsFilter(lambda: self._config.tree),
                 ResolveFilter(lambda: self._config.tree),
+                ObserveFilter(self._metrics, self._clock),
                 QuarantineFilter(self._quarantine),
                 AdmitFilter(self._directory, domain, self._clock, self._metrics),
                 ClaimFilter(self._claims, self._queries, self._context, domain),
--- a/lentiltally/pipeline/__init__.py
+++ b/lentiltally/pipeline/__init__.py
@@ -15,6 +15,7 @@
 from lentiltally.pipeline.claim import ClaimFilter
 from lentiltally.pipeline.dispatch import Dispatch
 from lentiltally.pipeline.models import ModelsFilter
+from lentiltally.pipeline.observe import ObserveFilter
 from lentiltally.pipeline.parse import ParseFilter
 from lentiltally.pipeline.quarantine import QuarantineFilter
 from lentiltally.pipeline.refusals import RefusalFilter
@@ -30,6 +31,7 @@
     "Filter",
     "Handler",
     "ModelsFilter",
+    "ObserveFilter",
     "ParseFilter",
     "QuarantineFilter",
     "RefusalFilter",
--- a/lentiltally/pipeline/refusals.py
+++ b/lentiltally/pipeline/refusals.py
@@ -5,7 +5,9 @@
 import logging
 import math
 
+from lentiltally.clock import Clock
 from lentiltally.exchange import Answer, Exchange, Handler
+from lentiltally.metrics import Metrics
 from lentiltally.problems import CONTENT_TYPE, Refusal, problem_body
 
 _log = logging.getLogger(__name__)
@@ -14,12 +16,17 @@
 class RefusalFilter:
     """Answers with a problem document whatever a later filter refuses."""
 
+    def __init__(self, metrics: Metrics, clock: Clock) -> None:
+        """Count refusals by reason."""
+        self._metrics = metrics
+        self._clock = clock
+
     def __call__(self, exchange: Exchange, following: Handler) -> Answer:
         """Pass the exchange on and convert what it raises."""
         try:
             return following(exchange)
         except Refusal as refusal:
-            return refusal_answer(refusal, exchange.request_id)
+            return self._answer(exchange, refusal)
         except Exception:
             # The request may have reached a target before the error.
             _log.exception("request failed", extra={"request": exchange.request_id})
@@ -30,7 +37,15 @@
                 step="pipeline",
                 executed="unknown",
             )
-            return refusal_answer(internal, exchange.request_id)
+            return self._answer(exchange, internal)
+
+    def _answer(self, exchange: Exchange, refusal: Refusal) -> Answer:
+        took_s = self._clock.monotonic_s() - exchange.request.received_s
+        self._metrics.count("refusals", label=refusal.reason)
+        self._metrics.timing("refusal_latency", took_s)
+        if refusal.executed == "unknown":
+            self._metrics.count("unknown_outcomes")
+        return refusal_answer(refusal, exchange.request_id)
 
 
 def refusal_answer(refusal: Refusal, request_id: str) -> Answer:
--- a/lentiltally/platform/stream_follower.py
+++ b/lentiltally/platform/stream_follower.py
@@ -11,6 +11,7 @@
 from lentiltally.platform.log_client import (
     LogAnswerLost,
     LogClient,
+    LogError,
     LogRecord,
     LogTruncated,
     LogUnavailable,
@@ -82,6 +83,19 @@
         with self._moved:
             return self._moved.wait_for(lambda: self.is_caught_up, timeout=timeout_s)
 
+    def end_reached_since_s(self) -> float | None:
+        """Ask the log now; return when, if every record had been applied by then.
+
+        None if records are still to be applied or the log can't be read. A long poll
+        proves only what was true when it began.
+        """
+        asked_at_s = self._clock.monotonic_s()
+        try:
+            bounds = self._log.bounds(self._stream)
+        except LogError:
+            return None
+        return asked_at_s if bounds.next_offset <= self.next_offset else None
+
     def _run(self) -> None:
         while not self._stopped.is_set():
             try:
