Let operators settle unknown bookings and lift quarantines

The records existed and were applied, but no route appended them, so an unknown booking stayed unknown. Four routes of the administration API read and settle a claim and list and lift quarantined requests; each attempt leaves one audit line.

--- a/lentiltally/admin/application.py
+++ b/lentiltally/admin/application.py
@@ -12,6 +12,7 @@
     Call,
     ChangePublisher,
     HistorySource,
+    Operations,
     Services,
     StatusSource,
     TreeSource,
@@ -49,10 +50,17 @@
         status_source: StatusSource,
         clock: Clock,
         history: HistorySource,
+        operations: Operations | None = None,
     ) -> None:
         """Take the parts of the process that the API reads and writes."""
         self._services = Services(
-            tree_source, publisher, audit, status_source, history, clock
+            tree_source,
+            publisher,
+            audit,
+            status_source,
+            history,
+            clock,
+            operations,
         )
         self._tokens = tokens
         self._openapi = openapi_document()
--- a/lentiltally/admin/context.py
+++ b/lentiltally/admin/context.py
@@ -13,6 +13,8 @@
 from lentiltally.config import ChangeRecord, ConfigInvalidError, ConfigTree, parse_path
 from lentiltally.config.history import HistoryEntry
 from lentiltally.config.publisher import PublishResult
+from lentiltally.decisions.claims import ClaimStatus, SettleRecord
+from lentiltally.decisions.quarantine import LiftRecord, Quarantined
 
 MAX_SHOWN_CHARACTERS = 500
 
@@ -50,6 +52,26 @@
         ...
 
 
+class Operations(Protocol):
+    """The claims and the quarantine of the process, as it follows them."""
+
+    def claim(self, team: str, key: str) -> ClaimStatus:
+        """Return who holds a key and what became of the claim."""
+        ...
+
+    def settle(self, record: SettleRecord) -> None:
+        """Append an operator's finding; raises LogError."""
+        ...
+
+    def quarantined(self) -> list[Quarantined]:
+        """Return the quarantined fingerprints."""
+        ...
+
+    def lift(self, record: LiftRecord) -> None:
+        """Append the end of a quarantine; raises LogError."""
+        ...
+
+
 @dataclass(frozen=True, slots=True)
 class Services:
     """The parts of the process that the API reads and writes."""
@@ -60,6 +82,7 @@
     status: StatusSource
     history: HistorySource
     clock: Clock
+    operations: Operations | None = None
 
     def tree(self) -> ConfigTree:
         """Return the configuration; raises ProblemError before the start."""
--- a/lentiltally/admin/openapi.py
+++ b/lentiltally/admin/openapi.py
@@ -35,6 +35,13 @@
         ("limit", "integer", "The most records; the newest are returned."),
     ),
     "get_status": (),
+    "get_claim": (
+        ("team", "string", "The team that uses the key."),
+        ("key", "string", "The Idempotency-Key."),
+    ),
+    "post_settle": (),
+    "get_quarantine": (),
+    "post_lift": (),
 }
 _HEADERS = {
     "get_value": ("If-None-Match",),
@@ -52,6 +59,10 @@
     "post_rollback": _CHANGE_ERRORS,
     "get_audit": (400, 401, 503),
     "get_status": (401,),
+    "get_claim": (400, 401, 403, 404, 422),
+    "post_settle": (400, 401, 403, 404, 409, 413, 415, 422, 503),
+    "get_quarantine": (401, 403, 404),
+    "post_lift": (400, 401, 403, 404, 413, 415, 422, 503),
 }
 _REVISION = {"type": "integer", "minimum": 0}
 _TABLE = {"type": "object"}
--- a/lentiltally/admin/routes.py
+++ b/lentiltally/admin/routes.py
@@ -6,7 +6,7 @@
 from dataclasses import dataclass
 from http import HTTPStatus
 
-from lentiltally.admin import reads, writes
+from lentiltally.admin import operations, reads, writes
 from lentiltally.admin.context import Call
 from lentiltally.admin.messages import ProblemError, Response
 
@@ -38,6 +38,10 @@
     Route("DELETE", _CONFIG, writes.delete_value, has_path=True),
     Route("POST", "/config:batch", writes.post_batch),
     Route("POST", "/config:rollback", writes.post_rollback),
+    Route("GET", "/claims", operations.get_claim),
+    Route("POST", "/claims:settle", operations.post_settle),
+    Route("GET", "/quarantine", operations.get_quarantine),
+    Route("POST", "/quarantine:lift", operations.post_lift),
     Route("GET", "/audit", reads.get_audit),
     Route("GET", "/status", reads.get_status),
 )
--- a/lentiltally/agent/engine_target.py
+++ b/lentiltally/agent/engine_target.py
@@ -10,9 +10,10 @@
 from lentiltally.agent.engine_run import EngineMismatchError, EngineRun
 from lentiltally.agent.orders import OrderSender
 from lentiltally.agent.permits import Permits
-from lentiltally.agent.runner import Job, TargetRunner, queue_settings
+from lentiltally.agent.runner import TargetRunner
 from lentiltally.agent.shared import AgentState
 from lentiltally.agent.stream_reader import StreamReader
+from lentiltally.agent.target import Emit, Job, queue_settings
 from lentiltally.config import ConfigTree
 from lentiltally.decisions.adapter_slots import AdapterSlots, Pinned
 from lentiltally.decisions.ownership import Ownership
@@ -162,7 +163,7 @@
         """Wake the sender of orders."""
         self._orders.wake()
 
-    def run(self, job: Job, runner: TargetRunner) -> None:
+    def run(self, job: Job, emit: Emit) -> None:
         """Run the job; raises TargetError."""
         if job.item.is_suspect:
             self._check_engine_run(job)
@@ -170,7 +171,7 @@
             self._client,
             job.execute,
             job.engine_incarnation,
-            lambda message: runner.emit(job, message),
+            emit,
             reader=self._reader,
             silence_timeout_s=self._silence_timeout_s,
         )
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -4,26 +4,22 @@
 
 import logging
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
-from typing import Protocol
 
 import msgspec
 
 from lentiltally.agent._http import TargetError
-from lentiltally.agent.kept_answers import KeptAnswer
+from lentiltally.agent.kept_answers import AnswerMessage, KeptAnswer
 from lentiltally.agent.reporter import Reporter
 from lentiltally.agent.shared import AgentState, refuse
-from lentiltally.decisions.adapter_slots import Pinned
+from lentiltally.agent.target import Job, Target
 from lentiltally.decisions.attempts import AlreadyKnown, AttemptState, RefusedForGood
 from lentiltally.decisions.lengths import LengthEstimates
 from lentiltally.decisions.quarantine import Admission, ClearRecord, Suspicion
-from lentiltally.decisions.work_queue import QueuedWork, QueueSettings, WorkQueue
+from lentiltally.decisions.work_queue import QueuedWork
 from lentiltally.ids import adapter_name_hash
 from lentiltally.settings import TargetSettings
 from lentiltally.wire import (
     AnswerEnd,
-    AnswerEvents,
-    AnswerHead,
     AnswerWhole,
     Cancel,
     Counts,
@@ -34,86 +30,11 @@
 
 _log = logging.getLogger(__name__)
 
-AnswerMessage = AnswerHead | AnswerEvents | AnswerEnd | AnswerWhole | Refused
 LIVE = "live"
 LEAVING = "leaving"
 STARTING = "starting"
 
 
-@dataclass(slots=True)
-class Job:
-    """One attempt that runs or is about to."""
-
-    item: QueuedWork
-    execute: Execute
-    kept: KeptAnswer
-    pin: Pinned | None = None
-    #: The engine run in which the adapter was pinned.
-    engine_incarnation: str = ""
-
-
-class Target(Protocol):
-    """What differs between an engine and a plain service."""
-
-    @property
-    def queue(self) -> WorkQueue:
-        """The target's queue."""
-        ...
-
-    @property
-    def incarnation(self) -> str:
-        """The target's incarnation as last seen; empty if it has none."""
-        ...
-
-    def resident(self) -> frozenset[str]:
-        """Return the adapters that work can use now."""
-        ...
-
-    def free_slots(self) -> int:
-        """Return how many adapter slots could take another adapter."""
-        ...
-
-    def may_start(self) -> bool:
-        """Return whether work may be started now."""
-        ...
-
-    def lacks_slot(self, adapter: str) -> bool:
-        """Return whether the adapter is absent and no slot is left for it."""
-        ...
-
-    def accepted(self, execute: Execute) -> None:
-        """Take notice of work that was queued."""
-        ...
-
-    def cancel(self, job: Job) -> None:
-        """Ask the target to stop a running job."""
-        ...
-
-    def pin(self, job: Job) -> bool:
-        """Reserve what the job needs; False if it can't start now."""
-        ...
-
-    def unpin(self, job: Job) -> None:
-        """Release what the job had reserved."""
-        ...
-
-    def run(self, job: Job, runner: TargetRunner) -> None:
-        """Run the job and emit its answer; raises TargetError."""
-        ...
-
-    def failed(self, job: Job, error: TargetError) -> None:
-        """Look into a failure, for example whether the target has restarted."""
-        ...
-
-    def work_waits(self) -> None:
-        """Take notice that work waits which nothing resident can serve."""
-        ...
-
-    def is_ready(self) -> bool:
-        """Return whether the target has been reached."""
-        ...
-
-
 class TargetRunner:
     """The queue and the running attempts of one target."""
 
@@ -385,7 +306,7 @@
     def _run(self, job: Job) -> None:
         is_finished = False
         try:
-            self._target.run(job, self)
+            self._target.run(job, lambda message: self.emit(job, message))
             is_finished = True
         except TargetError as error:
             self._failed(job, error)
@@ -487,8 +408,3 @@
     return msgspec.structs.replace(one, counts=counts) == msgspec.structs.replace(
         other, counts=counts
     )
-
-
-def queue_settings(settings: TargetSettings) -> QueueSettings:
-    """Return the queue's order for a target."""
-    return QueueSettings(max_length=settings.max_queue)
--- a/lentiltally/agent/service_target.py
+++ b/lentiltally/agent/service_target.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 from lentiltally.agent._http import TargetError
-from lentiltally.agent.runner import Job, TargetRunner, queue_settings
+from lentiltally.agent.runner import TargetRunner
 from lentiltally.agent.service_client import ServiceClient
+from lentiltally.agent.target import Emit, Job, queue_settings
 from lentiltally.config import ConfigTree
 from lentiltally.decisions.work_queue import WorkQueue
 from lentiltally.settings import TargetSettings
@@ -72,7 +73,7 @@
     def cancel(self, job: Job) -> None:
         """Do nothing; HTTP has no way to cancel a call."""
 
-    def run(self, job: Job, runner: TargetRunner) -> None:
+    def run(self, job: Job, emit: Emit) -> None:
         """Make the call; raises TargetError."""
         execute = job.execute
         answer = self._client.call(
@@ -82,8 +83,7 @@
             execute.body,
             execute.attempt_id,
         )
-        runner.emit(
-            job,
+        emit(
             AnswerWhole(
                 execute.attempt_id,
                 answer.status,
--- a/lentiltally/decisions/claims.py
+++ b/lentiltally/decisions/claims.py
@@ -185,14 +185,19 @@
     def status(self, team: str, key: str, body_digest: bytes) -> ClaimStatus:
         """Return who holds the key and what became of the claim."""
         claims = self._live(_slot(team, key))
+        if claims and _PACKED.unpack_from(claims[0])[5] != _short(body_digest):
+            return Conflict(_claim_id(claims[0]).decode())
+        return self._status(claims)
+
+    def held(self, team: str, key: str) -> ClaimStatus:
+        """Return what became of a key's claim, whatever its body; for operators."""
+        return self._status(self._live(_slot(team, key)))
+
+    def _status(self, claims: list[bytes]) -> ClaimStatus:
         if not claims:
             return Free()
-        offset, _, outcome_offset, binding, state, digest = _PACKED.unpack_from(
-            claims[0]
-        )
+        offset, _, outcome_offset, binding, state, _ = _PACKED.unpack_from(claims[0])
         claim_id = _claim_id(claims[0]).decode()
-        if digest != _short(body_digest):
-            return Conflict(claim_id)
         target, agent, incarnation = self._binding_list[binding]
         if state == _OPEN:
             return Open(claim_id, target, agent, incarnation, offset)
--- a/lentiltally/entry/administration.py
+++ b/lentiltally/entry/administration.py
@@ -9,7 +9,7 @@
 from cheroot import wsgi
 
 from lentiltally.admin import AdminApplication, AuditLog, Scope, Token, Tokens
-from lentiltally.admin.context import StatusSource
+from lentiltally.admin.context import Operations, StatusSource
 from lentiltally.clock import Clock
 from lentiltally.config import (
     ChangeHistory,
@@ -18,8 +18,12 @@
     Publisher,
     SnapshotWriter,
 )
+from lentiltally.decisions.claims import ClaimStatus, SettleRecord
+from lentiltally.decisions.quarantine import LiftRecord, Quarantined
 from lentiltally.entry.server import new_server
+from lentiltally.entry.suspicions import FollowedQuarantine
 from lentiltally.platform.log_client import LogClient
+from lentiltally.routing.claims import Claims
 from lentiltally.settings import EntrySettings, TokenSettings
 
 AUDIT_FLUSH_S = 0.25
@@ -36,7 +40,9 @@
         settings: EntrySettings,
         log: LogClient,
         config: FollowerThread,
+        *,
         status: StatusSource,
+        operations: Operations,
         clock: Clock,
     ) -> None:
         """Bind the listener; raises OSError if its address is taken."""
@@ -49,6 +55,7 @@
             status_source=status,
             clock=clock,
             history=ChangeHistory(log, config),
+            operations=operations,
         )
         self._server: wsgi.Server = new_server(
             settings.admin.listen,
@@ -83,6 +90,31 @@
         self._audit.flush()
 
 
+class EntryOperations:
+    """Claims and quarantine of the entry, for the administration API."""
+
+    def __init__(self, claims: Claims, quarantine: FollowedQuarantine) -> None:
+        """Take what the entry follows."""
+        self._claims = claims
+        self._quarantine = quarantine
+
+    def claim(self, team: str, key: str) -> ClaimStatus:
+        """Return who holds a key and what became of the claim."""
+        return self._claims.held(team, key)
+
+    def settle(self, record: SettleRecord) -> None:
+        """Append an operator's finding; raises LogError."""
+        self._claims.settle(record)
+
+    def quarantined(self) -> list[Quarantined]:
+        """Return the quarantined fingerprints."""
+        return self._quarantine.quarantined()
+
+    def lift(self, record: LiftRecord) -> None:
+        """Append the end of a quarantine; raises LogError."""
+        self._quarantine.lift(record)
+
+
 def _token(settings: TokenSettings) -> Token:
     """Return a token that may read and write below each of its scopes."""
     return Token(
--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -10,7 +10,7 @@
 
 from lentiltally.clock import Clock, SystemClock
 from lentiltally.config import ConfigFollower, FollowerState, FollowerThread
-from lentiltally.entry.administration import Administration
+from lentiltally.entry.administration import Administration, EntryOperations
 from lentiltally.entry.server import CallerApplication, new_server
 from lentiltally.entry.status import EntryStatus
 from lentiltally.entry.suspicions import FollowedQuarantine
@@ -130,7 +130,12 @@
             quarantine=self._quarantine,
         )
         self._administration = Administration(
-            settings, self._log, self._config, status, clock
+            settings,
+            self._log,
+            self._config,
+            status=status,
+            operations=EntryOperations(self._claims, self._quarantine),
+            clock=clock,
         )
         self._callers = CallerApplication(
             self._pipeline(), settings.callers, clock, self._metrics, self._is_ready
--- a/lentiltally/entry/suspicions.py
+++ b/lentiltally/entry/suspicions.py
@@ -9,6 +9,7 @@
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.quarantine import (
+    LiftRecord,
     Quarantine,
     Quarantined,
     QuarantineRecord,
@@ -28,6 +29,7 @@
 
     def __init__(self, log: LogClient, clock: Clock) -> None:
         """Start empty."""
+        self._log = log
         self._table = Quarantine()
         self._lock = threading.Lock()
         self._follower = StreamFollower(log, STREAM, self._apply, clock)
@@ -50,6 +52,10 @@
         with self._lock:
             return self._table.quarantined()
 
+    def lift(self, record: LiftRecord) -> None:
+        """Append the end of a quarantine; raises LogError."""
+        self._log.append(STREAM, [record])
+
     def _apply(self, record: LogRecord) -> None:
         try:
             decoded = _decoder.decode(record.value)
--- a/lentiltally/routing/claims.py
+++ b/lentiltally/routing/claims.py
@@ -18,6 +18,7 @@
     ClaimTable,
     OutcomeRecord,
     Record,
+    SettleRecord,
 )
 from lentiltally.metrics import Metrics
 from lentiltally.platform.log_client import (
@@ -87,6 +88,15 @@
         with self._lock:
             return self._table.status(team, key, body_digest)
 
+    def held(self, team: str, key: str) -> ClaimStatus:
+        """Return what became of the claim on a key, for operators."""
+        with self._lock:
+            return self._table.held(team, key)
+
+    def settle(self, record: SettleRecord) -> None:
+        """Append an operator's finding at once; raises LogError."""
+        self._log.append(STREAM, [record])
+
     def append_claim(self, record: ClaimRecord, timeout_s: float) -> int | None:
         """Append a claim; return an offset at or behind it, None if that failed.
 
