--- a/lentiltally/agent/orders.py
+++ b/lentiltally/agent/orders.py
@@ -116,11 +116,11 @@
             if not demands:
                 return None
             adapter = self._order.next(demands, (), now_s)
-            if adapter is None or not self._can_get_slot(adapter):
+            if adapter is None or not self._can_get_slot():
                 return None
             return adapter
 
-    def _can_get_slot(self, adapter: str) -> bool:
+    def _can_get_slot(self) -> bool:
         if len(self._slots.resident) < self._slots.limit:
             return True
         return any(not self._slots.pins(name) for name in self._slots.resident)
--- a/lentiltally/agent/process.py
+++ b/lentiltally/agent/process.py
@@ -51,6 +51,8 @@
 TICK_S = 0.1
 GAUGES_S = 10.0
 RELEASE_WAIT_S = 3.0
+# The time within which a leaving target gets no new work any more.
+LEAVING_NOTICE_S = 2.0
 
 
 class Agent:
@@ -174,6 +176,10 @@
             runner.leave()
         self._reporter.broadcast()
         until_s = self._clock.monotonic_s() + self._settings.process.drain_s
+        # Entries need a moment to hear of it; what they have sent until then must be
+        # refused by this run, since no other run can say that it never ran.
+        notice_s = self._clock.monotonic_s() + LEAVING_NOTICE_S
+        self._wait(lambda: False, min(until_s, notice_s))
         self._wait(self._is_idle, until_s)
         # Entries that live release what they have within moments.
         release_s = self._clock.monotonic_s() + RELEASE_WAIT_S
--- a/lentiltally/routing/targets.py
+++ b/lentiltally/routing/targets.py
@@ -35,6 +35,8 @@
 # Agents that have not answered yet are greeted this often, for a quick start.
 FIRST_HELLO_S = 0.25
 MAX_CHOICES = 64
+# How long a request waits for a fresh host list before it is refused.
+READ_AGAIN_S = 0.5
 
 
 class TargetDirectory:
@@ -62,10 +64,15 @@
         self._membership = Membership(HOST_LIST_BOUND_S)
         self._placement = Placement(random.Random())
         self._config_offsets: dict[str, int] = {}
+        # Targets that get no work now and are out of placement.
+        self._hidden: set[str] = set()
         self._domains: dict[str, dict[str, str]] = {}
         self._slow: dict[str, SlowTargets] = {}
         self._lock = threading.Lock()
         self._stopped = threading.Event()
+        self._must_read = threading.Event()
+        self._host_list_read = threading.Condition()
+        self._host_list_reads = 0
         self._threads = [
             threading.Thread(target=self._greet, daemon=True, name="hello"),
             threading.Thread(target=self._poll, daemon=True, name="host-list"),
@@ -79,6 +86,7 @@
     def stop(self) -> None:
         """Stop greeting and reading."""
         self._stopped.set()
+        self._must_read.set()
 
     def has_targets(self) -> bool:
         """Return whether any target has been heard of."""
@@ -117,7 +125,9 @@
     def heartbeat(self, beat: Heartbeat) -> None:
         """Note that an agent lives; ask for its states if one was missed."""
         with self._lock:
-            self._membership.heard(beat.agent, self._clock.monotonic_s())
+            now_s = self._clock.monotonic_s()
+            self._membership.heard(beat.agent, now_s)
+            self._show_hidden(now_s)
             self._config_offsets[beat.agent] = beat.config_offset
             known = [s for s in self._known_states() if s.agent == beat.agent]
         has_missed = any(s.agent_incarnation != beat.agent_incarnation for s in known)
@@ -143,6 +153,26 @@
         self, wanted: PlacementRequest, targets: Sequence[str] = ()
     ) -> PlacementChoice | None:
         """Return where work would go now, without counting it; None if nowhere."""
+        choice = self._outlook(wanted, targets)
+        if choice is None and self._read_hosts_again():
+            choice = self._outlook(wanted, targets)
+        return choice
+
+    def _read_hosts_again(self) -> bool:
+        """Read the host list now; True if that has ended.
+
+        After a pause of this process the last reading is too old to place work by.
+        """
+        with self._host_list_read:
+            count = self._host_list_reads
+            self._must_read.set()
+            return self._host_list_read.wait_for(
+                lambda: self._host_list_reads > count, timeout=READ_AGAIN_S
+            )
+
+    def _outlook(
+        self, wanted: PlacementRequest, targets: Sequence[str]
+    ) -> PlacementChoice | None:
         now_s = self._clock.monotonic_s()
         with self._lock:
             if not targets:
@@ -246,12 +276,36 @@
     ) -> PlacementChoice | None:
         for _ in range(MAX_CHOICES):
             choice = self._placement.choose(wanted, now_s)
-            if choice is None or self._membership.eligible(choice.target, now_s).ok:
+            if choice is None and not self._show_hidden(now_s):
+                return None
+            if choice is None:
+                continue
+            if self._membership.eligible(choice.target, now_s).ok:
                 return choice
-            # It comes back with its agent's next state.
-            self._placement.remove(choice.target)
+            self._hide(choice.target)
         return None
 
+    def _hide(self, target: str) -> None:
+        """Take a target out of placement until it may get work again."""
+        self._placement.remove(target)
+        self._hidden.add(target)
+
+    def _show_hidden(self, now_s: float) -> bool:
+        """Put hidden targets back that may get work again; True if there are any.
+
+        States come only when something has changed, so nothing else brings back a
+        target whose agent was silent, or that was judged by an old host list.
+        """
+        restored = False
+        for name in list(self._hidden):
+            state = self._membership.state(name)
+            if state is None:
+                self._hidden.discard(name)
+            elif self._membership.eligible(name, now_s).ok:
+                self._show(state, now_s)
+                restored = True
+        return restored
+
     def _with_slow(self, wanted: PlacementRequest, now_s: float) -> PlacementRequest:
         slow = self._slow_of(wanted.base_model).ejected(now_s)
         return msgspec.structs.replace(wanted, slow=slow) if slow else wanted
@@ -267,6 +321,7 @@
     def _choose_among(
         self, targets: Sequence[str], wanted: PlacementRequest, now_s: float
     ) -> TargetState | None:
+        self._show_hidden(now_s)
         eligible = [
             name
             for name in targets
@@ -281,7 +336,9 @@
 
     def _show(self, state: TargetState, now_s: float) -> None:
         if not self._membership.eligible(state.target, now_s).ok:
-            self._placement.remove(state.target)
+            self._hide(state.target)
+            return
+        self._hidden.discard(state.target)
         self._placement.update(
             TargetView(
                 name=state.target,
@@ -339,7 +396,12 @@
                 with self._lock:
                     now_s = self._clock.monotonic_s()
                     self._membership.host_list_said(hosts, now_s, asked_at_s)
+                    self._show_hidden(now_s)
                     self._addresses.update(
                         host.address for host in hosts if host.role == "agent"
                     )
-            self._stopped.wait(self._poll_s)
+            with self._host_list_read:
+                self._host_list_reads += 1
+                self._host_list_read.notify_all()
+            self._must_read.wait(self._poll_s)
+            self._must_read.clear()
