--- a/lentiltally/agent/engine_target.py
+++ b/lentiltally/agent/engine_target.py
@@ -59,7 +59,6 @@
         self._reader = reader
         self._silence_timeout_s = settings.silence_timeout_s
         self._runner: TargetRunner | None = None
-        self._broadcast = threading.Event()
         self._stopped = threading.Event()
         self._failed: list[str] = []
         self._orders = OrderSender(
--- a/lentiltally/routing/targets.py
+++ b/lentiltally/routing/targets.py
@@ -241,11 +241,6 @@
             self._membership.dispatched(state.agent, now_s)
             return state
 
-    def agent_incarnation(self, agent: str) -> str | None:
-        """Return the current run of an agent, or None if it is not known."""
-        with self._lock:
-            return self._membership.agent_incarnation(agent)
-
     def agent_address(self, agent: str) -> str | None:
         """Return the address of an agent, or None if it is not known."""
         with self._lock:
