--- a/lentiltally/cli/_daemons.py
+++ b/lentiltally/cli/_daemons.py
@@ -5,11 +5,12 @@
 import importlib
 import sys
 from collections.abc import Callable
-from typing import Any
+from typing import Any, TypeVar
 
 from lentiltally import logs
 from lentiltally.cli._codes import DONE, ERROR, USAGE
 from lentiltally.errors import LentiltallyError
+from lentiltally.platform.host_settings import is_platform_file, load_host_settings
 from lentiltally.settings import (
     AgentSettings,
     EntrySettings,
@@ -18,6 +19,7 @@
     load_entry,
 )
 
+_Settings = TypeVar("_Settings")
 _LOADERS: dict[str, Callable[[str], EntrySettings | AgentSettings]] = {
     "entry": load_entry,
     "agent": load_agent,
@@ -26,6 +28,8 @@
 
 def check(path: str) -> int:
     """Say whether a settings file is accepted, and name every bad key if not."""
+    if is_platform_file(path):
+        return _check_host(path)
     settings = _load(load, path)
     if settings is None:
         return USAGE
@@ -35,6 +39,8 @@
 
 def run_daemon(role: str, path: str) -> int:
     """Run a daemon until it is told to stop, and return its exit code."""
+    if is_platform_file(path):
+        return _run_on_host(role, path)
     settings = _load(_LOADERS[role], path)
     if settings is None:
         return USAGE
@@ -59,9 +65,29 @@
         )
 
 
-def _load(
-    loader: Callable[[str], EntrySettings | AgentSettings], path: str
-) -> EntrySettings | AgentSettings | None:
+def _check_host(path: str) -> int:
+    """Check a settings file that the platform wrote."""
+    settings = _load(load_host_settings, path)
+    if settings is None:
+        return USAGE
+    role = "entry" if settings.callers is not None else "agent"
+    print(f"{path}: accepted as settings of an {role} on the platform's hosts")
+    return DONE
+
+
+def _run_on_host(role: str, path: str) -> int:
+    """Run a daemon whose settings the platform wrote."""
+    settings = _load(lambda name: load_host_settings(name, role), path)
+    if settings is None:
+        return USAGE
+    roles: Any = importlib.import_module("lentiltally.platform.roles")
+    try:
+        return int(getattr(roles, f"run_{role}")(settings, path))
+    except (LentiltallyError, OSError) as error:
+        return _fail(f"the {role} stopped: {error}")
+
+
+def _load(loader: Callable[[str], _Settings], path: str) -> _Settings | None:
     try:
         return loader(path)
     except ExceptionGroup as group:
--- /dev/null
+++ b/lentiltally/decisions/crash_suspects.py
@@ -0,0 +1,59 @@
+"""Requests that crash the targets that run them.
+
+A request that was running on a target when the target ended is a suspect. Its caller
+sends it again with another id, so it is known by a fingerprint of what it asks. One
+that was running at the end of several targets is refused for a while.
+"""
+
+from __future__ import annotations
+
+from collections import OrderedDict
+
+import xxhash
+
+__all__ = ["CrashSuspects", "fingerprint"]
+
+# Three targets are what the operators accept to lose to one request.
+CRASHES_TO_REFUSE = 2
+REFUSE_S = 60.0
+MAX_SUSPECTS = 2_000
+
+
+def fingerprint(host: str, path: bytes, body: bytes) -> int:
+    """Return what identifies the same request when it comes again."""
+    digest = xxhash.xxh3_64(host.encode())
+    digest.update(path)
+    digest.update(b"\0")
+    digest.update(body)
+    return digest.intdigest()
+
+
+class CrashSuspects:
+    """Fingerprints with the target starts that ended while they ran."""
+
+    def __init__(self) -> None:
+        """Start without suspects."""
+        self._seen: OrderedDict[int, dict[str, float]] = OrderedDict()
+
+    def ended_with_target(self, print_: int, target_start: str, now_s: float) -> bool:
+        """Note that a target ended while it ran the request; True if that is new."""
+        starts = self._seen.setdefault(print_, {})
+        is_new = target_start not in starts
+        if is_new:
+            starts[target_start] = now_s
+        self._seen.move_to_end(print_)
+        while len(self._seen) > MAX_SUSPECTS:
+            self._seen.popitem(last=False)
+        return is_new
+
+    def finished(self, print_: int) -> None:
+        """Clear a request that ran to its end."""
+        self._seen.pop(print_, None)
+
+    def is_refused(self, print_: int, now_s: float) -> bool:
+        """Return whether the request ended too many targets lately."""
+        starts = self._seen.get(print_)
+        if starts is None:
+            return False
+        recent = [at_s for at_s in starts.values() if now_s - at_s < REFUSE_S]
+        return len(recent) >= CRASHES_TO_REFUSE
--- /dev/null
+++ b/lentiltally/direct/agent_process.py
@@ -0,0 +1,295 @@
+"""An agent on the direct path: the only sender of one engine's orders."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from dataclasses import dataclass
+
+from lentiltally.clock import Clock
+from lentiltally.decisions.engine_slots import (
+    AdapterWant,
+    EngineOrder,
+    EngineReport,
+    EngineSlots,
+    WantState,
+)
+from lentiltally.direct.entry_feeds import ConfigurationDecoder, ConfigurationFeed
+from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
+from lentiltally.direct.messages import (
+    AdapterAnswer,
+    CrashSuspect,
+    EngineState,
+    EntryHello,
+    Message,
+    ReleaseAdapter,
+    RequireAdapter,
+)
+from lentiltally.direct.model import AdapterNotice, DesiredState
+from lentiltally.direct.peer_socket import PeerSocket
+from lentiltally.direct.settings import HostSettings, SocketAddress
+from lentiltally.direct.stop_signal import StopSignal
+from lentiltally.direct.wire import EngineWire
+from lentiltally.errors import LentiltallyError
+
+__all__ = ["AgentPlatform", "AgentProcess"]
+
+_log = logging.getLogger(__name__)
+
+CONFIGURATION_WAIT_S = 5.0
+CONFIGURATION_PAUSE_S = 0.05
+# The engine is asked this often, and oftener while something waits for a load.
+REPORT_S = 0.1
+REPORT_SOON_S = 0.015
+# States go out at once when adapters change, and at least this often otherwise.
+STATE_S = 0.1
+ENTRY_FORGOTTEN_S = 5.0
+
+
+@dataclass(frozen=True, slots=True)
+class AgentPlatform:
+    """What an agent needs of the platform's adapter.
+
+    ``service`` is the service that the host's engine belongs to, empty if unknown.
+    """
+
+    engine: EngineWire
+    configuration: KeyedTopic
+    decode_configuration: ConfigurationDecoder
+    service: str
+
+
+class AgentProcess:
+    """Wires the parts of an agent together and runs them until it is told to stop."""
+
+    def __init__(
+        self, settings: HostSettings, platform: AgentPlatform, clock: Clock
+    ) -> None:
+        """Prepare; nothing is opened before ``run``."""
+        self._settings = settings
+        self._platform = platform
+        self._clock = clock
+        self._slots = EngineSlots()
+        self._entries: dict[SocketAddress, float] = {}
+        self._requesters: dict[str, SocketAddress] = {}
+        self._wake = asyncio.Event()
+        self._peers: PeerSocket
+        self._number = 0
+        self._sent_state: tuple[object, ...] | None = None
+        self._sent_at_s = 0.0
+        self._config_version = 0
+        self._is_engine_lost = False
+        self._configuration = KeyedFeed(
+            "configuration",
+            platform.configuration,
+            ConfigurationFeed(
+                platform.decode_configuration, self._configured, self._noticed
+            ),
+            clock,
+            pause_s=CONFIGURATION_PAUSE_S,
+            wait_s=CONFIGURATION_WAIT_S,
+        )
+
+    async def run(self) -> int:
+        """Run until told to stop; return the exit code. Raises OSError at start."""
+        stop = StopSignal(lambda: _log.info("settings reload requested"))
+        stop.install()
+        self._peers = await PeerSocket.open(
+            SocketAddress(self._settings.ip, self._settings.peer_port), self._heard
+        )
+        _log.info("agent started", extra={"engine": str(self._settings.engine)})
+        tasks = [
+            asyncio.create_task(self._configuration.run()),
+            asyncio.create_task(self._run_engine()),
+        ]
+        await stop.wait()
+        for task in tasks:
+            task.cancel()
+        _log.info("agent stopped")
+        return 0
+
+    def _configured(self, state: DesiredState) -> None:
+        if state.version <= self._config_version:
+            return
+        self._config_version = state.version
+        service = state.services.get(self._platform.service)
+        if service is None:
+            engines = [s for s in state.services.values() if s.engine is not None]
+            service = engines[0] if len(engines) == 1 else None
+        if service is not None and service.engine is not None:
+            self._slots.set_spec(service.engine)
+        _log.info("desired state in force", extra={"config_version": state.version})
+
+    def _noticed(self, notice: AdapterNotice) -> None:
+        if self._slots.noticed(notice):
+            _log.info(
+                "adapter version named",
+                extra={
+                    "adapter": f"{notice.model}/{notice.adapter}",
+                    "version": notice.version,
+                },
+            )
+            self._wake.set()
+
+    def _heard(self, message: Message, sender: SocketAddress) -> None:
+        now_s = self._clock.monotonic_s()
+        if isinstance(message, EntryHello):
+            is_new = sender not in self._entries
+            self._entries[sender] = now_s
+            if is_new:
+                self._sent_state = None
+                self._wake.set()
+        elif isinstance(message, RequireAdapter):
+            self._required(message, sender, now_s)
+        elif isinstance(message, ReleaseAdapter):
+            self._slots.release(message.request_id)
+            self._requesters.pop(message.request_id, None)
+        elif isinstance(message, CrashSuspect):
+            for entry in self._entries:
+                if entry != sender:
+                    self._peers.send(entry, message)
+
+    def _required(
+        self, message: RequireAdapter, sender: SocketAddress, now_s: float
+    ) -> None:
+        self._requesters[message.request_id] = sender
+        self._slots.want(
+            AdapterWant(
+                request_id=message.request_id,
+                model=message.model,
+                adapter=message.adapter,
+                rank=message.rank,
+                since_s=now_s,
+                patience_until_s=now_s + message.patience_ms / 1000,
+                expires_s=now_s + message.left_ms / 1000,
+            )
+        )
+        self._answer_wants()
+        if self._slots.has_work:
+            self._wake.set()
+
+    def _answer_wants(self) -> None:
+        for result in self._slots.results(self._clock.monotonic_s()):
+            want = result.want
+            is_granted = result.state is WantState.GRANTED
+            sender = self._requesters.get(want.request_id)
+            if not is_granted:
+                self._requesters.pop(want.request_id, None)
+            if sender is not None:
+                self._peers.send(
+                    sender,
+                    AdapterAnswer(
+                        want.request_id, is_granted, result.version, result.reason
+                    ),
+                )
+            _log.info(
+                "adapter granted" if is_granted else "adapter declined",
+                extra={
+                    "request": want.request_id,
+                    "adapter": want.key,
+                    "version": result.version,
+                    "reason": result.reason,
+                    "waited_s": round(self._clock.monotonic_s() - want.since_s, 3),
+                },
+            )
+
+    async def _run_engine(self) -> None:
+        """Ask the engine, decide, order, and tell entries, over and over."""
+        while True:
+            try:
+                await self._step()
+                self._engine_answers()
+            except LentiltallyError as error:
+                self._engine_failed(error)
+            except Exception:
+                _log.exception("engine step failed")
+            self._send_state()
+            pause_s = REPORT_SOON_S if self._slots.has_work else REPORT_S
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(pause_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
+
+    async def _step(self) -> None:
+        report = await self._platform.engine.report()
+        self._take_report(report)
+        order = self._slots.next_order(self._clock.monotonic_s())
+        while order is not None:
+            status = await self._order(order)
+            if status not in (200, 202):
+                break
+            self._take_report(await self._platform.engine.report())
+            following = self._slots.next_order(self._clock.monotonic_s())
+            if following == order:
+                # The report has not caught up with the order.
+                break
+            order = following
+
+    def _take_report(self, report: EngineReport) -> None:
+        if self._slots.reported(report):
+            _log.info("engine started anew", extra={"started_ms": report.started_ms})
+        self._answer_wants()
+        for request_id in list(self._requesters):
+            if not self._slots.knows(request_id):
+                del self._requesters[request_id]
+
+    async def _order(self, order: EngineOrder) -> int:
+        fields = {
+            "order": order.kind.value,
+            "adapter": f"{order.model}/{order.adapter}",
+            "version": order.version,
+            "sequence": order.expected_sequence,
+            "reason": order.reason,
+        }
+        try:
+            status = await self._platform.engine.order(order)
+        except LentiltallyError as error:
+            _log.warning("order unanswered", extra={**fields, "error": str(error)})
+            raise
+        _log.info("order answered", extra={**fields, "status": status})
+        return status
+
+    def _engine_answers(self) -> None:
+        if self._is_engine_lost:
+            self._is_engine_lost = False
+            _log.info("engine regained")
+
+    def _engine_failed(self, error: LentiltallyError) -> None:
+        self._slots.lost()
+        if not self._is_engine_lost:
+            self._is_engine_lost = True
+            _log.warning("engine lost", extra={"error": str(error)})
+
+    def _send_state(self) -> None:
+        """Tell the entries if something changed or the last state is old."""
+        now_s = self._clock.monotonic_s()
+        for entry, heard_s in list(self._entries.items()):
+            if now_s - heard_s > ENTRY_FORGOTTEN_S:
+                del self._entries[entry]
+        report = self._slots.report
+        if report is None or self._is_engine_lost:
+            return
+        held = tuple(self._slots.usable_keys())
+        key: tuple[object, ...] = (report.started_ms, held, report.coming)
+        if key == self._sent_state and now_s - self._sent_at_s < STATE_S:
+            return
+        self._sent_state, self._sent_at_s = key, now_s
+        self._number += 1
+        state = EngineState(
+            started_ms=report.started_ms,
+            number=self._number,
+            running=report.running,
+            waiting=report.waiting,
+            cache_used=report.cache_used_tokens,
+            cache_total=report.cache_total_tokens,
+            held=held,
+            coming=report.coming,
+            recent=tuple(self._slots.recent_keys()),
+            free_slots=self._slots.free_slots,
+            waiting_keys=self._slots.waiting_keys,
+            entries=len(self._entries),
+        )
+        for entry in self._entries:
+            self._peers.send(entry, state)
--- /dev/null
+++ b/lentiltally/direct/caller_connection.py
@@ -0,0 +1,339 @@
+"""One connection of a caller: reads requests, writes answers, notices that it ends."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+from collections.abc import Awaitable, Callable
+from typing import Protocol
+
+import h11
+
+from lentiltally.clock import Clock
+from lentiltally.direct.http_connection import set_socket_options
+from lentiltally.direct.model import CallerLimits
+from lentiltally.problems import CONTENT_TYPE, Refusal, problem_body
+
+__all__ = ["CallerConnection", "CallerGone", "RawRequest", "RequestHandler"]
+
+_log = logging.getLogger(__name__)
+
+RawHeaders = list[tuple[bytes, bytes]]
+CHECK_TIMEOUTS_S = 0.25
+# More of an answer than this waits for a caller that reads slowly.
+MAX_UNREAD_BYTES = 256 * 1024
+
+
+class CallerGone(Exception):  # noqa: N818 - says what happened
+    """The caller closed its connection."""
+
+
+class RawRequest:
+    """A request as read from the connection, before its headers are decoded."""
+
+    __slots__ = ("arrived_s", "body", "headers", "method", "path")
+
+    def __init__(
+        self,
+        method: bytes,
+        path: bytes,
+        headers: RawHeaders,
+        body: bytes,
+        arrived_s: float,
+    ) -> None:
+        """Keep the parts; ``arrived_s`` is when the head was complete."""
+        self.method = method
+        self.path = path
+        self.headers = headers
+        self.body = body
+        self.arrived_s = arrived_s
+
+
+class RequestHandler(Protocol):
+    """Answers requests."""
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the bounds on callers that are in force."""
+        ...
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether connections should end after their answer."""
+        ...
+
+    def handle(
+        self, request: RawRequest, connection: CallerConnection
+    ) -> Awaitable[None]:
+        """Answer one request on the connection."""
+        ...
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Note a new connection."""
+        ...
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Note that a connection ended."""
+        ...
+
+
+class CallerConnection(asyncio.Protocol):
+    """The server's side of one connection.
+
+    One request is handled at a time; further ones wait in the parser. The connection is
+    read all the while, so the caller's leaving is noticed while its request waits.
+    """
+
+    def __init__(self, handler: RequestHandler, clock: Clock) -> None:
+        """Serve the connection with the handler."""
+        self._handler = handler
+        self._clock = clock
+        limits = handler.limits
+        self._http = h11.Connection(
+            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+        )
+        self._transport: asyncio.Transport | None = None
+        self._task: asyncio.Task[None] | None = None
+        self._head: h11.Request | None = None
+        self._head_at_s = 0.0
+        self._body = bytearray()
+        self._waiting_since_s = clock.monotonic_s()
+        self._has_partial_head = False
+        self._can_write = asyncio.Event()
+        self._can_write.set()
+        self.is_gone = False
+        self.on_gone: Callable[[], None] | None = None
+
+    @property
+    def is_idle(self) -> bool:
+        """Return whether no request is being read or answered."""
+        return self._task is None and self._head is None and not self._has_partial_head
+
+    @property
+    def has_started_answer(self) -> bool:
+        """Return whether a part of the answer was written."""
+        return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Register the connection."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        set_socket_options(transport.get_extra_info("socket"))
+        transport.set_write_buffer_limits(high=MAX_UNREAD_BYTES)
+        self._handler.opened(self)
+
+    def data_received(self, data: bytes) -> None:
+        """Parse bytes; start a request when one is complete."""
+        if self._http.their_state is h11.ERROR:
+            return
+        try:
+            self._http.receive_data(data)
+        except RuntimeError:
+            return
+        if self._task is None:
+            self._read()
+        elif len(self._http.trailing_data[0]) > self._handler.limits.body_bytes:
+            self.abort()
+
+    def eof_received(self) -> bool:
+        """Treat the end of the caller's side as its leaving."""
+        return False
+
+    def pause_writing(self) -> None:
+        """Hold back while the caller does not read."""
+        self._can_write.clear()
+
+    def resume_writing(self) -> None:
+        """Go on writing."""
+        self._can_write.set()
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Tell the request that its caller has left."""
+        del error
+        self.is_gone = True
+        self._can_write.set()
+        self._handler.closed(self)
+        if self.on_gone is not None:
+            self.on_gone()
+
+    def check_timeouts(self) -> None:
+        """Close the connection if it is idle or sends its request too slowly."""
+        if self._task is not None:
+            return
+        limits = self._handler.limits
+        waited_s = self._clock.monotonic_s() - self._waiting_since_s
+        if self._head is not None or self._has_partial_head:
+            if waited_s > limits.header_timeout_s:
+                self._reject(408, "request-timeout", "the request came too slowly")
+        elif waited_s > limits.idle_timeout_s:
+            self.close()
+
+    async def drain(self) -> None:
+        """Wait until the caller has read; raises CallerGone."""
+        await self._can_write.wait()
+        if self.is_gone:
+            raise CallerGone
+
+    def start_answer(self, status: int, headers: RawHeaders) -> None:
+        """Write the head of an answer; without a length the body is chunked."""
+        fields = list(headers)
+        if self._handler.is_stopping:
+            fields.append((b"Connection", b"close"))
+        self._write(h11.Response(status_code=status, headers=fields, reason=b"OK"))
+
+    def send_data(self, data: bytes) -> None:
+        """Write a part of the body."""
+        self._write(h11.Data(data=data))
+
+    def end_answer(self) -> None:
+        """Complete the answer."""
+        self._write(h11.EndOfMessage())
+
+    def whole_answer(self, status: int, headers: RawHeaders, body: bytes) -> None:
+        """Write an answer at once."""
+        fields = [*headers, (b"Content-Length", b"%d" % len(body))]
+        self.start_answer(status, fields)
+        if body and self._head is not None and self._head.method != b"HEAD":
+            self.send_data(body)
+        self.end_answer()
+
+    def refuse(self, refusal: Refusal, request_id: str = "") -> None:
+        """Write a refusal as a problem document."""
+        headers: RawHeaders = [(b"Content-Type", CONTENT_TYPE.encode())]
+        if request_id:
+            headers.append((b"X-Request-Id", request_id.encode("latin-1")))
+        if refusal.retry_after_s is not None:
+            headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
+        self.whole_answer(refusal.status, headers, problem_body(refusal, request_id))
+
+    def close(self) -> None:
+        """Close after what was written."""
+        if self._transport is not None:
+            self._transport.close()
+
+    def abort(self) -> None:
+        """Close at once, so that an unfinished answer is seen to be unfinished."""
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _write(self, event: h11.Event) -> None:
+        if self.is_gone or self._transport is None:
+            raise CallerGone
+        data = self._http.send(event)
+        if data:
+            self._transport.write(data)
+
+    def _read(self) -> None:
+        try:
+            self._read_events()
+        except h11.RemoteProtocolError as error:
+            self._reject(error.error_status_hint, "bad-request", str(error))
+
+    def _read_events(self) -> None:
+        while self._task is None:
+            event = self._http.next_event()
+            if event is h11.NEED_DATA:
+                self._note_partial_head()
+                if self._http.they_are_waiting_for_100_continue:
+                    self._write(h11.InformationalResponse(status_code=100, headers=[]))
+                return
+            if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
+                return
+            if isinstance(event, h11.Request):
+                self._begin(event)
+            elif isinstance(event, h11.Data):
+                self._add_body(event.data)
+            elif isinstance(event, h11.EndOfMessage):
+                self._start()
+
+    def _note_partial_head(self) -> None:
+        has_bytes = bool(self._http.trailing_data[0])
+        if has_bytes and not self._has_partial_head and self._head is None:
+            self._waiting_since_s = self._clock.monotonic_s()
+        self._has_partial_head = has_bytes and self._head is None
+
+    def _begin(self, head: h11.Request) -> None:
+        self._head = head
+        self._head_at_s = self._clock.monotonic_s()
+        self._waiting_since_s = self._head_at_s
+        self._has_partial_head = False
+        self._body.clear()
+        names = [name for name, _ in head.headers]
+        if b"transfer-encoding" in names and b"content-length" in names:
+            # Two framings of one body are how a second request is hidden in it.
+            raise h11.RemoteProtocolError("two framings of the body")
+        if names.count(b"host") != 1 and head.http_version != b"1.0":
+            raise h11.RemoteProtocolError("no single host")
+
+    def _add_body(self, data: bytes) -> None:
+        self._body += data
+        if len(self._body) > self._handler.limits.body_bytes:
+            raise h11.RemoteProtocolError("body too large", error_status_hint=413)
+
+    def _start(self) -> None:
+        head = self._head
+        assert head is not None
+        request = RawRequest(
+            bytes(head.method),
+            bytes(head.target),
+            [(bytes(name), bytes(value)) for name, value in head.headers.raw_items()],
+            bytes(self._body),
+            self._head_at_s,
+        )
+        self._body.clear()
+        self._task = asyncio.get_running_loop().create_task(self._serve(request))
+
+    async def _serve(self, request: RawRequest) -> None:
+        try:
+            await self._handler.handle(request, self)
+        except CallerGone:
+            pass
+        except asyncio.CancelledError:
+            if not self.is_gone:
+                self.abort()
+        except Exception:
+            _log.exception("request failed", extra={"step": "serve"})
+            self.abort()
+        finally:
+            self._task = None
+            self.on_gone = None
+            self._next_request()
+
+    def _next_request(self) -> None:
+        self._head = None
+        self._waiting_since_s = self._clock.monotonic_s()
+        if self.is_gone:
+            return
+        if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._http.start_next_cycle()
+            self._read()
+        elif self._http.our_state in (h11.MUST_CLOSE, h11.CLOSED):
+            self.close()
+        else:
+            self.abort()
+
+    def _reject(self, status: int, reason: str, detail: str) -> None:
+        """Refuse what can't be read as a request, and close."""
+        _log.info(
+            "request rejected",
+            extra={"status": status, "error": detail, "step": "read"},
+        )
+        try:
+            if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
+                refusal = Refusal(status, reason, detail, step="read")
+                body = problem_body(refusal)
+                self._write(
+                    h11.Response(
+                        status_code=status,
+                        headers=[
+                            (b"Content-Type", CONTENT_TYPE.encode()),
+                            (b"Content-Length", b"%d" % len(body)),
+                            (b"Connection", b"close"),
+                        ],
+                    )
+                )
+                self._write(h11.Data(data=body))
+                self._write(h11.EndOfMessage())
+        except (CallerGone, h11.LocalProtocolError) as error:
+            _log.debug("rejection not sent", extra={"error": str(error)})
+        self.close()
--- /dev/null
+++ b/lentiltally/direct/entry_process.py
@@ -0,0 +1,270 @@
+"""An entry on the direct path as one process."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import random
+from collections.abc import Callable
+from dataclasses import dataclass
+
+from lentiltally.clock import Clock
+from lentiltally.decisions.target_directory import DirectoryChange
+from lentiltally.direct.adapter_requests import AdapterRequests
+from lentiltally.direct.caller_connection import CallerConnection, RawRequest
+from lentiltally.direct.entry_feeds import (
+    ConfigurationDecoder,
+    ConfigurationFeed,
+    TargetDecoder,
+    TargetFeed,
+)
+from lentiltally.direct.entry_metrics import EntryMetrics
+from lentiltally.direct.entry_state import EntryState
+from lentiltally.direct.forwarder import Forwarder
+from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
+from lentiltally.direct.messages import (
+    AdapterAnswer,
+    CrashSuspect,
+    EngineState,
+    EntryHello,
+    Message,
+)
+from lentiltally.direct.model import CallerLimits
+from lentiltally.direct.pages import PageServer
+from lentiltally.direct.peer_socket import PeerSocket
+from lentiltally.direct.settings import HostSettings, SocketAddress
+from lentiltally.direct.stop_signal import StopSignal
+from lentiltally.direct.wire import Wire
+
+__all__ = ["EntryPlatform", "EntryProcess"]
+
+_log = logging.getLogger(__name__)
+
+HELLO_S = 1.0
+TICK_S = 0.25
+# How long a read of the configuration waits at the store for a record.
+CONFIGURATION_WAIT_S = 5.0
+CONFIGURATION_PAUSE_S = 0.02
+# The list of targets is read this often within the time in which leaving must be seen.
+TARGET_READS_PER_BOUND = 4.0
+# After SIGTERM new connections come for two checks of readiness and a little longer.
+STILL_TAKEN_S = 2.5
+STOP_MARGIN_S = 0.7
+
+
+@dataclass(frozen=True, slots=True)
+class EntryPlatform:
+    """What an entry needs of the platform's adapter."""
+
+    wire: Wire
+    configuration: KeyedTopic
+    targets: KeyedTopic
+    decode_configuration: ConfigurationDecoder
+    decode_target: TargetDecoder
+    readiness_path: bytes
+
+
+class EntryProcess:
+    """Wires the parts of an entry together and runs them until it is told to stop."""
+
+    def __init__(
+        self, settings: HostSettings, platform: EntryPlatform, clock: Clock
+    ) -> None:
+        """Prepare; nothing is opened before ``run``."""
+        self._settings = settings
+        self._platform = platform
+        self._clock = clock
+        self._metrics = EntryMetrics()
+        self._state = EntryState(settings, clock)
+        self._connections: set[CallerConnection] = set()
+        self._stopping_since_s: float | None = None
+        self._forwarder: Forwarder
+        self._peers: PeerSocket
+        self._adapters: AdapterRequests
+        self._target_feed = TargetFeed(
+            platform.decode_target, self._state, self._target_changed, clock
+        )
+        bounds = settings.bounds
+        self._configuration = KeyedFeed(
+            "configuration",
+            platform.configuration,
+            ConfigurationFeed(
+                platform.decode_configuration,
+                self._state.configured,
+                self._state.noticed,
+            ),
+            clock,
+            pause_s=CONFIGURATION_PAUSE_S,
+            wait_s=CONFIGURATION_WAIT_S,
+        )
+        self._targets = KeyedFeed(
+            "targets",
+            platform.targets,
+            self._target_feed,
+            clock,
+            pause_s=bounds.leaving_s / TARGET_READS_PER_BOUND,
+            wait_s=0.0,
+        )
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the bounds on callers that are in force."""
+        return self._state.limits
+
+    @property
+    def is_stopping(self) -> bool:
+        """Return whether connections should end after their answer."""
+        return self._stopping_since_s is not None
+
+    async def run(self) -> int:
+        """Serve until told to stop; return the exit code. Raises OSError at start."""
+        stop = StopSignal(self._reload)
+        stop.install()
+        self._peers = await PeerSocket.open(
+            SocketAddress(self._settings.ip, self._settings.peer_port), self._heard
+        )
+        self._adapters = AdapterRequests(self._peers)
+        self._forwarder = Forwarder(
+            self._state,
+            self._platform.wire,
+            self._adapters,
+            metrics=self._metrics,
+            clock=self._clock,
+            rng=random.Random(),
+        )
+        assert self._settings.callers is not None
+        pages = await self._open_pages()
+        server = await asyncio.get_running_loop().create_server(
+            lambda: CallerConnection(self, self._clock),
+            self._settings.callers.ip,
+            self._settings.callers.port,
+            reuse_address=True,
+            backlog=1024,
+        )
+        _log.info("entry started", extra={"address": str(self._settings.callers)})
+        tasks = [
+            asyncio.create_task(work)
+            for work in (
+                self._configuration.run(),
+                self._targets.run(),
+                self._every(HELLO_S, self._say_hello),
+                self._every(TICK_S, self._tick),
+            )
+        ]
+        await stop.wait()
+        await self._stop(server)
+        for task in tasks:
+            task.cancel()
+        pages.close()
+        _log.info("entry stopped", extra={"open_requests": self._busy()})
+        await asyncio.sleep(0.05)
+        return 0
+
+    async def handle(self, request: RawRequest, connection: CallerConnection) -> None:
+        """Answer one request."""
+        await self._forwarder.handle(request, connection)
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Note a new connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Note the end of a connection."""
+        self._connections.discard(connection)
+
+    async def _open_pages(self) -> PageServer:
+        pages = PageServer(
+            {
+                self._platform.readiness_path: self._readiness,
+                b"/readyz": self._readiness,
+                b"/healthz": lambda: (200, b"alive\n"),
+                b"/metrics": self._metrics_page,
+            },
+            self._clock,
+        )
+        assert self._settings.readiness is not None
+        await pages.listen(self._settings.readiness)
+        await pages.listen(
+            SocketAddress(self._settings.ip, self._settings.metrics_port)
+        )
+        return pages
+
+    def _readiness(self) -> tuple[int, bytes]:
+        if self.is_stopping:
+            return 503, b"stopping\n"
+        if self._state.table is None or not self._targets.is_current:
+            return 503, b"no configuration yet\n"
+        return 200, b"ready\n"
+
+    def _metrics_page(self) -> tuple[int, bytes]:
+        self._metrics.connections_opened.set(self._forwarder.pool.opened)
+        return 200, self._metrics.page()
+
+    async def _stop(self, server: asyncio.Server) -> None:
+        """Go on serving until nothing is left or the time is nearly over."""
+        started_s = self._clock.monotonic_s()
+        self._stopping_since_s = started_s
+        _log.info("entry stopping", extra={"open_requests": self._busy()})
+        await asyncio.sleep(STILL_TAKEN_S)
+        server.close()
+        until_s = started_s + self._settings.bounds.stop_s - STOP_MARGIN_S
+        while self._clock.monotonic_s() < until_s and self._connections:
+            for connection in list(self._connections):
+                if connection.is_idle:
+                    connection.close()
+            await asyncio.sleep(0.05)
+
+    def _busy(self) -> int:
+        return sum(not connection.is_idle for connection in self._connections)
+
+    def _reload(self) -> None:
+        """Note a reload; addresses and bounds of a running entry don't change."""
+        _log.info("settings reload requested")
+
+    def _say_hello(self) -> None:
+        hello = EntryHello(self._settings.name)
+        for record in self._state.engine_targets():
+            ip = record.address.rpartition(":")[0]
+            self._peers.send(SocketAddress(ip, self._settings.peer_port), hello)
+
+    def _tick(self) -> None:
+        self._target_feed.tick()
+        self._forwarder.pool.sweep()
+        for connection in list(self._connections):
+            connection.check_timeouts()
+
+    def _target_changed(self, change: DirectoryChange) -> None:
+        if change.what == "appeared":
+            self._state.target_appeared(change.record)
+            self._report_suspects(change.target_id, "started anew")
+            self._say_hello()
+        elif change.what == "gone":
+            self._report_suspects(change.target_id, "gone")
+            self._forwarder.pool.drop(change.target_id)
+            self._state.choice.forget(change.target_id)
+
+    def _heard(self, message: Message, sender: SocketAddress) -> None:
+        if isinstance(message, AdapterAnswer):
+            self._adapters.answered(message)
+        elif isinstance(message, EngineState):
+            self._state.engine_state(sender.ip, message)
+        elif isinstance(message, CrashSuspect):
+            self._state.suspects.ended_with_target(
+                message.fingerprint, message.target_start, self._clock.monotonic_s()
+            )
+
+    def _report_suspects(self, target_id: str, reason: str) -> None:
+        """Tell the other entries, through the agents, which requests are suspects."""
+        for print_ in self._state.target_ended(target_id, reason):
+            suspect = CrashSuspect(print_, target_id)
+            for record in self._state.engine_targets():
+                ip = record.address.rpartition(":")[0]
+                self._peers.send(SocketAddress(ip, self._settings.peer_port), suspect)
+
+    async def _every(self, period_s: float, act: Callable[[], None]) -> None:
+        while True:
+            await asyncio.sleep(period_s)
+            try:
+                act()
+            except Exception:
+                _log.exception("periodic work failed", extra={"step": act.__name__})
--- /dev/null
+++ b/lentiltally/direct/entry_state.py
@@ -0,0 +1,142 @@
+"""What an entry believes: desired state, targets, versions, suspects, budgets."""
+
+from __future__ import annotations
+
+import logging
+
+from lentiltally.clock import Clock
+from lentiltally.decisions.crash_suspects import CrashSuspects
+from lentiltally.decisions.resend_budget import ResendBudget
+from lentiltally.decisions.route_table import RouteTable
+from lentiltally.decisions.target_choice import TargetChoice
+from lentiltally.decisions.target_directory import TargetDirectory
+from lentiltally.direct.messages import EngineState
+from lentiltally.direct.model import (
+    AdapterNotice,
+    CallerLimits,
+    DesiredState,
+    Service,
+    TargetRecord,
+)
+from lentiltally.direct.settings import HostSettings
+
+__all__ = ["EntryState"]
+
+_log = logging.getLogger(__name__)
+
+# Entries that an entry assumes before an agent has told it how many there are.
+ASSUMED_ENTRIES = 8
+RESET_MEMORY_S = 5.0
+
+
+class EntryState:
+    """The entry's beliefs, each with one writer.
+
+    The feeds write desired state, notices and targets; agents' messages write engine
+    states; requests write the rest.
+    """
+
+    def __init__(self, settings: HostSettings, clock: Clock) -> None:
+        """Start without any belief."""
+        self.settings = settings
+        self.table: RouteTable | None = None
+        self.directory = TargetDirectory()
+        self.choice = TargetChoice(settings.failure_domain)
+        self.suspects = CrashSuspects()
+        self.entries = ASSUMED_ENTRIES
+        self._clock = clock
+        self._budgets: dict[str, ResendBudget] = {}
+        self._notices: dict[str, tuple[int, float]] = {}
+        self._by_ip: dict[str, str] = {}
+        self._resets: dict[str, list[tuple[int, float]]] = {}
+
+    @property
+    def limits(self) -> CallerLimits:
+        """Return the bounds on callers that are in force."""
+        return self.table.state.limits if self.table else CallerLimits()
+
+    def configured(self, state: DesiredState) -> bool:
+        """Take a version of the desired state; an older one is ignored."""
+        if self.table is not None and state.version <= self.table.state.version:
+            return False
+        self.table = RouteTable(state)
+        _log.info(
+            "desired state in force",
+            extra={"config_version": state.version, "routes": len(state.routes)},
+        )
+        return True
+
+    def service(self, name: str) -> Service | None:
+        """Return a service of the desired state."""
+        return self.table.state.services.get(name) if self.table else None
+
+    def budget(self, service: str) -> ResendBudget:
+        """Return the resend budget of a service."""
+        budget = self._budgets.get(service)
+        if budget is None:
+            bounds = self.settings.bounds
+            budget = self._budgets[service] = ResendBudget(
+                bounds.retry_share, bounds.retry_slack, bounds.retry_window_s
+            )
+        return budget
+
+    def noticed(self, notice: AdapterNotice) -> None:
+        """Take a newer version of an adapter."""
+        key = f"{notice.model}/{notice.adapter}"
+        if notice.version > self._notices.get(key, (0, 0.0))[0]:
+            self._notices[key] = (notice.version, self._clock.monotonic_s())
+            _log.info(
+                "adapter version named",
+                extra={"adapter": key, "version": notice.version},
+            )
+
+    def newest_version(self, key: str) -> tuple[int, float] | None:
+        """Return the newest version of an adapter and how long it has been known."""
+        known = self._notices.get(key)
+        return known and (known[0], self._clock.monotonic_s() - known[1])
+
+    def target_appeared(self, record: TargetRecord) -> None:
+        """Note a target's address, by which its agent's messages are matched."""
+        self._by_ip[record.address.rpartition(":")[0]] = record.target_id
+
+    def engine_targets(self) -> list[TargetRecord]:
+        """Return the targets beside which an agent runs."""
+        return [
+            record
+            for record in self.directory.all()
+            if (service := self.service(record.service)) and service.engine
+        ]
+
+    def engine_state(self, ip: str, state: EngineState) -> None:
+        """Take an agent's message about its engine."""
+        if state.entries:
+            self.entries = state.entries
+        target_id = self._by_ip.get(ip)
+        if target_id is None:
+            return
+        known = self.choice.view(target_id).state
+        if known is not None and known.started_ms != state.started_ms:
+            self.target_ended(target_id, "engine started anew")
+        self.choice.state_received(target_id, state, self._clock.monotonic_s())
+
+    def was_reset(self, target_id: str, print_: int) -> None:
+        """Note a request whose connection broke; the target may have ended."""
+        resets = self._resets.setdefault(target_id, [])
+        resets.append((print_, self._clock.monotonic_s()))
+
+    def target_ended(self, target_id: str, reason: str) -> list[int]:
+        """Return the new suspects: requests that ran when a target ended."""
+        now_s = self._clock.monotonic_s()
+        new = [
+            print_
+            for print_, at_s in self._resets.pop(target_id, ())
+            if now_s - at_s < RESET_MEMORY_S
+            and self.suspects.ended_with_target(
+                print_, f"{target_id}@{at_s:.0f}", now_s
+            )
+        ]
+        _log.info(
+            "target ended",
+            extra={"target": target_id, "reason": reason, "suspects": len(new)},
+        )
+        return new
--- /dev/null
+++ b/lentiltally/direct/http_connection.py
@@ -0,0 +1,223 @@
+"""One HTTP/1.1 connection to a target, the store or an engine's own interface.
+
+A connection runs one request at a time. Bytes that arrive while no request waits belong
+to none, so the connection is closed. A connection that ends by a reset never completes
+an answer that has no length.
+"""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+from collections.abc import Sequence
+
+import h11
+
+from lentiltally.direct.settings import SocketAddress
+from lentiltally.errors import LentiltallyError
+
+__all__ = ["ConnectError", "HttpConnection", "PeerFailed", "open_connection"]
+
+CONNECT_TIMEOUT_S = 0.5
+# A silent connection is noticed after about three seconds without an answer to probes,
+# and sent data that nobody acknowledges ends the connection after as long.
+KEEP_ALIVE_IDLE_S = 1
+KEEP_ALIVE_INTERVAL_S = 1
+KEEP_ALIVE_PROBES = 2
+UNACKNOWLEDGED_LIMIT_MS = 2_500
+MAX_HEAD_BYTES = 64 * 1024
+
+RawHeaders = Sequence[tuple[bytes, bytes]]
+Event = h11.Response | h11.Data | h11.EndOfMessage
+
+
+class ConnectError(LentiltallyError):
+    """No connection could be opened, so nothing was sent."""
+
+
+class PeerFailed(LentiltallyError):  # noqa: N818 - says what happened
+    """The peer broke off or sent something that is no answer."""
+
+
+class HttpConnection(asyncio.Protocol):
+    """One connection as a client."""
+
+    def __init__(self, address: SocketAddress) -> None:
+        """Prepare a connection; ``open_connection`` connects it."""
+        self.address = address
+        self.used_at_s = 0.0
+        self.keep_alive_s: float | None = None
+        self.requests = 0
+        self.has_sent_all = True
+        self._transport: asyncio.Transport | None = None
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        self._is_closed = False
+        self._error: str | None = None
+        self._is_busy = False
+        self._wake: asyncio.Future[None] | None = None
+        self._sent: h11.Request | None = None
+        self._body = b""
+
+    @property
+    def is_reusable(self) -> bool:
+        """Return whether another request may be sent."""
+        states = self._http.states
+        return (
+            not self._is_closed
+            and not self._is_busy
+            and states == {h11.CLIENT: h11.IDLE, h11.SERVER: h11.IDLE}
+        )
+
+    @property
+    def is_closed(self) -> bool:
+        """Return whether the connection has ended."""
+        return self._is_closed
+
+    def connection_made(self, transport: asyncio.BaseTransport) -> None:
+        """Set the options by which a silent connection is noticed."""
+        assert isinstance(transport, asyncio.Transport)
+        self._transport = transport
+        set_socket_options(transport.get_extra_info("socket"))
+
+    def data_received(self, data: bytes) -> None:
+        """Hand bytes to the parser, or close if nobody waits for any."""
+        if not self._is_busy:
+            self._fail("bytes without a request")
+            self.close()
+            return
+        try:
+            self._http.receive_data(data)
+        except (h11.RemoteProtocolError, RuntimeError):
+            self._fail("bytes after the end")
+        self._notify()
+
+    def eof_received(self) -> bool:
+        """Take a regular end, which completes an answer without a length."""
+        if self._is_busy:
+            self._http.receive_data(b"")
+        return False
+
+    def connection_lost(self, error: Exception | None) -> None:
+        """Take the end of the connection; an error is a reset."""
+        self._is_closed = True
+        if error is not None:
+            self._fail(f"connection lost: {error}")
+        self._notify()
+
+    def send(
+        self, method: bytes, path: bytes, headers: RawHeaders, body: bytes
+    ) -> None:
+        """Send a whole request; raises PeerFailed if the connection has ended."""
+        if not self.is_reusable or self._transport is None:
+            raise PeerFailed(
+                "connection has ended", step="send", peer=str(self.address)
+            )
+        self._is_busy = True
+        self.requests += 1
+        self._sent = h11.Request(method=method, target=path, headers=list(headers))
+        self._body = body
+        self._transport.write(self._encode(self._http, self._sent, body))
+
+    async def next_event(self) -> Event:
+        """Return the next part of the answer; raises PeerFailed."""
+        while True:
+            try:
+                event = self._http.next_event()
+            except h11.RemoteProtocolError as error:
+                raise self._failure(f"no answer in the protocol: {error}") from error
+            if isinstance(event, h11.Response | h11.Data | h11.EndOfMessage):
+                return event
+            if isinstance(event, h11.ConnectionClosed):
+                raise self._failure("connection closed without an answer")
+            if isinstance(event, h11.InformationalResponse):
+                continue
+            if self._error is not None:
+                raise self._failure(self._error)
+            if self._is_closed:
+                raise self._failure("connection closed")
+            self._wake = asyncio.get_running_loop().create_future()
+            await self._wake
+
+    def skip_answer(self) -> None:
+        """Expect another answer to the same request, after one that belongs to none."""
+        trailing, _ = self._http.trailing_data
+        self._http = h11.Connection(
+            h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
+        )
+        assert self._sent is not None
+        self._encode(self._http, self._sent, self._body)
+        if trailing:
+            self._http.receive_data(trailing)
+
+    def finish(self) -> bool:
+        """End a request whose answer is complete; return whether to keep this open."""
+        transport = self._transport
+        trailing, _ = self._http.trailing_data
+        is_unsent = transport is not None and transport.get_write_buffer_size() > 0
+        if self._is_closed or trailing or is_unsent or self._error is not None:
+            self.close()
+            return False
+        try:
+            self._http.start_next_cycle()
+        except h11.LocalProtocolError:
+            self.close()
+            return False
+        self._is_busy = False
+        self._body = b""
+        return True
+
+    def close(self) -> None:
+        """End the connection at once, which makes most targets drop the request."""
+        self._is_closed = True
+        if self._transport is not None:
+            self._transport.abort()
+
+    def _fail(self, reason: str) -> None:
+        if self._error is None:
+            self._error = reason
+
+    def _failure(self, reason: str) -> PeerFailed:
+        return PeerFailed(self._error or reason, step="answer", peer=str(self.address))
+
+    def _notify(self) -> None:
+        wake, self._wake = self._wake, None
+        if wake is not None and not wake.done():
+            wake.set_result(None)
+
+    @staticmethod
+    def _encode(http: h11.Connection, request: h11.Request, body: bytes) -> bytes:
+        parts = [http.send(request)]
+        if body:
+            parts.append(http.send(h11.Data(data=body)))
+        parts.append(http.send(h11.EndOfMessage()))
+        return b"".join(part for part in parts if part)
+
+
+def set_socket_options(sock: socket.socket) -> None:
+    """Make a silent connection end by itself."""
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
+    sock.setsockopt(
+        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS
+    )
+
+
+async def open_connection(
+    address: SocketAddress, timeout_s: float = CONNECT_TIMEOUT_S
+) -> HttpConnection:
+    """Open a connection; raises ConnectError if that fails or takes too long."""
+    loop = asyncio.get_running_loop()
+    connection = HttpConnection(address)
+    try:
+        async with asyncio.timeout(timeout_s):
+            await loop.create_connection(lambda: connection, address.ip, address.port)
+    except (OSError, TimeoutError) as error:
+        raise ConnectError(
+            f"no connection: {error or 'timeout'}", step="connect", peer=str(address)
+        ) from error
+    return connection
--- /dev/null
+++ b/lentiltally/direct/messages.py
@@ -0,0 +1,110 @@
+"""Datagrams between entries and agents.
+
+Every message fits one datagram and may be lost or repeated: requests are repeated until
+they are answered, and states replace each other.
+"""
+
+from __future__ import annotations
+
+import msgspec
+from msgspec import Struct
+
+__all__ = [
+    "CrashSuspect",
+    "EngineState",
+    "EntryHello",
+    "Message",
+    "ReleaseAdapter",
+    "RequireAdapter",
+    "AdapterAnswer",
+    "decode_message",
+    "encode_message",
+]
+
+
+class EntryHello(Struct, tag=1, array_like=True, frozen=True):
+    """An entry wants the states of an agent; sent every second."""
+
+    entry: str
+
+
+class EngineState(Struct, tag=2, array_like=True, frozen=True):
+    """What an agent knows of its engine.
+
+    ``held`` are models and adapters that can be used now, ``coming`` are on their way
+    and ``recent`` load fast. ``free_slots`` are slots that no request holds.
+    ``started_ms`` is the engine's start, ``entries`` the number of live entries.
+    """
+
+    started_ms: int
+    number: int
+    running: int
+    waiting: int
+    cache_used: int
+    cache_total: int
+    held: tuple[str, ...]
+    coming: tuple[str, ...]
+    recent: tuple[str, ...]
+    free_slots: int
+    waiting_keys: int
+    entries: int
+    is_stopping: bool = False
+
+
+class RequireAdapter(Struct, tag=3, array_like=True, frozen=True):
+    """A request needs an adapter on the agent's engine."""
+
+    request_id: str
+    model: str
+    adapter: str
+    rank: int
+    patience_ms: int
+    left_ms: int
+
+
+class AdapterAnswer(Struct, tag=4, array_like=True, frozen=True):
+    """The adapter is held for the request, or the request should go elsewhere."""
+
+    request_id: str
+    is_granted: bool
+    version: int
+    reason: str
+
+
+class ReleaseAdapter(Struct, tag=5, array_like=True, frozen=True):
+    """A request no longer needs its adapter."""
+
+    request_id: str
+
+
+class CrashSuspect(Struct, tag=6, array_like=True, frozen=True):
+    """A target ended while it ran a request with this fingerprint.
+
+    Agents pass it on to all entries; ``target_start`` tells crashes apart.
+    """
+
+    fingerprint: int
+    target_start: str
+
+
+Message = (
+    EntryHello
+    | EngineState
+    | RequireAdapter
+    | AdapterAnswer
+    | ReleaseAdapter
+    | CrashSuspect
+)
+
+_encoder = msgspec.msgpack.Encoder()
+_decoder: msgspec.msgpack.Decoder[Message] = msgspec.msgpack.Decoder(Message)
+
+
+def encode_message(message: Message) -> bytes:
+    """Return the datagram of a message."""
+    return _encoder.encode(message)
+
+
+def decode_message(data: bytes) -> Message:
+    """Return the message of a datagram; raises msgspec.MsgspecError."""
+    return _decoder.decode(data)
--- /dev/null
+++ b/lentiltally/direct/pages.py
@@ -0,0 +1,60 @@
+"""Small HTTP pages of a process: readiness and metrics."""
+
+from __future__ import annotations
+
+import asyncio
+from collections.abc import Callable, Mapping
+
+from lentiltally.clock import Clock
+from lentiltally.direct.caller_connection import CallerConnection, RawRequest
+from lentiltally.direct.model import CallerLimits
+from lentiltally.direct.settings import SocketAddress
+from lentiltally.problems import Refusal
+
+__all__ = ["PageServer"]
+
+Page = Callable[[], tuple[int, bytes]]
+
+
+class PageServer:
+    """Serves pages by their path."""
+
+    def __init__(self, pages: Mapping[bytes, Page], clock: Clock) -> None:
+        """Serve the given pages."""
+        self._pages = pages
+        self._clock = clock
+        self._connections: set[CallerConnection] = set()
+        self.limits = CallerLimits(body_bytes=0)
+        self.is_stopping = False
+
+    async def listen(self, address: SocketAddress) -> asyncio.Server:
+        """Listen on an address; raises OSError."""
+        loop = asyncio.get_running_loop()
+        return await loop.create_server(
+            lambda: CallerConnection(self, self._clock),
+            address.ip,
+            address.port,
+            reuse_address=True,
+        )
+
+    async def handle(self, request: RawRequest, connection: CallerConnection) -> None:
+        """Answer with a page, or 404."""
+        page = self._pages.get(request.path)
+        if page is None:
+            connection.refuse(Refusal(404, "no-page", "no such page", step="page"))
+            return
+        status, body = page()
+        connection.whole_answer(status, [(b"Content-Type", b"text/plain")], body)
+
+    def opened(self, connection: CallerConnection) -> None:
+        """Note a new connection."""
+        self._connections.add(connection)
+
+    def closed(self, connection: CallerConnection) -> None:
+        """Note the end of a connection."""
+        self._connections.discard(connection)
+
+    def close(self) -> None:
+        """Close all connections."""
+        for connection in list(self._connections):
+            connection.close()
--- /dev/null
+++ b/lentiltally/direct/whole_call.py
@@ -0,0 +1,103 @@
+"""Calls whose answers are short and read whole: the store's and an engine's own."""
+
+from __future__ import annotations
+
+import asyncio
+from dataclasses import dataclass
+
+import h11
+
+from lentiltally.direct.http_connection import (
+    HttpConnection,
+    PeerFailed,
+    open_connection,
+)
+from lentiltally.direct.settings import SocketAddress
+
+__all__ = ["WholeAnswer", "WholeCaller"]
+
+
+@dataclass(frozen=True, slots=True)
+class WholeAnswer:
+    """A complete answer; header names are in lower case."""
+
+    status: int
+    headers: dict[bytes, bytes]
+    body: bytes
+
+
+class WholeCaller:
+    """Makes one call at a time to one address over a connection that it keeps."""
+
+    def __init__(self, address: SocketAddress) -> None:
+        """Connect on the first call."""
+        self.address = address
+        self._connection: HttpConnection | None = None
+
+    async def call(
+        self,
+        method: bytes,
+        path: bytes,
+        *,
+        body: bytes = b"",
+        headers: tuple[tuple[bytes, bytes], ...] = (),
+        timeout_s: float,
+    ) -> WholeAnswer:
+        """Make a call; raises ConnectError, PeerFailed, or PeerFailed on a timeout.
+
+        After any failure the connection is replaced, because a connection on which an
+        answer was lost may stay silent.
+        """
+        is_done = False
+        try:
+            async with asyncio.timeout(timeout_s):
+                connection = await self._connect()
+                answer = await self._exchange(connection, method, path, headers, body)
+            is_done = True
+            return answer
+        except TimeoutError as error:
+            raise PeerFailed(
+                f"no answer within {timeout_s:.1f} s",
+                step="call",
+                peer=str(self.address),
+            ) from error
+        finally:
+            if not is_done:
+                self.close()
+
+    def close(self) -> None:
+        """Close the connection."""
+        if self._connection is not None:
+            self._connection.close()
+            self._connection = None
+
+    async def _connect(self) -> HttpConnection:
+        connection = self._connection
+        if connection is None or not connection.is_reusable:
+            connection = await open_connection(self.address)
+            self._connection = connection
+        return connection
+
+    async def _exchange(
+        self,
+        connection: HttpConnection,
+        method: bytes,
+        path: bytes,
+        headers: tuple[tuple[bytes, bytes], ...],
+        body: bytes,
+    ) -> WholeAnswer:
+        fields = [(b"Host", str(self.address).encode()), *headers]
+        if body:
+            fields.append((b"Content-Length", b"%d" % len(body)))
+        connection.send(method, path, fields, body)
+        head = await connection.next_event()
+        if not isinstance(head, h11.Response):
+            raise PeerFailed(
+                "answer without a head", step="call", peer=str(self.address)
+            )
+        data = bytearray()
+        while isinstance(part := await connection.next_event(), h11.Data):
+            data += part.data
+        if not connection.finish():
+            self._connection = None
+        return WholeAnswer(head.status_code, dict(head.headers), bytes(data))
--- a/lentiltally/logs.py
+++ b/lentiltally/logs.py
@@ -15,7 +15,7 @@
 from collections.abc import Iterable, Mapping
 from datetime import UTC, datetime
 from types import TracebackType
-from typing import Any, Final, Literal, TextIO
+from typing import Any, Final, Literal, Protocol
 
 from pythonjsonlogger.json import JsonFormatter
 
@@ -33,6 +33,19 @@
 )
 HIDDEN: Final = "(hidden)"
 
+
+class LineStream(Protocol):
+    """Where lines go; a text file is one."""
+
+    def write(self, text: str, /) -> int:
+        """Take a line."""
+        ...
+
+    def flush(self) -> None:
+        """Write out what was taken."""
+        ...
+
+
 _SENSITIVE_NAME = re.compile(
     r"authorization|idempotency.?key|minted.?key|secret|password|(^|_)(token|key)$",
     re.IGNORECASE,
@@ -58,7 +71,7 @@
     process_name: str,
     *,
     secrets: Iterable[Secret] = (),
-    stream: TextIO | None = None,
+    stream: LineStream | None = None,
 ) -> None:
     """Send all log records to standard error in the given form.
 
--- /dev/null
+++ b/lentiltally/platform/desired_state.py
@@ -0,0 +1,184 @@
+"""Decodes operators' configuration and version notices from the platform's store."""
+
+from __future__ import annotations
+
+from typing import Annotated
+
+import msgspec
+from msgspec import Meta, Struct
+
+from lentiltally.direct.model import (
+    AdapterNotice,
+    CallerLimits,
+    DesiredState,
+    EngineSpec,
+    ModelSpec,
+    Route,
+    RouteKind,
+    Service,
+    WeightedService,
+)
+from lentiltally.errors import LentiltallyError
+
+__all__ = [
+    "CONFIGURATION_KEY",
+    "CONFIGURATION_TOPIC",
+    "StoreValueError",
+    "decode_adapter_notice",
+    "decode_desired_state",
+    "is_adapter_notice",
+]
+
+CONFIGURATION_TOPIC = "keyed.op"
+CONFIGURATION_KEY = "config"
+_NOTICE_PREFIX = "version/"
+MS = 1000.0
+
+_KINDS = {
+    "safe": RouteKind.IDEMPOTENT,
+    "unsafe": RouteKind.NON_IDEMPOTENT,
+    "streaming": RouteKind.STREAM,
+}
+
+
+class StoreValueError(LentiltallyError):
+    """A value in the platform's store can't be read."""
+
+
+class _Split(Struct):
+    service: str
+    weight: float = 1.0
+
+
+class _Route(Struct, rename="camel"):
+    name: str
+    host: str
+    path_prefix: str
+    kind: str
+    timeout_ms: float = 30_000.0
+    target_latency_ms: float = 1_000.0
+    priority: int = 0
+    service: str = ""
+    traffic_split: list[_Split] = []
+    attempts: Annotated[int, Meta(ge=1)] = 1
+    resumable: bool = False
+    gap_target_ms: float = 0.0
+
+
+class _Model(Struct, rename="camel"):
+    name: str
+    weights_mb: float = 0.0
+    load_time_s: float = 1.0
+    adapter_mb: float = 0.0
+
+
+class _Engine(Struct, rename="camel"):
+    slots: int = 1
+    kv_cache_tokens: int = 0
+    adapter_slots: int = 0
+    weights_mb: float = 0.0
+    models: list[_Model] = []
+
+
+class _Service(Struct, rename="camel"):
+    name: str
+    health_path: str = "/health"
+    connection_limit: int = 64
+    engine: _Engine | None = None
+
+
+class _Limits(Struct, rename="camel"):
+    header_bytes: int = 16_384
+    body_bytes: int = 4 * 1024 * 1024
+    header_timeout_ms: float = 3_000.0
+    idle_timeout_ms: float = 15_000.0
+
+
+class _Config(Struct):
+    version: int
+    routes: list[_Route] = []
+    services: list[_Service] = []
+    limits: _Limits = msgspec.field(default_factory=_Limits)
+
+
+class _Notice(Struct):
+    model: str
+    adapter: str
+    version: int
+
+
+def decode_desired_state(value: bytes) -> DesiredState:
+    """Decode the whole configuration; raises StoreValueError if it can't be read."""
+    try:
+        config = msgspec.json.decode(value, type=_Config)
+        routes = tuple(_route(route) for route in config.routes)
+    except (msgspec.MsgspecError, KeyError) as error:
+        raise StoreValueError(
+            f"unreadable configuration: {error}", step="decode configuration"
+        ) from error
+    limits = config.limits
+    return DesiredState(
+        version=config.version,
+        routes=routes,
+        services={service.name: _service(service) for service in config.services},
+        limits=CallerLimits(
+            header_bytes=limits.header_bytes,
+            body_bytes=limits.body_bytes,
+            header_timeout_s=limits.header_timeout_ms / MS,
+            idle_timeout_s=limits.idle_timeout_ms / MS,
+        ),
+    )
+
+
+def is_adapter_notice(key: str) -> bool:
+    """Return whether a key of the configuration topic names an adapter's version."""
+    return key.startswith(_NOTICE_PREFIX)
+
+
+def decode_adapter_notice(value: bytes) -> AdapterNotice:
+    """Decode the notice of an adapter's new version; raises StoreValueError."""
+    try:
+        notice = msgspec.json.decode(value, type=_Notice)
+    except msgspec.MsgspecError as error:
+        raise StoreValueError(
+            f"unreadable version notice: {error}", step="decode version notice"
+        ) from error
+    return AdapterNotice(notice.model, notice.adapter, notice.version)
+
+
+def _route(route: _Route) -> Route:
+    split = tuple(WeightedService(s.service, s.weight) for s in route.traffic_split)
+    return Route(
+        name=route.name,
+        host=route.host.lower(),
+        path_prefix=route.path_prefix,
+        kind=_KINDS[route.kind],
+        timeout_s=route.timeout_ms / MS,
+        objective_s=route.target_latency_ms / MS,
+        rank=route.priority,
+        services=split or (WeightedService(route.service, 1.0),),
+        max_targets=route.attempts,
+        is_resumable=route.resumable,
+        max_gap_s=route.gap_target_ms / MS,
+    )
+
+
+def _service(service: _Service) -> Service:
+    engine = service.engine
+    return Service(
+        name=service.name,
+        health_path=service.health_path,
+        max_connections=service.connection_limit,
+        engine=None
+        if engine is None
+        else EngineSpec(
+            batch_places=engine.slots,
+            cache_tokens=engine.kv_cache_tokens,
+            adapter_slots=engine.adapter_slots,
+            weights_mb=engine.weights_mb,
+            models=tuple(
+                ModelSpec(m.name, m.weights_mb, m.load_time_s, m.adapter_mb)
+                for m in engine.models
+            ),
+        ),
+    )
--- /dev/null
+++ b/lentiltally/platform/host_settings.py
@@ -0,0 +1,187 @@
+"""Decodes the settings file that the platform writes on each host."""
+
+from __future__ import annotations
+
+import tomllib
+from collections.abc import Callable, Mapping
+from dataclasses import dataclass
+from pathlib import Path
+from typing import Generic, TypeVar
+
+from lentiltally.direct.settings import HostBounds, HostSettings, SocketAddress
+from lentiltally.settings._checker import SettingsError, show
+
+__all__ = ["is_platform_file", "load_host_settings", "parse_host_settings"]
+
+_T = TypeVar("_T")
+MS = 1000.0
+
+
+@dataclass(frozen=True, slots=True)
+class _Kind(Generic[_T]):
+    """How a value is checked, and what stands in for one that is bad."""
+
+    convert: Callable[[object], _T]
+    stand_in: _T
+
+
+def is_platform_file(path: str) -> bool:
+    """Return whether a settings file has the platform's form."""
+    try:
+        document = tomllib.loads(Path(path).read_text())
+    except (OSError, ValueError):
+        return False
+    return "nodeName" in document or "machineClass" in document
+
+
+def load_host_settings(path: str, role: str | None = None) -> HostSettings:
+    """Read the settings of a host.
+
+    Raises an ExceptionGroup with a SettingsError for each bad key.
+    """
+    try:
+        document = tomllib.loads(Path(path).read_text())
+    except OSError as error:
+        raise _group(path, [SettingsError("file", path, str(error))]) from None
+    except ValueError as error:
+        raise _group(
+            path, [SettingsError("file", path, f"not TOML: {error}")]
+        ) from None
+    return parse_host_settings(document, role, source=path)
+
+
+def parse_host_settings(
+    document: Mapping[str, object], role: str | None = None, *, source: str = "settings"
+) -> HostSettings:
+    """Decode a parsed settings file.
+
+    Raises an ExceptionGroup with a SettingsError for each bad key.
+    """
+    reader = _Reader(document)
+    serves = reader.optional("serves", _STRINGS, [])
+    is_entry = role == "entry" or (role is None and "front" in serves)
+    ports = reader.required("internalPorts", _PORTS)
+    settings = HostSettings(
+        name=reader.required("nodeName", _STRING),
+        failure_domain=reader.required("zone", _STRING),
+        ip=reader.required("ipAddress", _STRING),
+        store=reader.required("platform.address", _ADDRESS),
+        peer_port=ports[0],
+        metrics_port=ports[1],
+        heartbeat_s=reader.optional("heartbeatMs", _POSITIVE, 1200.0) / MS,
+        callers=reader.required("listenAddresses.front", _ADDRESS)
+        if is_entry
+        else None,
+        readiness=reader.required("listenAddresses.ready", _ADDRESS)
+        if is_entry
+        else None,
+        engine=reader.required("app", _ADDRESS) if not is_entry else None,
+        bounds=HostBounds(
+            leaving_s=reader.optional("bounds.drainMs", _POSITIVE, 2000.0) / MS,
+            stop_s=reader.optional("bounds.graceS", _POSITIVE, 8.0),
+            configuration_s=reader.optional("bounds.configurationMs", _POSITIVE, 2000.0)
+            / MS,
+            settled_s=reader.optional("bounds.stabilityWindowMs", _POSITIVE, 3000.0)
+            / MS,
+            retry_share=reader.optional("bounds.budgetRatio", _NUMBER, 0.2),
+            retry_window_s=reader.optional("bounds.budgetWindowS", _POSITIVE, 10.0),
+            retry_slack=reader.optional("bounds.budgetSlack", _NUMBER, 50.0),
+            # This name is the only one of the bounds that is spelled with underscores.
+            adapter_version_s=reader.optional("bounds.version_ms", _POSITIVE, 5000.0)
+            / MS,
+        ),
+    )
+    if reader.errors:
+        raise _group(source, reader.errors)
+    return settings
+
+
+class _Reader:
+    """Reads keys by their path and collects an error for each bad one."""
+
+    def __init__(self, document: Mapping[str, object]) -> None:
+        self._document = document
+        self.errors: list[SettingsError] = []
+
+    def required(self, path: str, kind: _Kind[_T]) -> _T:
+        """Return the value of a key that must be there."""
+        value = self._find(path)
+        if value is None:
+            self.errors.append(SettingsError(path, "", "is missing"))
+            return kind.stand_in
+        return self._convert(path, value, kind)
+
+    def optional(self, path: str, kind: _Kind[_T], default: _T) -> _T:
+        """Return the value of a key, or the default if it is absent."""
+        value = self._find(path)
+        return default if value is None else self._convert(path, value, kind)
+
+    def _find(self, path: str) -> object:
+        value: object = self._document
+        for name in path.split("."):
+            value = value.get(name) if isinstance(value, Mapping) else None
+        return value
+
+    def _convert(self, path: str, value: object, kind: _Kind[_T]) -> _T:
+        try:
+            return kind.convert(value)
+        except ValueError as error:
+            self.errors.append(SettingsError(path, show(value), str(error)))
+            return kind.stand_in
+
+
+def _string(value: object) -> str:
+    if not isinstance(value, str) or not value:
+        raise ValueError("must be a text that is not empty")
+    return value
+
+
+def _number(value: object) -> float:
+    if isinstance(value, bool) or not isinstance(value, int | float) or value < 0:
+        raise ValueError("must be a number that is not negative")
+    return float(value)
+
+
+def _positive(value: object) -> float:
+    number = _number(value)
+    if number == 0:
+        raise ValueError("must be above 0")
+    return number
+
+
+def _address(value: object) -> SocketAddress:
+    try:
+        return SocketAddress.from_text(_string(value))
+    except ValueError:
+        raise ValueError("must be IP:PORT") from None
+
+
+def _ports(value: object) -> tuple[int, int]:
+    if not isinstance(value, list) or len(value) != 2:
+        raise ValueError("must be the first and the last port")
+    first, last = (int(_number(port)) for port in value)
+    if not 0 < first < 65_536 or not 0 < last < 65_536:
+        raise ValueError("must be ports from 1 to 65535")
+    if first >= last:
+        raise ValueError("must be two different ports in ascending order")
+    return first, last
+
+
+def _strings(value: object) -> list[str]:
+    if not isinstance(value, list):
+        raise ValueError("must be a list of texts")
+    return [_string(entry) for entry in value]
+
+
+_NOWHERE = SocketAddress("0.0.0.0", 0)
+_STRING = _Kind(_string, "")
+_NUMBER = _Kind(_number, 0.0)
+_POSITIVE = _Kind(_positive, 1.0)
+_ADDRESS = _Kind(_address, _NOWHERE)
+_PORTS = _Kind(_ports, (0, 0))
+_STRINGS: _Kind[list[str]] = _Kind(_strings, [])
+
+
+def _group(source: str, errors: list[SettingsError]) -> ExceptionGroup[SettingsError]:
+    noun = "bad key" if len(errors) == 1 else "bad keys"
+    return ExceptionGroup(f"{source}: {len(errors)} {noun}", errors)
--- /dev/null
+++ b/lentiltally/platform/http_names.py
@@ -0,0 +1,191 @@
+"""Translates requests and answers between the platform's headers and typed values."""
+
+from __future__ import annotations
+
+from collections.abc import Iterable
+
+from lentiltally.direct.request import (
+    AdapterRef,
+    AnswerHead,
+    CallerRequest,
+    LoadReport,
+    TargetSend,
+)
+from lentiltally.problems import Refusal
+
+__all__ = ["READINESS_PATH", "decode_answer_head", "decode_request", "encode_headers"]
+
+READINESS_PATH = b"/-/readiness"
+MS = 1000.0
+
+_REQUEST_ID = b"x-request-id"
+_DEADLINE = b"x-deadline-milliseconds"
+_LAST_EVENT = b"last-event-id"
+_MODEL = b"x-model"
+_TOKENS = b"x-token-counts"
+
+# Headers that concern one connection only (RFC 9110, section 7.6.1).
+_HOP = frozenset(
+    {
+        b"connection",
+        b"keep-alive",
+        b"proxy-connection",
+        b"proxy-authenticate",
+        b"proxy-authorization",
+        b"te",
+        b"trailer",
+        b"transfer-encoding",
+        b"upgrade",
+        b"content-length",
+        b"expect",
+    }
+)
+# Headers that only the system may send to a target; a caller's are dropped.
+_SYSTEM = frozenset(
+    {
+        _DEADLINE,
+        b"x-expected-instance",
+        b"x-expected-version",
+        b"x-request-priority",
+        b"x-hold",
+        b"x-pin-milliseconds",
+        b"x-kv-backup",
+        b"kv-from",
+        b"kv-fetch",
+    }
+)
+# Headers of a target that are meant for the system, not for callers.
+_TARGET_ONLY = frozenset({b"x-server-load", b"x-not-executed", b"x-instance-id"})
+
+RawHeaders = Iterable[tuple[bytes, bytes]]
+
+
+def decode_request(
+    method: bytes, path: bytes, headers: RawHeaders, body: bytes, arrived_s: float
+) -> CallerRequest:
+    """Decode a caller's request; raises Refusal with 400 if a field is unreadable."""
+    pairs = tuple(headers)
+    fields = {name.lower(): value for name, value in pairs}
+    request_id = fields.get(_REQUEST_ID, b"").decode("latin-1")
+    if not request_id:
+        raise _bad_request("the request has no id")
+    dropped = _HOP | _SYSTEM | _named_by_connection(pairs)
+    patience_ms = _number(fields.get(_DEADLINE), "deadline")
+    last_event = _number(fields.get(_LAST_EVENT), "last event id")
+    tokens = fields.get(_TOKENS, b"").split(b",")[0]
+    return CallerRequest(
+        request_id=request_id,
+        method=method,
+        path=path,
+        host=_host(fields.get(b"host", b"")),
+        headers=tuple(pair for pair in pairs if pair[0].lower() not in dropped),
+        body=body,
+        arrived_s=arrived_s,
+        patience_s=None if patience_ms is None else patience_ms / MS,
+        adapter=_adapter(fields.get(_MODEL, b"")),
+        prompt_tokens=int(tokens) if tokens.strip().isdigit() else 0,
+        last_event=None if last_event is None else int(last_event),
+    )
+
+
+def encode_headers(
+    request: CallerRequest, send: TargetSend
+) -> list[tuple[bytes, bytes]]:
+    """Return the headers of one send of a request to a target."""
+    headers = [
+        pair
+        for pair in request.headers
+        if send.resume_after is None or pair[0].lower() != _LAST_EVENT
+    ]
+    left_ms = max(1, int(send.left_s * MS))
+    headers.append((b"X-Deadline-Milliseconds", b"%d" % left_ms))
+    headers.append((b"X-Expected-Instance", send.target_id.encode()))
+    if send.resume_after is not None:
+        headers.append((b"Last-Event-Id", b"%d" % send.resume_after))
+    if send.urgency is not None:
+        headers.append((b"X-Request-Priority", b"%d" % send.urgency))
+    if send.adapter_version is not None:
+        headers.append((b"X-Expected-Version", b"%d" % send.adapter_version))
+    if request.body or request.method not in (b"GET", b"HEAD", b"DELETE"):
+        headers.append((b"Content-Length", b"%d" % len(request.body)))
+    return headers
+
+
+def decode_answer_head(status: int, headers: RawHeaders) -> AnswerHead:
+    """Decode the head of a target's answer."""
+    pairs = tuple(headers)
+    fields = {name.lower(): value for name, value in pairs}
+    dropped = _HOP | _TARGET_ONLY | _named_by_connection(pairs)
+    request_id = fields.get(_REQUEST_ID)
+    proof = fields.get(b"x-response-signature")
+    is_other = status == 421
+    return AnswerHead(
+        status=status,
+        request_id=None if request_id is None else request_id.decode("latin-1"),
+        proof=None if proof is None else proof.decode("latin-1"),
+        did_not_run=b"x-not-executed" in fields or is_other,
+        is_other_target=is_other,
+        is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
+        is_closing=b"close" in fields.get(b"connection", b"").lower(),
+        keep_alive_s=_keep_alive_s(fields.get(b"keep-alive", b"")),
+        load=_load(fields.get(b"x-server-load", b"")),
+        headers=tuple(pair for pair in pairs if pair[0].lower() not in dropped),
+    )
+
+
+def _bad_request(detail: str) -> Refusal:
+    return Refusal(400, "bad-request", detail, step="parse")
+
+
+def _named_by_connection(pairs: tuple[tuple[bytes, bytes], ...]) -> frozenset[bytes]:
+    return frozenset(
+        token.strip().lower()
+        for name, value in pairs
+        if name.lower() == b"connection"
+        for token in value.split(b",")
+    )
+
+
+def _host(value: bytes) -> str:
+    return value.decode("latin-1").rsplit(":", 1)[0].strip().lower()
+
+
+def _adapter(value: bytes) -> AdapterRef | None:
+    if not value:
+        return None
+    model, _, adapter = value.decode("latin-1").partition("/")
+    return AdapterRef(model, adapter)
+
+
+def _number(value: bytes | None, what: str) -> float | None:
+    if value is None:
+        return None
+    try:
+        number = float(value)
+    except ValueError:
+        raise _bad_request(f"the {what} is not a number") from None
+    if not 0 <= number < 1e12:
+        raise _bad_request(f"the {what} is out of range")
+    return number
+
+
+def _keep_alive_s(value: bytes) -> float | None:
+    for part in value.split(b","):
+        name, _, number = part.strip().partition(b"=")
+        if name.lower() == b"timeout" and number.isdigit():
+            return float(number)
+    return None
+
+
+def _load(value: bytes) -> LoadReport | None:
+    parts = value.split(b",")
+    try:
+        numbers = [float(part) for part in parts]
+    except ValueError:
+        return None
+    if len(numbers) < 3:
+        return None
+    slowness = numbers[3] / 100.0 if len(numbers) > 3 else 1.0
+    return LoadReport(
+        int(numbers[0]), int(numbers[1]), max(1, int(numbers[2])), max(0.1, slowness)
+    )
--- /dev/null
+++ b/lentiltally/platform/roles.py
@@ -0,0 +1,92 @@
+"""Starts an entry or an agent with the platform's adapter."""
+
+from __future__ import annotations
+
+import asyncio
+import logging
+import sys
+import tomllib
+from collections.abc import Awaitable, Callable
+from pathlib import Path
+
+from lentiltally import logs
+from lentiltally.clock import SystemClock
+from lentiltally.direct.log_stream import BoundedStream, LineRate
+from lentiltally.direct.model import AdapterNotice, DesiredState
+from lentiltally.direct.settings import HostSettings
+from lentiltally.platform import http_names
+from lentiltally.platform.desired_state import (
+    CONFIGURATION_KEY,
+    CONFIGURATION_TOPIC,
+    decode_adapter_notice,
+    decode_desired_state,
+    is_adapter_notice,
+)
+from lentiltally.platform.store_client import StoreTopic
+from lentiltally.platform.target_list import TARGET_TOPIC, decode_target_record
+
+__all__ = ["run_agent", "run_entry"]
+
+# Twice what an entry writes at the highest load of today's deployments.
+LOG_LINES_PER_S = 400.0
+
+
+def run_entry(settings: HostSettings, path: str) -> int:
+    """Run an entry until it is told to stop, and return its exit code."""
+    from lentiltally.direct.entry_process import (  # noqa: PLC0415
+        EntryPlatform,
+        EntryProcess,
+    )
+
+    del path
+    platform = EntryPlatform(
+        wire=http_names,
+        configuration=StoreTopic.from_address(CONFIGURATION_TOPIC, settings.store),
+        targets=StoreTopic.from_address(TARGET_TOPIC, settings.store),
+        decode_configuration=_decode_configuration,
+        decode_target=decode_target_record,
+        readiness_path=http_names.READINESS_PATH,
+    )
+    return _run(EntryProcess(settings, platform, SystemClock()).run, settings)
+
+
+def run_agent(settings: HostSettings, path: str) -> int:
+    """Run an agent until it is told to stop, and return its exit code."""
+    from lentiltally.direct.agent_process import (  # noqa: PLC0415
+        AgentPlatform,
+        AgentProcess,
+    )
+    from lentiltally.platform.engine_calls import EngineCalls  # noqa: PLC0415
+
+    assert settings.engine is not None
+    platform = AgentPlatform(
+        engine=EngineCalls(settings.engine, settings.name),
+        configuration=StoreTopic.from_address(CONFIGURATION_TOPIC, settings.store),
+        decode_configuration=_decode_configuration,
+        service=str(tomllib.loads(Path(path).read_text()).get("service", "")),
+    )
+    return _run(AgentProcess(settings, platform, SystemClock()).run, settings)
+
+
+def _run(main: Callable[[], Awaitable[int]], settings: HostSettings) -> int:
+    stream = BoundedStream(sys.stdout.fileno())
+    logs.configure("info", "json", settings.name, stream=stream)
+    rate = LineRate(SystemClock(), LOG_LINES_PER_S)
+    for handler in logging.getLogger().handlers:
+        handler.addFilter(rate)
+
+    async def run() -> int:
+        return await main()
+
+    return asyncio.run(run())
+
+
+def _decode_configuration(
+    key: str, value: bytes
+) -> DesiredState | AdapterNotice | None:
+    """Decode a record of the configuration topic; None for keys of no concern."""
+    if key == CONFIGURATION_KEY:
+        return decode_desired_state(value)
+    if is_adapter_notice(key):
+        return decode_adapter_notice(value)
+    return None
