Confirm waiting adapter requests, decline at once while the engine is lost

Agents now confirm repeated requests and decline at once while their engine does not answer; silence to three datagrams means that the agent is gone.

--- a/lentiltally/decisions/engine_slots.py
+++ b/lentiltally/decisions/engine_slots.py
@@ -187,6 +187,10 @@
         """Return whether a request waits for or holds an adapter."""
         return request_id in self._pins or request_id in self._waiting
 
+    def is_waiting(self, request_id: str) -> bool:
+        """Return whether a request waits for an adapter."""
+        return request_id in self._waiting
+
     def lost(self) -> None:
         """Note that the engine does not answer; nothing is granted until it does."""
         self._report = None
@@ -253,8 +257,6 @@
     def results(self, now_s: float) -> list[WantResult]:
         """Return the wants that are decided now, and drop what has expired."""
         self._expire(now_s)
-        if self._report is None:
-            return []
         results = []
         blocked = self._is_blocked()
         for want in sorted(self._waiting.values(), key=_urgency):
@@ -288,9 +290,11 @@
     def _decide(
         self, want: AdapterWant, is_blocked: bool, now_s: float
     ) -> WantResult | None:
-        if self._is_usable(want):
+        if self._report is not None and self._is_usable(want):
             version = self._held.get(want.key, 0)
             return WantResult(want, WantState.GRANTED, version, "held")
+        if self._report is None:
+            return WantResult(want, WantState.DECLINED, 0, "engine lost")
         if want.patience_until_s <= now_s:
             return WantResult(want, WantState.DECLINED, 0, "patience")
         if is_blocked and want.adapter and want.key not in self._coming():
--- a/lentiltally/direct/adapter_requests.py
+++ b/lentiltally/direct/adapter_requests.py
@@ -8,6 +8,7 @@
 
 from lentiltally.direct.messages import (
     AdapterAnswer,
+    AdapterDecision,
     Message,
     ReleaseAdapter,
     RequireAdapter,
@@ -19,9 +20,9 @@
 
 # An answer takes a few milliseconds; a datagram that was lost is repeated after this.
 REPEAT_S = 0.06
-# An agent says nothing while a request waits, but confirms a repeated one at once when
-# it is decided, so silence for longer than the patience means that it is gone.
-ANSWER_MARGIN_S = 0.15
+# An agent confirms repeated requests that still wait. Silence to three of them means
+# that it is gone.
+SILENCE_S = 0.2
 
 
 class SendMessage(Protocol):
@@ -42,13 +43,21 @@
     is_silent: bool = False
 
 
+@dataclass(slots=True)
+class _Waiting:
+    """A request that waits for an agent's answer."""
+
+    answer: asyncio.Future[AdapterAnswer]
+    heard_at_s: float
+
+
 class AdapterRequests:
     """The requests of one entry that wait for an agent's answer."""
 
     def __init__(self, peers: SendMessage) -> None:
         """Send over the given socket."""
         self._peers = peers
-        self._waiting: dict[str, asyncio.Future[AdapterAnswer]] = {}
+        self._waiting: dict[str, _Waiting] = {}
 
     async def require(
         self,
@@ -66,8 +75,9 @@
         because the answer may be on its way.
         """
         loop = asyncio.get_running_loop()
-        answer: asyncio.Future[AdapterAnswer] = loop.create_future()
-        self._waiting[request_id] = answer
+        waiting = self._waiting[request_id] = _Waiting(
+            loop.create_future(), loop.time()
+        )
         message = RequireAdapter(
             request_id,
             adapter.model,
@@ -76,23 +86,28 @@
             int(patience_s * 1000),
             int(left_s * 1000),
         )
-        until_s = loop.time() + patience_s + ANSWER_MARGIN_S
+        until_s = loop.time() + patience_s
         try:
-            while loop.time() < until_s:
+            while loop.time() < min(until_s, waiting.heard_at_s) + SILENCE_S:
                 self._peers.send(agent, message)
-                await asyncio.wait({answer}, timeout=REPEAT_S)
-                if answer.done():
-                    given = answer.result()
-                    return AdapterGrant(given.is_granted, given.version, given.reason)
+                await asyncio.wait({waiting.answer}, timeout=REPEAT_S)
+                if waiting.answer.done():
+                    given = waiting.answer.result()
+                    is_granted = given.decision is AdapterDecision.GRANTED
+                    return AdapterGrant(is_granted, given.version, given.reason)
             return AdapterGrant(False, reason="agent silent", is_silent=True)
         finally:
             self._waiting.pop(request_id, None)
 
     def answered(self, message: AdapterAnswer) -> None:
         """Take an agent's answer."""
-        answer = self._waiting.get(message.request_id)
-        if answer is not None and not answer.done():
-            answer.set_result(message)
+        waiting = self._waiting.get(message.request_id)
+        if waiting is None:
+            return
+        if message.decision is AdapterDecision.WAITING:
+            waiting.heard_at_s = asyncio.get_running_loop().time()
+        elif not waiting.answer.done():
+            waiting.answer.set_result(message)
 
     def release(self, agent: SocketAddress, request_id: str) -> None:
         """Tell an agent that a request no longer needs its adapter."""
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -18,6 +18,7 @@
 from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
 from lentiltally.direct.messages import (
     AdapterAnswer,
+    AdapterDecision,
     CrashSuspect,
     EngineState,
     EntryHello,
@@ -165,7 +166,9 @@
             )
         )
         self._answer_wants()
-        if self._slots.has_work:
+        if self._slots.is_waiting(message.request_id):
+            waiting = AdapterAnswer(message.request_id, AdapterDecision.WAITING)
+            self._peers.send(sender, waiting)
             self._wake.set()
 
     def _answer_wants(self) -> None:
@@ -179,7 +182,12 @@
                 self._peers.send(
                     sender,
                     AdapterAnswer(
-                        want.request_id, is_granted, result.version, result.reason
+                        want.request_id,
+                        AdapterDecision.GRANTED
+                        if is_granted
+                        else AdapterDecision.DECLINED,
+                        result.version,
+                        result.reason,
                     ),
                 )
             _log.info(
@@ -261,6 +269,7 @@
 
     def _engine_failed(self, error: LentiltallyError) -> None:
         self._slots.lost()
+        self._answer_wants()
         if not self._is_engine_lost:
             self._is_engine_lost = True
             _log.warning("engine lost", extra={"error": str(error)})
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -6,6 +6,8 @@
 
 from __future__ import annotations
 
+import enum
+
 import msgspec
 from msgspec import Struct
 
@@ -17,6 +19,7 @@
     "ReleaseAdapter",
     "RequireAdapter",
     "AdapterAnswer",
+    "AdapterDecision",
     "decode_message",
     "encode_message",
 ]
@@ -62,13 +65,21 @@
     left_ms: int
 
 
+class AdapterDecision(enum.Enum):
+    """What an agent says to a request; ``WAITING`` only shows that the agent lives."""
+
+    GRANTED = 1
+    DECLINED = 2
+    WAITING = 3
+
+
 class AdapterAnswer(Struct, tag=4, array_like=True, frozen=True):
-    """The adapter is held for the request, or the request should go elsewhere."""
+    """The adapter is held for the request, or the request waits or goes elsewhere."""
 
     request_id: str
-    is_granted: bool
-    version: int
-    reason: str
+    decision: AdapterDecision
+    version: int = 0
+    reason: str = ""
 
 
 class ReleaseAdapter(Struct, tag=5, array_like=True, frozen=True):
