--- a/lentiltally/direct/caller_answer.py
+++ b/lentiltally/direct/caller_answer.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lentiltally.clock import Clock
 from lentiltally.decisions.event_stream import EventStream
 from lentiltally.direct.caller_connection import CallerConnection
 from lentiltally.direct.request import AnswerHead
@@ -16,11 +17,27 @@
     fails before it leaves the caller's answer unbegun.
     """
 
-    __slots__ = ("_connection", "_head", "is_complete", "is_started", "stream")
+    __slots__ = (
+        "_clock",
+        "_connection",
+        "_head",
+        "_last_at_s",
+        "first_at_s",
+        "is_complete",
+        "is_started",
+        "longest_gap_s",
+        "stream",
+    )
 
-    def __init__(self, connection: CallerConnection, resume_after: int | None) -> None:
+    def __init__(
+        self, connection: CallerConnection, clock: Clock, resume_after: int | None
+    ) -> None:
         """Answer on the connection."""
         self._connection = connection
+        self._clock = clock
+        self._last_at_s = 0.0
+        self.first_at_s: float | None = None
+        self.longest_gap_s = 0.0
         self._head: AnswerHead | None = None
         self.stream = EventStream(resume_after)
         self.is_started = False
@@ -38,6 +55,7 @@
         if not events:
             return False
         self._start()
+        self._time_events()
         self._connection.send_data(events)
         await self._connection.drain()
         return True
@@ -58,6 +76,14 @@
         self._connection.abort()
         self.is_complete = True
 
+    def _time_events(self) -> None:
+        now_s = self._clock.monotonic_s()
+        if self.first_at_s is None:
+            self.first_at_s = now_s
+        else:
+            self.longest_gap_s = max(self.longest_gap_s, now_s - self._last_at_s)
+        self._last_at_s = now_s
+
     def _start(self) -> None:
         if not self.is_started and self._head is not None:
             self.is_started = True
--- a/lentiltally/direct/forwarder.py
+++ b/lentiltally/direct/forwarder.py
@@ -180,7 +180,7 @@
         self._route = route
         self._service = service
         self._connection = connection
-        self._answer = CallerAnswer(connection, request.last_event)
+        self._answer = CallerAnswer(connection, forwarder.clock, request.last_event)
         patience_s = request.patience_s or route.timeout_s
         self._deadline_s = request.arrived_s + min(patience_s, route.timeout_s)
         self._print = fingerprint(request.host, request.path, request.body)
@@ -573,10 +573,16 @@
                 "took_s": round(took_s, 3),
                 "sends": self._arrivals,
                 "runs": self._runs,
+                "first_s": _rounded(self._answer.first_at_s, self._request.arrived_s),
+                "longest_gap_s": round(self._answer.longest_gap_s, 3),
                 "events": self._answer.stream.delivered,
             },
         )
 
 
+def _rounded(at_s: float | None, since_s: float) -> float | None:
+    return None if at_s is None else round(at_s - since_s, 3)
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
