--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -158,7 +158,14 @@
             backlog=1024,
         )
         self.is_listening = True
-        _log.info("entry started", extra={"address": str(self._settings.callers)})
+        _log.info(
+            "entry started",
+            extra={
+                "address": str(self._settings.callers),
+                "metrics_port": self._settings.metrics_port,
+                "peer_port": self._settings.peer_port,
+            },
+        )
         tasks = [
             asyncio.create_task(work)
             for work in (
