Ask agents that told nothing yet, instead of sending what engines must refuse

Ruled out: the store (no 'store lost'), slow starts (entries listen after 0.75 s), lost datagrams.

Change: an engine without a state is asked through its agent; a request goes straight to the engine only if its last state listed the adapter. Agents that tell nothing are greeted every 0.2 s instead of every second.

--- a/lentiltally/decisions/target_choice.py
+++ b/lentiltally/decisions/target_choice.py
@@ -81,7 +81,8 @@
     """A target with its expected time to the first byte.
 
     ``residency`` says how the adapter is placed there: ``held``, ``coming``,
-    ``recent``, ``cold``, ``unknown``, or ``none`` where no adapter is needed.
+    ``recent``, ``cold``, ``none`` where no adapter is needed, and without a fresh
+    state ``held before`` if the last one listed it, or ``unknown``.
     """
 
     record: TargetRecord
@@ -256,7 +257,9 @@
         state = self._fresh_state(view, now_s)
         away_s = settings.away_s * min(place, settings.away_places)
         if state is None:
-            return "unknown", settings.unknown_state_s + away_s
+            was_held = view.state is not None and key in view.state.held
+            residency = "held before" if was_held else "unknown"
+            return residency, settings.unknown_state_s + away_s
         if key in state.held:
             return "held", 0.0
         if key in state.coming:
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -41,7 +41,10 @@
 
 _log = logging.getLogger(__name__)
 
+# Agents count an entry as gone after five seconds without a word.
 HELLO_S = 1.0
+# An engine without a fresh state is asked for one this often.
+FIRST_HELLO_S = 0.2
 TICK_S = 0.25
 # How long a read of the configuration waits at the store for a record.
 CONFIGURATION_WAIT_S = 5.0
@@ -85,6 +88,7 @@
         self._state = EntryState(settings, clock)
         self._connections: set[CallerConnection] = set()
         self._stopping_since_s: float | None = None
+        self._greeted_at_s = -HELLO_S
         self.is_listening = False
         self._forwarder: Forwarder
         self._peers: PeerSocket
@@ -171,7 +175,7 @@
             for work in (
                 self._configuration.run(),
                 self._targets.run(),
-                self._every(HELLO_S, self._say_hello),
+                self._every(FIRST_HELLO_S, self._say_hello),
                 self._every(TICK_S, self._tick),
                 self._every(SETTINGS_CHECK_S, self.reload),
             )
@@ -245,10 +249,17 @@
         return sum(not connection.is_idle for connection in self._connections)
 
     def _say_hello(self) -> None:
+        """Greet agents every second, and oftener those that tell nothing."""
         hello = EntryHello(self._settings.name)
+        now_s = self._clock.monotonic_s()
+        is_due = now_s - self._greeted_at_s >= HELLO_S
+        if is_due:
+            self._greeted_at_s = now_s
         for record in self._state.engine_targets():
-            ip = record.address.rpartition(":")[0]
-            self._peers.send(SocketAddress(ip, self._settings.peer_port), hello)
+            view = self._state.choice.view(record.target_id)
+            if is_due or now_s - view.state_at_s > HELLO_S:
+                ip = record.address.rpartition(":")[0]
+                self._peers.send(SocketAddress(ip, self._settings.peer_port), hello)
 
     def _tick(self) -> None:
         self._target_feed.tick()
--- a/lentiltally/direct/forwarder.py
+++ b/lentiltally/direct/forwarder.py
@@ -287,8 +287,8 @@
         adapter = self._request.adapter
         if self._service.engine is None or adapter is None:
             return None
-        if candidate.state_age_s is None or candidate.residency == "unknown":
-            # No agent tells of this engine; the engine itself refuses if it must.
+        if candidate.residency == "held before":
+            # The agent is gone; the engine itself refuses if it dropped the adapter.
             return None
         settings = self._settings
         hold_s = min(settings.max_hold_s, settings.hold_share * self._left_s)
@@ -300,6 +300,9 @@
             patience_s=hold_s,
             left_s=self._left_s,
         )
+        if grant.is_silent and not adapter.adapter:
+            # A base model needs no order, so the agent is not missed.
+            return None
         newest = self._state.newest_version(adapter.key)
         is_older = newest is not None and grant.version < newest[0]
         if grant.is_granted and is_older and self._is_version_due(adapter.key):
--- a/tests/direct/streams.feature
+++ b/tests/direct/streams.feature
@@ -76,3 +76,11 @@
     And direct path agents are gone
     When direct path gets a stream from "/stream/x" for adapter "a1"
     Then direct path delivered the events 1 to 5 whole
+
+  Scenario: Direct path asks agents that it has not heard of yet
+    # Guards against requests that are refused after a restart of all processes because
+    # no agent has told yet what its engine holds.
+    Given direct path entry has not heard of the agents
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 whole
+    And direct path engines refused nothing
--- a/tests/steps/direct_streams_steps.py
+++ b/tests/steps/direct_streams_steps.py
@@ -192,3 +192,21 @@
     state = system.entry._state
     views = [state.choice.view(name) for name in system.engines]
     return [view.state.held if view.state else () for view in views]
+
+
+@given("direct path entry has not heard of the agents")
+def not_heard(context):
+    system = context.direct
+
+    def forget():
+        system.entry._say_hello = lambda: None
+        for name in system.engines:
+            system.entry._state.choice.forget(name)
+        system.entry._state.choice.state_received = lambda *state: None
+
+    system.call(forget)
+
+
+@then("direct path engines refused nothing")
+def refused_nothing(context):
+    assert not [name for engine in llm_engines(context) for name in engine.refused]
