--- a/lentiltally/decisions/engine_slots.py
+++ b/lentiltally/decisions/engine_slots.py
@@ -106,10 +106,11 @@
 
 
 class WantState(enum.Enum):
-    """What became of a want."""
+    """What became of a want; ``NO_ENGINE`` while the engine does not answer."""
 
     GRANTED = "granted"
     DECLINED = "declined"
+    NO_ENGINE = "no engine"
 
 
 @dataclass(frozen=True, slots=True)
@@ -294,7 +295,7 @@
             version = self._held.get(want.key, 0)
             return WantResult(want, WantState.GRANTED, version, "held")
         if self._report is None:
-            return WantResult(want, WantState.DECLINED, 0, "engine lost")
+            return WantResult(want, WantState.NO_ENGINE, 0, "engine lost")
         if want.patience_until_s <= now_s:
             return WantResult(want, WantState.DECLINED, 0, "patience")
         if is_blocked and want.adapter and want.key not in self._coming():
--- a/lentiltally/direct/adapter_requests.py
+++ b/lentiltally/direct/adapter_requests.py
@@ -35,12 +35,16 @@
 
 @dataclass(frozen=True, slots=True)
 class AdapterGrant:
-    """An agent's answer; ``is_silent`` if none came in time."""
+    """An agent's answer; ``is_silent`` if none came in time.
+
+    ``is_engine_lost`` if the agent answered that its engine does not.
+    """
 
     is_granted: bool
     version: int = 0
     reason: str = ""
     is_silent: bool = False
+    is_engine_lost: bool = False
 
 
 @dataclass(slots=True)
@@ -93,8 +97,12 @@
                 await asyncio.wait({waiting.answer}, timeout=REPEAT_S)
                 if waiting.answer.done():
                     given = waiting.answer.result()
-                    is_granted = given.decision is AdapterDecision.GRANTED
-                    return AdapterGrant(is_granted, given.version, given.reason)
+                    return AdapterGrant(
+                        given.decision is AdapterDecision.GRANTED,
+                        given.version,
+                        given.reason,
+                        is_engine_lost=given.decision is AdapterDecision.NO_ENGINE,
+                    )
             return AdapterGrant(False, reason="agent silent", is_silent=True)
         finally:
             self._waiting.pop(request_id, None)
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -47,6 +47,13 @@
 ENTRY_FORGOTTEN_S = 5.0
 
 
+_DECISIONS = {
+    WantState.GRANTED: AdapterDecision.GRANTED,
+    WantState.DECLINED: AdapterDecision.DECLINED,
+    WantState.NO_ENGINE: AdapterDecision.NO_ENGINE,
+}
+
+
 @dataclass(frozen=True, slots=True)
 class AgentPlatform:
     """What an agent needs of the platform's adapter.
@@ -186,9 +193,7 @@
                     sender,
                     AdapterAnswer(
                         want.request_id,
-                        AdapterDecision.GRANTED
-                        if is_granted
-                        else AdapterDecision.DECLINED,
+                        _DECISIONS[result.state],
                         result.version,
                         result.reason,
                     ),
--- a/lentiltally/direct/forwarder.py
+++ b/lentiltally/direct/forwarder.py
@@ -331,7 +331,7 @@
         self._detail = f"adapter not held: {grant.reason}"
         self._peer = record.target_id
         self._refusals += 1
-        if grant.is_silent:
+        if grant.is_silent or grant.is_engine_lost:
             until_s = self._clock.monotonic_s() + self._settings.unreachable_avoid_s
             self._state.choice.avoid(record.target_id, until_s)
         self._log_step("adapter declined", record, reason=grant.reason)
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -65,11 +65,15 @@
 
 
 class AdapterDecision(enum.Enum):
-    """What an agent says to a request; ``WAITING`` only shows that the agent lives."""
+    """What an agent says to a request; ``WAITING`` only shows that the agent lives.
+
+    After ``NO_ENGINE`` other requests should not come for a while either.
+    """
 
     GRANTED = 1
     DECLINED = 2
     WAITING = 3
+    NO_ENGINE = 4
 
 
 class AdapterAnswer(Struct, tag=4, array_like=True, frozen=True):
