--- a/lentiltally/direct/forwarder.py
+++ b/lentiltally/direct/forwarder.py
@@ -47,7 +47,8 @@
     """Times and counts of one request.
 
     ``deadline_margin_s`` is kept for the answer to reach the caller. ``max_refusals``
-    is how many targets may refuse a request before it is given back. ``hold_share`` is
+    is how many targets may refuse a request before it is given back, ``max_declines``
+    how many agents may decline to hold its adapter, which is cheaper. ``hold_share`` is
     the part of the time left for which one agent may keep a request waiting.
     ``first_share`` of the time left is waited for a first byte before another target is
     tried, at least ``first_objectives`` times the route's objective.
@@ -58,6 +59,7 @@
 
     deadline_margin_s: float = 0.03
     max_refusals: int = 4
+    max_declines: int = 10
     hold_share: float = 0.3
     max_hold_s: float = 1.5
     first_share: float = 0.4
@@ -189,6 +191,7 @@
         self._runs = 0
         self._is_sent = False
         self._refusals = 0
+        self._declines = 0
         self._failure: ExchangeResult | None = None
         self._detail = ""
         self._peer = ""
@@ -277,6 +280,8 @@
         """Return whether another arrival at a target fits all limits."""
         if self._refusals >= self._settings.max_refusals:
             return False
+        if self._declines >= self._settings.max_declines:
+            return False
         if self._arrivals == 0:
             return True
         budget = self._state.budget(self._service.name)
@@ -330,7 +335,7 @@
         self._excluded.add(record.target_id)
         self._detail = f"adapter not held: {grant.reason}"
         self._peer = record.target_id
-        self._refusals += 1
+        self._declines += 1
         if grant.is_silent or grant.is_engine_lost:
             until_s = self._clock.monotonic_s() + self._settings.unreachable_avoid_s
             self._state.choice.avoid(record.target_id, until_s)
