Split the forwarder and the engine's slots into modules with one job

Now: forwarder (decode, route, refuse), handling (one request), target_sender, adapter_hold, handling_log, forwarding (shared parts), engine_orders (types).

--- a/lentiltally/decisions/engine_slots.py
+++ b/lentiltally/decisions/engine_slots.py
@@ -8,119 +8,21 @@
 
 from __future__ import annotations
 
-import enum
 from collections import OrderedDict
 from dataclasses import dataclass
 
 from lentiltally.decisions._adapter_use import AdapterUse
+from lentiltally.decisions.engine_orders import (
+    AdapterWant,
+    EngineOrder,
+    EngineOrderKind,
+    EngineReport,
+    WantResult,
+    WantState,
+)
 from lentiltally.direct.model import AdapterNotice, EngineSpec, ModelSpec
 
-__all__ = [
-    "AdapterWant",
-    "EngineOrder",
-    "EngineOrderKind",
-    "EngineReport",
-    "EngineSlots",
-    "EngineSlotsSettings",
-    "HeldAdapter",
-    "HeldModel",
-    "WantResult",
-    "WantState",
-]
-
-
-@dataclass(frozen=True, slots=True)
-class HeldAdapter:
-    """An adapter that the engine holds; version 0 is unknown."""
-
-    name: str
-    version: int
-
-
-@dataclass(frozen=True, slots=True)
-class HeldModel:
-    """A base model that the engine holds, with its adapters."""
-
-    name: str
-    adapters: tuple[HeldAdapter, ...]
-
-
-@dataclass(frozen=True, slots=True)
-class EngineReport:
-    """What the engine says of itself.
-
-    ``sequence`` counts the orders it accepted since its start. ``coming`` are adapters
-    on their way from the weight store, as ``model/adapter``.
-    """
-
-    started_ms: int
-    instance: str | None
-    sequence: int
-    is_busy: bool
-    running: int
-    waiting: int
-    cache_used_tokens: int
-    cache_total_tokens: int
-    models: tuple[HeldModel, ...]
-    coming: tuple[str, ...] = ()
-
-
-class EngineOrderKind(enum.Enum):
-    """What an order asks for."""
-
-    LOAD = "load"
-    UNLOAD = "unload"
-
-
-@dataclass(frozen=True, slots=True)
-class EngineOrder:
-    """An order to the engine; ``adapter`` is empty for the base model itself."""
-
-    kind: EngineOrderKind
-    model: str
-    adapter: str
-    version: int | None
-    expected_sequence: int
-    reason: str
-
-
-@dataclass(frozen=True, slots=True)
-class AdapterWant:
-    """A request that needs a model, and mostly an adapter of it, on this engine.
-
-    It is declined after ``patience_until_s``, and forgotten after ``expires_s``.
-    """
-
-    request_id: str
-    model: str
-    adapter: str
-    rank: int
-    since_s: float
-    patience_until_s: float
-    expires_s: float
-
-    @property
-    def key(self) -> str:
-        """Return model and adapter as one string."""
-        return f"{self.model}/{self.adapter}" if self.adapter else self.model
-
-
-class WantState(enum.Enum):
-    """What became of a want; ``NO_ENGINE`` while the engine does not answer."""
-
-    GRANTED = "granted"
-    DECLINED = "declined"
-    NO_ENGINE = "no engine"
-
-
-@dataclass(frozen=True, slots=True)
-class WantResult:
-    """The answer to a want; a granted one holds its adapter until it is released."""
-
-    want: AdapterWant
-    state: WantState
-    version: int
-    reason: str
+__all__ = ["EngineSlots", "EngineSlotsSettings"]
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -7,13 +7,13 @@
 from dataclasses import dataclass
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.engine_slots import (
+from lentiltally.decisions.engine_orders import (
     AdapterWant,
     EngineOrder,
     EngineReport,
-    EngineSlots,
     WantState,
 )
+from lentiltally.decisions.engine_slots import EngineSlots
 from lentiltally.direct.entry_feeds import ConfigurationDecoder, ConfigurationFeed
 from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
 from lentiltally.direct.messages import (
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -21,6 +21,7 @@
 from lentiltally.direct.entry_metrics import EntryMetrics
 from lentiltally.direct.entry_state import EntryState
 from lentiltally.direct.forwarder import Forwarder
+from lentiltally.direct.forwarding import ForwarderSettings, Forwarding
 from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
 from lentiltally.direct.messages import (
     AdapterAnswer,
@@ -35,6 +36,7 @@
 from lentiltally.direct.settings import HostSettings, SocketAddress
 from lentiltally.direct.settings_watch import SettingsWatch
 from lentiltally.direct.stop_signal import StopSignal
+from lentiltally.direct.target_pool import TargetPool
 from lentiltally.direct.wire import Wire
 
 __all__ = ["EntryPlatform", "EntryProcess"]
@@ -86,6 +88,7 @@
         self._clock = clock
         self._metrics = EntryMetrics()
         self._state = EntryState(settings, clock)
+        self._pool = TargetPool(clock)
         self._connections: set[CallerConnection] = set()
         self._stopping_since_s: float | None = None
         self._greeted_at_s = -HELLO_S
@@ -145,12 +148,16 @@
         )
         self._adapters = AdapterRequests(self._peers)
         self._forwarder = Forwarder(
-            self._state,
-            self._platform.wire,
-            self._adapters,
-            metrics=self._metrics,
-            clock=self._clock,
-            rng=random.Random(),
+            Forwarding(
+                state=self._state,
+                wire=self._platform.wire,
+                adapters=self._adapters,
+                metrics=self._metrics,
+                pool=self._pool,
+                clock=self._clock,
+                rng=random.Random(),
+                settings=ForwarderSettings(),
+            )
         )
         assert self._settings.callers is not None
         pages = await self._open_pages()
@@ -185,7 +192,7 @@
         for task in tasks:
             task.cancel()
         pages.close()
-        self._forwarder.pool.close()
+        self._pool.close()
         self._peers.close()
         _log.info("entry stopped", extra={"open_requests": self._busy()})
         await asyncio.sleep(0.05)
@@ -228,7 +235,7 @@
         return 200, b"ready\n"
 
     def _metrics_page(self) -> tuple[int, bytes]:
-        self._metrics.connections_opened.set(self._forwarder.pool.opened)
+        self._metrics.connections_opened.set(self._pool.opened)
         return 200, self._metrics.page()
 
     async def _stop(self, server: asyncio.Server) -> None:
@@ -263,7 +270,7 @@
 
     def _tick(self) -> None:
         self._target_feed.tick()
-        self._forwarder.pool.sweep()
+        self._pool.sweep()
         for connection in list(self._connections):
             connection.check_timeouts()
 
@@ -274,7 +281,7 @@
             self._say_hello()
         elif change.what == "gone":
             self._report_suspects(change.target_id, "gone")
-            self._forwarder.pool.drop(change.target_id)
+            self._pool.drop(change.target_id)
             self._state.choice.forget(change.target_id)
 
     def _heard(self, message: Message, sender: SocketAddress) -> None:
--- /dev/null
+++ b/lentiltally/direct/handling_log.py
@@ -0,0 +1,70 @@
+"""The log lines of one request."""
+
+from __future__ import annotations
+
+import logging
+
+from lentiltally.clock import Clock
+from lentiltally.decisions.target_choice import Candidate
+from lentiltally.direct.caller_answer import CallerAnswer
+from lentiltally.direct.request import CallerRequest
+
+__all__ = ["HandlingLog"]
+
+_log = logging.getLogger(__name__)
+
+
+class HandlingLog:
+    """Writes a line for each decision about a request."""
+
+    def __init__(self, request: CallerRequest, route: str, clock: Clock) -> None:
+        """Log for a request of a route."""
+        self._request = request
+        self._route = route
+        self._clock = clock
+
+    def sent(self, candidate: Candidate, left_s: float, arrival: int) -> None:
+        """Log a send with what decided it and how old that was."""
+        adapter = self._request.adapter
+        age_s = candidate.state_age_s
+        _log.info(
+            "request sent",
+            extra={
+                "request": self._request.request_id,
+                "route": self._route,
+                "target": candidate.record.target_id,
+                "adapter": adapter.key if adapter else "",
+                "residency": candidate.residency,
+                "cost_s": round(candidate.cost_s, 3),
+                "state_age_s": None if age_s is None else round(age_s, 2),
+                "left_s": round(left_s, 3),
+                "arrival": arrival,
+            },
+        )
+
+    def step(self, message: str, target: str, **fields: object) -> None:
+        """Log what became of one step."""
+        extra = {"request": self._request.request_id, "target": target, **fields}
+        _log.info(message, extra=extra)
+
+    def ended(self, outcome: str, answer: CallerAnswer, sends: int, runs: int) -> float:
+        """Log the end and return how long the request took in seconds."""
+        arrived_s = self._request.arrived_s
+        took_s = self._clock.monotonic_s() - arrived_s
+        first_at_s = answer.first_at_s
+        _log.info(
+            "request ended",
+            extra={
+                "request": self._request.request_id,
+                "outcome": outcome,
+                "took_s": round(took_s, 3),
+                "sends": sends,
+                "runs": runs,
+                "first_s": None
+                if first_at_s is None
+                else round(first_at_s - arrived_s, 3),
+                "longest_gap_s": round(answer.longest_gap_s, 3),
+                "events": answer.stream.delivered,
+            },
+        )
+        return took_s
--- a/lentiltally/direct/wire.py
+++ b/lentiltally/direct/wire.py
@@ -5,7 +5,7 @@
 from collections.abc import Iterable
 from typing import Protocol
 
-from lentiltally.decisions.engine_slots import EngineOrder, EngineReport
+from lentiltally.decisions.engine_orders import EngineOrder, EngineReport
 from lentiltally.direct.request import AnswerHead, CallerRequest, TargetSend
 
 __all__ = ["EngineWire", "Wire"]
--- a/lentiltally/platform/engine_calls.py
+++ b/lentiltally/platform/engine_calls.py
@@ -5,7 +5,7 @@
 import msgspec
 from msgspec import Struct
 
-from lentiltally.decisions.engine_slots import (
+from lentiltally.decisions.engine_orders import (
     EngineOrder,
     EngineOrderKind,
     EngineReport,
