Reset a stand-in's connection only once

Both scenarios end with a reset connection; the stand-in reset it again at the end of the scenario and set an option on a closed socket. A script that resets twice gave 'Bad file descriptor' each time, and none after the change. Ruled out: the direct path itself (the steps had passed, the error came from the clean-up).

--- a/lentiltally/decisions/engine_orders.py
+++ b/lentiltally/decisions/engine_orders.py
@@ -1,4 +1,4 @@
-"""What an engine reports, what it can be ordered to do, and what requests want of it."""
+"""What an engine reports and can be ordered to do, and what requests want of it."""
 
 from __future__ import annotations
 
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -33,10 +33,11 @@
 
 def reset(writer: asyncio.StreamWriter) -> None:
     """End a connection with a reset instead of a regular end."""
+    if writer.is_closing():
+        return
+    no_linger = struct.pack("ii", 1, 0)
     sock = writer.get_extra_info("socket")
-    if sock is not None:
-        no_linger = struct.pack("ii", 1, 0)
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
+    sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, no_linger)
     writer.transport.abort()
 
 
