Let a cold load cost more in the choice; test the decisions of the direct path

Tests: slots, choice, budgets, directory, routes and suspects in modules without network, each naming the load pattern that it answers; the platform's adapter, with a bad settings file on the command line.

--- a/lentiltally/decisions/target_choice.py
+++ b/lentiltally/decisions/target_choice.py
@@ -39,7 +39,7 @@
     usual_prompt_tokens: float = 1_800.0
     batch_slowdown_s: float = 0.25
     no_memory_s: float = 1.5
-    cold_s: float = 0.35
+    cold_s: float = 0.55
     recent_s: float = 0.06
     coming_s: float = 0.15
     away_s: float = 0.03
--- /dev/null
+++ b/tests/decisions/direct_choice.feature
@@ -0,0 +1,50 @@
+Feature: Choice of a target on the direct path
+
+  # Load pattern: a steady crest; the adapter is held by some engines and others are free.
+  Scenario Outline: Target choice weighs a held adapter against load
+    Given target choice of 3 engines
+    And target choice engine "e1" holds the adapter and has <running> requests
+    Then target choice takes <target> for the adapter
+
+    Examples:
+      | running | target  |
+      | 0       | e1      |
+      | 20      | e1      |
+      | 200     | another |
+
+  # Load pattern: rare adapters asked for at once by callers of all entries.
+  Scenario: Target choice of entries with other loads puts a cold adapter on the same engine
+    # Guards against several engines that load one rare adapter each.
+    Then target choice of 5 entries puts 200 cold adapters on 1.5 engines each at most
+
+  Scenario: Target choice leaves an engine whose slots are all in use
+    # Guards against a cold start that waits behind running work while a slot is free.
+    Given target choice of 3 engines
+    And target choice engine "e1" has no free slot
+    And target choice engine "e2" has no free slot
+    Then target choice takes e3 for the adapter
+
+  # Load pattern: one target fails a part of its requests while it looks healthy.
+  Scenario: Target choice turns away from a target that fails, and comes back
+    Given target choice of 3 plain targets
+    When target choice sees 8 failures at "p1"
+    Then target choice takes another than "p1"
+    And target choice may take "p1" again after 20 s without a failure
+
+  Scenario: Target choice does not turn away when all targets fail alike
+    # Guards against ejecting everything because answers themselves are failures.
+    Given target choice of 3 plain targets
+    When target choice sees 8 failures at each target
+    Then target choice still ranks 3 targets
+
+  # Load pattern: a short burst at one entry.
+  Scenario: Target choice spreads a burst over equal plain targets
+    Given target choice of 3 plain targets
+    When target choice gets 30 requests at once
+    Then target choice gave every target 8 to 12 of them
+
+  Scenario: Target choice ignores an old state that was overtaken
+    # Guards against work sent to an adapter that was unloaded since.
+    Given target choice of 3 engines
+    When target choice gets state 5 of "e1" without the adapter, then state 4 with it
+    Then target choice does not see the adapter at "e1"
--- /dev/null
+++ b/tests/steps/adapter_steps.py
@@ -0,0 +1,129 @@
+"""Steps for the translation of the platform's files, records and headers."""
+
+from __future__ import annotations
+
+import contextlib
+import io
+import json
+import tempfile
+from pathlib import Path
+
+import tomlkit
+from behave import given, then, when
+
+from lentiltally.cli import main
+from lentiltally.decisions.engine_orders import EngineOrder, EngineOrderKind
+from lentiltally.platform.desired_state import StoreValueError
+from lentiltally.platform.engine_calls import encode_order
+from lentiltally.platform.http_names import decode_answer_head, decode_request
+from lentiltally.platform.target_list import decode_target_record
+
+SETTINGS = {
+    "nodeName": "front-1",
+    "machineClass": "front",
+    "serves": ["front"],
+    "ipAddress": "10.1.0.1",
+    "zone": "z1",
+    "internalPorts": [7380, 7395],
+    "listenAddresses": {"front": "10.1.0.1:80", "ready": "10.1.0.1:81"},
+    "bounds": {"drainMs": 2000},
+    "platform": {"address": "10.9.0.1:82"},
+}
+ENTRY = {
+    "service": "s",
+    "address": "10.0.0.1:80",
+    "zone": "z1",
+    "version": "v1",
+    "slots": 6,
+    "state": "ready",
+    "coldRemainingMs": 0,
+    "sequence": 4,
+    "born": 17,
+}
+
+
+def set_key(document, path, value):
+    *parents, name = path.split(".")
+    for parent in parents:
+        document = document[parent]
+    document[name] = value
+
+
+@given('platform adapter settings without "{absent}" and with these values')
+def bad_settings(context, absent):
+    context.settings = json.loads(json.dumps(SETTINGS))
+    del context.settings[absent]
+    for row in context.table:
+        set_key(context.settings, row["key"], json.loads(row["value"]))
+
+
+@given("platform adapter settings with an unknown key")
+def unknown_key(context):
+    context.settings = {**SETTINGS, "laterAddition": 1}
+
+
+@when("platform adapter checks the settings on the command line")
+def checks(context):
+    output = io.StringIO()
+    with tempfile.TemporaryDirectory() as folder:
+        path = Path(folder, "node.toml")
+        path.write_text(tomlkit.dumps(context.settings))
+        with contextlib.redirect_stderr(output), contextlib.redirect_stdout(output):
+            context.code = main(["check", str(path)])
+    context.output = output.getvalue()
+
+
+@then("platform adapter exits with {code:d} and names these keys")
+def exits_naming(context, code):
+    exits(context, code)
+    for row in context.table:
+        assert row["key"] in context.output, context.output
+
+
+@then("platform adapter exits with {code:d}")
+def exits(context, code):
+    assert context.code == code, context.output
+
+
+@then("platform adapter rejects a target entry with {field} set to {value}")
+def rejects_entry(context, field, value):
+    assert decode_target_record("t", json.dumps(ENTRY).encode()).sequence == 4
+    spoiled = {**ENTRY, field: json.loads(value)}
+    try:
+        record = decode_target_record("t", json.dumps(spoiled).encode())
+    except StoreValueError:
+        return
+    raise AssertionError(f"accepted as {record}")
+
+
+@then('platform adapter reads status {status:d} with "{header}" as {meaning}')
+@then('platform adapter reads status {status:d} with "" as {meaning}')
+def reads_answer(context, status, meaning, header=""):
+    name, _, value = header.partition(": ")
+    headers = [(name.encode(), value.encode())] if name else []
+    head = decode_answer_head(status, headers)
+    assert head.did_not_run == (meaning == "not run"), head
+
+
+@then('platform adapter passes only "{kept}" of {headers}')
+def passes_only(context, kept, headers):
+    pairs = [text.strip('"').split(": ") for text in headers.split(", ")]
+    raw = [(n.encode(), v.encode()) for n, v in [*pairs, ("X-Request-Id", "r")]]
+    request = decode_request(b"GET", b"/", raw, b"", 0.0)
+    names = [name.decode() for name, _ in request.headers]
+    assert names == [kept, "X-Request-Id"], names
+
+
+@then("platform adapter writes an order with holder, token and expected sequence")
+def writes_order(context):
+    order = EngineOrder(EngineOrderKind.LOAD, "m", "a1", 3, 7, "wanted")
+    body = json.loads(encode_order(order, "host-1"))
+    assert body == {
+        "operation": "load",
+        "model": "m",
+        "adapter": "a1",
+        "version": 3,
+        "holder": "host-1",
+        "fencingToken": 1,
+        "expect": 7,
+    }, body
--- /dev/null
+++ b/tests/steps/direct_choice_steps.py
@@ -0,0 +1,157 @@
+"""Steps for the choice of a target on the direct path."""
+
+from __future__ import annotations
+
+import random
+from collections import Counter
+
+from behave import given, then, when
+
+from lentiltally.decisions.target_choice import TargetChoice
+from lentiltally.direct.messages import EngineState
+from lentiltally.direct.model import TargetRecord, TargetStage
+
+NOW_S = 50.0
+KEY = "m/a"
+
+
+def record(name, places=64):
+    address = f"10.0.0.{sum(name.encode()) % 250}:80"
+    return TargetRecord(name, "s", address, "z1", places, TargetStage.READY, 1, 1)
+
+
+def state(number=1, held=(), running=0, free_slots=2):
+    return EngineState(
+        started_ms=1,
+        number=number,
+        running=running,
+        waiting=0,
+        cache_used=0,
+        cache_total=0,
+        held=("m", *held),
+        coming=(),
+        recent=(),
+        free_slots=free_slots,
+        waiting_keys=0,
+        entries=1,
+    )
+
+
+@given("target choice of 3 engines")
+def engines(context):
+    context.choice = TargetChoice("z1")
+    context.records = [record(name) for name in ("e1", "e2", "e3")]
+    for target in context.records:
+        context.choice.state_received(target.target_id, state(), NOW_S)
+
+
+@given("target choice of 3 plain targets")
+def plain_targets(context):
+    context.choice = TargetChoice("z1")
+    context.records = [record(name, places=6) for name in ("p1", "p2", "p3")]
+
+
+@given('target choice engine "{name}" holds the adapter and has {running:d} requests')
+def holds(context, name, running):
+    held = state(2, held=[KEY], running=running)
+    context.choice.state_received(name, held, NOW_S)
+
+
+@given('target choice engine "{name}" has no free slot')
+def no_slot(context, name):
+    context.choice.state_received(name, state(2, free_slots=0), NOW_S)
+
+
+@when('target choice sees 8 failures at "{name}"')
+def fails(context, name):
+    for _ in range(8):
+        context.choice.sent(name, 0)
+        context.choice.ended(name, is_failure=True, now_s=NOW_S)
+
+
+@when("target choice sees 8 failures at each target")
+def all_fail(context):
+    for target in context.records:
+        fails(context, target.target_id)
+
+
+@when("target choice gets 30 requests at once")
+def burst(context):
+    context.given = Counter()
+    for _ in range(30):
+        (best, *_) = context.choice.plain(context.records, (), NOW_S)
+        context.choice.sent(best.record.target_id, 0)
+        context.given[best.record.target_id] += 1
+
+
+@when(
+    'target choice gets state 5 of "{name}" without the adapter, then state 4 with it'
+)
+def overtaken(context, name):
+    context.choice.state_received(name, state(5), NOW_S)
+    context.choice.state_received(name, state(4, held=[KEY]), NOW_S)
+
+
+def best_engine(choice, records, key=KEY):
+    (best, *_) = choice.engines(records, key, 1800, (), NOW_S, needs_adapter=True)
+    return best
+
+
+@then("target choice takes {target} for the adapter")
+def takes(context, target):
+    taken = best_engine(context.choice, context.records).record.target_id
+    assert (taken != "e1") if target == "another" else (taken == target), taken
+
+
+@then("target choice of 5 entries puts 200 cold adapters on 1.5 engines each at most")
+def same_home(context):
+    rng = random.Random(1)
+    records = [record(f"engine-{number}-{number * 7}") for number in range(9)]
+    engines_used = 0
+    for adapter in range(200):
+        homes = set()
+        for _ in range(5):
+            choice = TargetChoice("z1")
+            for target in records:
+                seen = state(running=rng.randint(0, 6))
+                choice.state_received(target.target_id, seen, NOW_S)
+            homes.add(best_engine(choice, records, f"m/a{adapter}").record.target_id)
+        engines_used += len(homes)
+    assert engines_used <= 1.5 * 200, engines_used
+
+
+@then('target choice takes another than "{name}"')
+def takes_another(context, name):
+    (best, *_) = context.choice.plain(context.records, (), NOW_S)
+    assert best.record.target_id != name
+
+
+@then('target choice may take "{name}" again after 20 s without a failure')
+def comes_back(context, name):
+    costs = {
+        c.record.target_id: c.cost_s
+        for c in context.choice.plain(context.records, (), NOW_S + 20.0)
+    }
+    assert costs[name] <= min(costs.values()) + 0.001, costs
+
+
+@then("target choice still ranks 3 targets")
+def ranks_all(context):
+    ranked = context.choice.plain(context.records, (), NOW_S)
+    assert len(ranked) == 3
+    assert max(c.cost_s for c in ranked) - min(c.cost_s for c in ranked) < 0.01
+
+
+@then("target choice gave every target 8 to 12 of them")
+def spread(context):
+    assert len(context.given) == 3
+    assert all(8 <= count <= 12 for count in context.given.values()), context.given
+
+
+@then('target choice does not see the adapter at "{name}"')
+def not_held(context, name):
+    ranked = context.choice.engines(
+        context.records, KEY, 1800, (), NOW_S, needs_adapter=True
+    )
+    by_name = {c.record.target_id: c.residency for c in ranked}
+    assert by_name[name] == "cold", by_name
--- /dev/null
+++ b/tests/steps/direct_limits_steps.py
@@ -0,0 +1,125 @@
+"""Steps for budgets, the target directory, routes and suspects."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+
+from lentiltally.decisions.crash_suspects import CrashSuspects, fingerprint
+from lentiltally.decisions.resend_budget import ResendBudget
+from lentiltally.decisions.route_table import RouteTable
+from lentiltally.decisions.target_directory import TargetDirectory
+from lentiltally.direct.model import (
+    DesiredState,
+    Route,
+    RouteKind,
+    TargetRecord,
+    TargetStage,
+    WeightedService,
+)
+
+NOW_S = 20.0
+STAGES = {"ready": TargetStage.READY, "leaving": TargetStage.LEAVING}
+
+
+def target(stage, start, sequence):
+    return TargetRecord("t", "s", "10.0.0.1:80", "z", 1, STAGES[stage], start, sequence)
+
+
+ONE_SERVICE = (WeightedService("s", 1.0),)
+
+
+def route(name, prefix, services=ONE_SERVICE):
+    return Route(
+        name, "h", prefix, RouteKind.IDEMPOTENT, 1.0, 1.0, 0, services, 1, False, 0.0
+    )
+
+
+@then("resend budgets of 5 entries spend at most 0.2 of 400 requests and 50 in 10 s")
+def budgets(context):
+    entries = [ResendBudget(0.2, 50.0, 10.0) for _ in range(5)]
+    spent = 0
+    for number in range(400):
+        entry, now_s = entries[number % 5], NOW_S + number * 0.01
+        entry.requested(now_s)
+        while entry.spend(5, now_s):
+            spent += 1
+    assert 50 <= spent <= 0.2 * 400 + 50, spent
+
+
+@given("resend budget that is spent")
+def spent_budget(context):
+    context.budget = ResendBudget(0.2, 50.0, 10.0)
+    while context.budget.spend(1, NOW_S):
+        pass
+
+
+@then("resend budget allows a resend after 10 s")
+def budget_back(context):
+    assert not context.budget.spend(1, NOW_S + 9.9)
+    assert context.budget.spend(1, NOW_S + 10.1)
+
+
+@given("target directory with a ready target of start 5 and sequence 5")
+def directory(context):
+    context.directory = TargetDirectory()
+    context.directory.updated(target("ready", 5, 5))
+
+
+@when("target directory reads {stage} of start {start:d} and sequence {sequence:d}")
+def reads(context, stage, start, sequence):
+    context.directory.updated(target(stage, start, sequence))
+
+
+@when("target directory sees the store return and the entry missing")
+def missing_after_outage(context):
+    context.directory.store_returned(NOW_S)
+    context.directory.listed(set(), NOW_S)
+
+
+@when("target directory sees the entry missing")
+def missing(context):
+    context.directory.listed(set(), NOW_S)
+
+
+@then("target directory has {count:d} usable targets 2 s later")
+def usable_later(context, count):
+    context.directory.tick(NOW_S + 2.01)
+    usable(context, count)
+
+
+@then("target directory has {count:d} usable targets")
+def usable(context, count):
+    assert len(context.directory.usable("s")) == count
+
+
+@then("route table matches these")
+def matches(context):
+    routes = (route("a", "/a/"), route("ab", "/a/b/"))
+    table = RouteTable(DesiredState(1, routes, {}))
+    for row in context.table:
+        found = table.match(row["host"], row["path"])
+        assert (found.name if found else "none") == row["route"], row
+
+
+@then("route table sends 850 to 950 of 1000 requests to the service of weight 90")
+def divides(context):
+    split = (WeightedService("x", 90.0), WeightedService("y", 10.0))
+    names = [RouteTable.service(route("a", "/a/", split), f"r{n}") for n in range(1000)]
+    assert 850 <= names.count("x") <= 950, names.count("x")
+
+
+@then("crash suspects refuse a request after it ended 2 targets, also under another id")
+def refuses(context):
+    context.suspects = CrashSuspects()
+    context.print = fingerprint("h", b"/x", b"body")
+    for start in ("t1@1", "t1@1", "t2@1"):
+        assert not context.suspects.is_refused(context.print, NOW_S)
+        context.suspects.ended_with_target(context.print, start, NOW_S)
+    assert context.suspects.is_refused(fingerprint("h", b"/x", b"body"), NOW_S)
+    assert not context.suspects.is_refused(fingerprint("h", b"/x", b"other"), NOW_S)
+
+
+@then("crash suspects forget a request that ran to its end")
+def forgets(context):
+    context.suspects.finished(context.print)
+    assert not context.suspects.is_refused(context.print, NOW_S)
--- /dev/null
+++ b/tests/steps/engine_slots_steps.py
@@ -0,0 +1,196 @@
+"""Steps for the adapter slots of one engine."""
+
+from __future__ import annotations
+
+from behave import given, then, when
+from hypothesis import given as for_all
+from hypothesis import strategies as st
+
+from lentiltally.decisions.engine_orders import (
+    AdapterWant,
+    EngineOrderKind,
+    EngineReport,
+    HeldAdapter,
+    HeldModel,
+    WantState,
+)
+from lentiltally.decisions.engine_slots import EngineSlots
+from lentiltally.direct.model import AdapterNotice, EngineSpec, ModelSpec
+
+SPEC = EngineSpec(8, 100_000, 2, 100.0, (ModelSpec("m", 10.0, 1.0, 1.0),))
+NOW_S = 100.0
+
+
+def report(held=(), started_ms=1, sequence=0, coming=(), models=("m",)):
+    adapters = tuple(HeldAdapter(name, 1) for name in held)
+    return EngineReport(
+        started_ms=started_ms,
+        instance=None,
+        sequence=sequence,
+        is_busy=False,
+        running=0,
+        waiting=0,
+        cache_used_tokens=0,
+        cache_total_tokens=0,
+        models=tuple(HeldModel(model, adapters) for model in models),
+        coming=tuple(f"m/{name}" for name in coming),
+    )
+
+
+def want(adapter, rank=1, at_s=NOW_S, request_id=None):
+    return AdapterWant(
+        request_id or f"r-{adapter}", "m", adapter, rank, at_s, at_s + 1.0, at_s + 9.0
+    )
+
+
+def new_slots(held):
+    slots = EngineSlots()
+    slots.set_spec(SPEC)
+    slots.reported(report(held))
+    return slots
+
+
+@given('engine slots with 2 slots that hold "{one}" and "{two}"')
+def slots_hold(context, one, two):
+    context.slots = new_slots([one, two])
+
+
+@given("engine slots with 2 slots that hold nothing")
+def slots_empty(context):
+    context.slots = new_slots([])
+
+
+@given("engine slots of an engine that holds no model")
+def no_model(context):
+    context.slots = EngineSlots()
+    context.slots.set_spec(SPEC)
+    context.slots.reported(report(models=()))
+
+
+@given('engine slots granted "{one}" and "{two}"')
+def granted(context, one, two):
+    for adapter in (one, two):
+        context.slots.want(want(adapter))
+    states = [result.state for result in context.slots.results(NOW_S)]
+    assert states == [WantState.GRANTED] * 2, states
+
+
+@given('engine slots have served "{hot}" 9 times and "{rare}" once')
+def served(context, hot, rare):
+    for number, adapter in enumerate([hot] * 9 + [rare]):
+        context.slots.want(want(adapter, request_id=f"s{number}"))
+        context.slots.results(NOW_S)
+        context.slots.release(f"s{number}")
+
+
+@when('engine slots are asked for "{adapter}"')
+def asked(context, adapter):
+    context.slots.want(want(adapter))
+    context.results = context.slots.results(NOW_S)
+
+
+@when(
+    'engine slots are asked for "{low}" with rank 2 and then for "{high}" with rank 0'
+)
+def asked_ranks(context, low, high):
+    context.slots.want(want(low, rank=2, at_s=NOW_S - 1))
+    context.slots.want(want(high, rank=0))
+
+
+@when("engine slots are asked for 5 other adapters")
+def asked_many(context):
+    for number in range(5):
+        context.slots.want(want(f"x{number}"))
+    context.results = context.slots.results(NOW_S)
+
+
+@when('engine slots see the end of "{adapter}"')
+def ended(context, adapter):
+    context.slots.release(f"r-{adapter}")
+
+
+@when('engine slots learn of version 2 of "{adapter}" and are asked for it')
+def newer(context, adapter):
+    assert context.slots.noticed(AdapterNotice("m", adapter, 2))
+    asked(context, adapter)
+
+
+@when("engine slots get a report of a new start that holds nothing")
+def new_start(context):
+    assert context.slots.reported(report(started_ms=2))
+
+
+@then("engine slots order nothing")
+def orders_nothing(context):
+    assert context.slots.next_order(NOW_S) is None
+
+
+@then('engine slots order the {kind} of "{adapter}"')
+def orders(context, kind, adapter):
+    order = context.slots.next_order(NOW_S)
+    assert order is not None
+    assert (order.kind.value, order.adapter) == (kind, adapter), order
+
+
+@then("engine slots order the load of the model")
+def orders_model(context):
+    order = context.slots.next_order(NOW_S)
+    assert order is not None
+    assert (order.kind, order.model, order.adapter) == (EngineOrderKind.LOAD, "m", "")
+
+
+@then('engine slots decline {count:d} with "{reason}"')
+def declines(context, count, reason):
+    declined = [r for r in context.results if r.state is WantState.DECLINED]
+    assert [result.reason for result in declined] == [reason] * count, declined
+
+
+@then("engine slots grant nothing")
+def grants_nothing(context):
+    assert context.results == []
+
+
+@then("engine slots have {count:d} free slots")
+def free_slots(context, count):
+    assert context.slots.free_slots == count
+
+
+EVENTS = st.lists(
+    st.one_of(
+        st.tuples(st.just("want"), st.integers(0, 6)),
+        st.tuples(st.just("release"), st.integers(0, 6)),
+        st.tuples(st.just("loaded"), st.integers(0, 6)),
+    ),
+    max_size=60,
+)
+
+
+@then("engine slots stay within their limit for any requests, releases and reports")
+def within_limit(context):
+    @for_all(EVENTS)
+    def check(events):
+        held, coming, sequence = [], [], 0
+        slots = new_slots(held)
+        for number, (event, which) in enumerate(events):
+            name, now_s = f"a{which}", NOW_S + number * 0.01
+            if event == "want":
+                slots.want(want(name, at_s=now_s))
+            elif event == "release":
+                slots.release(f"r-{name}")
+            elif coming:
+                held.append(coming.pop(0))
+            slots.reported(report(held, sequence=sequence, coming=coming))
+            slots.results(now_s)
+            order = slots.next_order(now_s)
+            if order is None:
+                continue
+            assert order.expected_sequence == sequence
+            sequence += 1
+            if order.kind is EngineOrderKind.UNLOAD:
+                assert f"m/{order.adapter}" not in slots.pinned_keys
+                held.remove(order.adapter)
+            else:
+                coming.append(order.adapter)
+            assert len({*held, *coming}) <= SPEC.adapter_slots
+
+    check()
