Keep the place and the patience of a repeated adapter request

Cause: found while reading a request's lines for docs/OPERATIONS.md: 'waited_s' 0.03 after 0.7 s. Entries repeat a request every 60 ms while it waits, and each repeat replaced it with a new start, so its patience never ended and its place went to the end. The new scenario fails without the change.

A broken-off stream is now logged as such, not as answered.

--- a/lentiltally/decisions/engine_slots.py
+++ b/lentiltally/decisions/engine_slots.py
@@ -143,12 +143,15 @@
         return is_new
 
     def want(self, want: AdapterWant) -> None:
-        """Take a request that needs an adapter; one that is known is not counted twice.
+        """Take a request that needs an adapter.
 
-        A want that was granted before is granted again, because the answer was lost.
+        A repeated one that waits keeps its place and its patience. One that was granted
+        before is granted again, because the answer was lost.
         """
+        if want.request_id in self._waiting:
+            return
         known = self._pins.pop(want.request_id, None)
-        if want.request_id not in self._waiting and known is None and want.adapter:
+        if known is None and want.adapter:
             self._use.used(want.key, want.since_s)
         self._waiting[want.request_id] = want
 
--- a/lentiltally/direct/caller_answer.py
+++ b/lentiltally/direct/caller_answer.py
@@ -23,6 +23,7 @@
         "_head",
         "_last_at_s",
         "first_at_s",
+        "is_broken_off",
         "is_complete",
         "is_started",
         "longest_gap_s",
@@ -42,6 +43,7 @@
         self.stream = EventStream(resume_after)
         self.is_started = False
         self.is_complete = False
+        self.is_broken_off = False
 
     def head_received(self, head: AnswerHead) -> None:
         """Keep the head of the first target; later ones go on in the same answer."""
@@ -74,7 +76,7 @@
     def break_off(self) -> None:
         """End an unfinished stream so that the caller sees that it is unfinished."""
         self._connection.abort()
-        self.is_complete = True
+        self.is_broken_off = True
 
     def _time_events(self) -> None:
         now_s = self._clock.monotonic_s()
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -91,7 +91,7 @@
         except (asyncio.CancelledError, CallerGone):
             self._ended("caller gone")
             raise
-        self._ended("answered")
+        self._ended("broken off" if self._answer.is_broken_off else "answered")
 
     def _check_suspect(self) -> None:
         if self._state.suspects.is_refused(self._print, self._clock.monotonic_s()):
--- a/tests/decisions/engine_slots.feature
+++ b/tests/decisions/engine_slots.feature
@@ -51,3 +51,11 @@
   Scenario: Engine slots load the only model after an empty start
     Given engine slots of an engine that holds no model
     Then engine slots order the load of the model
+
+  # Load pattern: many callers wait for slots and repeat their requests while they wait.
+  Scenario: Engine slots keep the place and the patience of a request that is repeated
+    # Guards against requests that wait for good because each repeat renews their patience.
+    Given engine slots with 2 slots that hold "a" and "b"
+    And engine slots granted "a" and "b"
+    When engine slots are asked for "c" and again every 0.3 s for 1.2 s
+    Then engine slots have declined it once with "patience"
--- a/tests/steps/engine_slots_steps.py
+++ b/tests/steps/engine_slots_steps.py
@@ -194,3 +194,18 @@
             assert len({*held, *coming}) <= SPEC.adapter_slots
 
     check()
+
+
+@when('engine slots are asked for "{adapter}" and again every 0.3 s for 1.2 s')
+def asked_again(context, adapter):
+    context.results = []
+    for number in range(5):
+        now_s = NOW_S + 0.3 * number
+        if not context.results:
+            context.slots.want(want(adapter, at_s=now_s))
+        context.results += context.slots.results(now_s)
+
+
+@then('engine slots have declined it once with "{reason}"')
+def declined_once(context, reason):
+    assert [result.reason for result in context.results] == [reason]
