--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -29,6 +29,9 @@
 ENTRY_IP = "127.0.3.1"
 REQUEST_EVERY_S = 0.02
 QUIET_S = 4.0
+FAULT_EVERY_S = (0.05, 0.4)
+# Requests that a faulty back end treats wrongly in a row.
+STEPS_AT_ONCE = 6
 STEPS = ("lost", "hang", "full", "error", "stray", "extra", "cut", "unframed-reset")
 
 
@@ -111,10 +114,10 @@
     async def inject(self) -> None:
         while not self.stopping:
             fault = self.rng.choice(
-                (self.signal, self.signal, self.proxy, self.script, self.store_fault)
+                (self.signal, self.proxy, self.script, self.script, self.store_fault)
             )
             asyncio.ensure_future(fault())
-            await asyncio.sleep(self.rng.uniform(0.1, 0.8))
+            await asyncio.sleep(self.rng.uniform(*FAULT_EVERY_S))
 
     async def signal(self) -> None:
         name = self.rng.choice(list(self.processes))
@@ -155,7 +158,7 @@
         elif engine.slots and self.rng.random() < 0.3:
             engine.order_script.append("late")
         else:
-            engine.script.append(self.rng.choice(STEPS))
+            engine.script.extend(self.rng.choices(STEPS, k=STEPS_AT_ONCE))
 
     async def store_fault(self) -> None:
         self.faults["store"] += 1
