Wait until agents know a version before the test asks for it

The step waited 0.2 s for the agents to read the notice. The trace that shows the case is allowed: with the agents' reads slowed to one a second, the agent grants the version it holds before it has heard of the newer one, and the scenario fails every time; within the bound of 5 s that is permitted.

--- a/tests/fakes/direct.py
+++ b/tests/fakes/direct.py
@@ -100,6 +100,7 @@
         self._thread.start()
         self.store = None
         self.engines = {}
+        self.agents = {}
         self._sequence = 0
         self._started = []
         self.peer_port = free_port(socket.SOCK_DGRAM)
@@ -225,7 +226,9 @@
                 decode_configuration=decode_configuration,
                 service="llm",
             )
-            self._run_process(AgentProcess(settings, platform, SystemClock()))
+            agent = AgentProcess(settings, platform, SystemClock())
+            self.agents[engine_name] = agent
+            self._run_process(agent)
 
         self.run(start())
 
--- a/tests/steps/direct_streams_steps.py
+++ b/tests/steps/direct_streams_steps.py
@@ -108,7 +108,12 @@
     system.call(name_version)
     known = system.entry._state.newest_version
     assert system.wait(lambda: known(f"m/{adapter}") is not None)
-    system.run(asyncio.sleep(0.2))
+    agents = system.agents.values()
+    assert system.wait(lambda: all(_knows(agent, adapter, version) for agent in agents))
+
+
+def _knows(agent, adapter, version):
+    return agent._slots._newest.get(f"m/{adapter}") == version
 
 
 @when("direct path engines start anew")
