Name the engine's start in every order

The engine started anew, its sequence counted from 0, reached the number that the old order expected, and the order was carried out at 11.01 s on top of five held adapters. Orders named no instance, because reports carry none.

Ruled out: two orders of the agent at once (it waits for each answer), a load on an old report (the orders of the new start are one for each slot).

Change: the agent asks the engine's health check once for each start and names that id in every order; before it knows the id it orders nothing. The scenario 'names the engine's start in every order' fails without the change.

Left: an engine that starts again under the same id can still meet an old order, if its sequence number comes up.

--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -87,6 +87,8 @@
         self._sent_at_s = 0.0
         self._config_version = 0
         self._is_engine_lost = False
+        self._identified_ms: int | None = None
+        self._health_path = ""
         self._configuration = KeyedFeed(
             "configuration",
             platform.configuration,
@@ -129,6 +131,7 @@
             service = engines[0] if len(engines) == 1 else None
         if service is not None and service.engine is not None:
             self._slots.set_spec(service.engine)
+            self._health_path = service.health_path
         _log.info("desired state in force", extra={"config_version": state.version})
 
     def _noticed(self, notice: AdapterNotice) -> None:
@@ -231,6 +234,8 @@
     async def _step(self) -> None:
         report = await self._platform.engine.report()
         self._take_report(report)
+        if not await self._is_identified(report):
+            return
         order = self._slots.next_order(self._clock.monotonic_s())
         while order is not None:
             if await self._order(order) not in (200, 202):
@@ -242,6 +247,18 @@
                 break
             order = following
 
+    async def _is_identified(self, report: EngineReport) -> bool:
+        """Return whether orders can name the engine's present start.
+
+        An order that is carried out late must not reach the engine after a restart,
+        where its sequence number may come up again.
+        """
+        if self._identified_ms != report.started_ms and self._health_path:
+            self._identified_ms = None
+            if await self._platform.engine.identify(self._health_path):
+                self._identified_ms = report.started_ms
+        return self._identified_ms is not None
+
     def _take_report(self, report: EngineReport) -> None:
         if self._slots.reported(report):
             _log.info("engine started anew", extra={"started_ms": report.started_ms})
--- a/lentiltally/direct/wire.py
+++ b/lentiltally/direct/wire.py
@@ -45,6 +45,10 @@
         """Return the engine's report; raises LentiltallyError."""
         ...
 
+    async def identify(self, health_path: str) -> bool:
+        """Learn which start of the engine orders are meant for."""
+        ...
+
     async def order(self, order: EngineOrder) -> int:
         """Send an order and return its answer's status; raises LentiltallyError."""
         ...
--- a/lentiltally/platform/engine_calls.py
+++ b/lentiltally/platform/engine_calls.py
@@ -26,6 +26,7 @@
 # An order may go unanswered and be carried out later; the sequence number that it names
 # makes repeating it safe, so waiting long for an answer gains nothing.
 ORDER_TIMEOUT_S = 0.1
+IDENTIFY_TIMEOUT_S = 0.3
 # One holder for life: an agent is the only sender of its engine's orders, and a holder
 # is a host, so the token never has to change.
 _TOKEN = 1
@@ -82,9 +83,20 @@
                 step="report",
                 peer=str(self._caller.address),
             )
+        return decode_report(answer.body, self._instance)
+
+    async def identify(self, health_path: str) -> bool:
+        """Learn the id that orders name; return whether the engine told it.
+
+        Reports carry no id, so the health check is asked, once for each start.
+        Raises ConnectError or PeerFailed.
+        """
+        answer = await self._caller.call(
+            b"GET", health_path.encode(), timeout_s=IDENTIFY_TIMEOUT_S
+        )
         instance = answer.headers.get(b"x-instance-id")
         self._instance = None if instance is None else instance.decode("latin-1")
-        return decode_report(answer.body, self._instance)
+        return self._instance is not None
 
     async def order(self, order: EngineOrder) -> int:
         """Send an order and return the status; raises ConnectError or PeerFailed."""
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -54,6 +54,7 @@
     orders: list[dict[str, object]] = field(default_factory=list)
     order_script: deque[str] = field(default_factory=deque)
     left: list[str] = field(default_factory=list)
+    ordered_as: list[tuple[str, str]] = field(default_factory=list)
     sequence: int = 0
     born: int = 1
     has_crashed: bool = False
@@ -79,11 +80,18 @@
         if request.path == "/-/report":
             return answer(200, json.dumps(self._report()).encode())
         if request.path == "/-/order":
-            return await self._order(json.loads(request.body))
+            expected = request.headers.get("x-expected-instance", "")
+            self.ordered_as.append((expected, self.name))
+            if expected not in ("", self.name):
+                return answer(421, headers={"X-Instance-Id": self.name})
+            return await self._order(json.loads(request.body), expected)
         return answer(404)
 
     async def exchange(self, request: RawRequest, writer: asyncio.StreamWriter) -> bool:
         """Answer a request on its connection."""
+        if request.path == "/health":
+            writer.write(answer(200, headers={"X-Instance-Id": self.name}))
+            return True
         if request.path.startswith("/-/"):
             return await RawHttpServer.exchange(self, request, writer)
         step = self.script.popleft() if self.script else "run"
@@ -190,14 +198,19 @@
             "runs": [],
         }
 
-    async def _order(self, order: dict[str, object]) -> bytes | None:
+    async def _order(self, order: dict[str, object], expected: str) -> bytes | None:
         self.orders.append(order)
         step = self.order_script.popleft() if self.order_script else "do"
         if step == "late":
-            asyncio.get_running_loop().call_later(0.3, self._carry_out, order)
+            loop = asyncio.get_running_loop()
+            loop.call_later(0.3, self._carry_out_late, order, expected)
             await asyncio.sleep(3600)
         return answer(self._carry_out(order))
 
+    def _carry_out_late(self, order: dict[str, object], expected: str) -> None:
+        if expected in ("", self.name):
+            self._carry_out(order)
+
     def _carry_out(self, order: dict[str, object]) -> int:
         if order["expect"] != self.sequence:
             return 409
--- a/tests/direct/streams.feature
+++ b/tests/direct/streams.feature
@@ -92,3 +92,12 @@
     And direct path targets do "stall" next
     When direct path gets a stream from "/stream-once/x" by a caller who leaves after 0.2 s
     Then direct path stream is dropped at its engine within 1.5 s
+
+  Scenario: Direct path names the engine's start in every order
+    # Guards against an order that is carried out late by an engine that started anew,
+    # where its sequence number has come up again: that loads more than the slots hold.
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path orders named the engine's start
+    When direct path engines start anew under another id
+    And direct path gets a stream from "/stream/x" for adapter "a2"
+    Then direct path orders named the engine's start
--- a/tests/steps/direct_streams_steps.py
+++ b/tests/steps/direct_streams_steps.py
@@ -229,3 +229,28 @@
     engines = llm_engines(context)
     left = context.direct.wait(lambda: any(e.left for e in engines), within_s)
     assert left
+
+
+@when("direct path engines start anew under another id")
+def engines_restart_anew(context):
+    system = context.direct
+
+    def restart():
+        for name, engine in list(system.engines.items()):
+            engine.ordered_as.clear()
+            system.store.put("keyed.servers", engine.name, None)
+            engine.name = f"{name}-anew"
+            engine.restart()
+            system.engines[engine.name] = system.engines.pop(name)
+
+    system.call(restart)
+    for name in list(system.engines):
+        system.announce(name)
+    assert system.wait_ready()
+
+
+@then("direct path orders named the engine's start")
+def orders_named_start(context):
+    orders = [order for engine in llm_engines(context) for order in engine.ordered_as]
+    assert orders
+    assert all(expected == name for expected, name in orders), orders
