Name what failed at the end of the test run

Change: after the known failures, the run prints one line for each failed scenario with its place, its step and the last line of its error.

--- a/tools/run_tests.py
+++ b/tools/run_tests.py
@@ -11,6 +11,7 @@
 import sys
 import tempfile
 from pathlib import Path
+from typing import Any
 
 ROOT = Path(__file__).resolve().parent.parent
 CHECKS: tuple[tuple[str, tuple[str, ...]], ...] = (
@@ -23,12 +24,15 @@
 def main() -> int:
     """Run every check and return 0 if all of them passed."""
     failed_checks = [name for name, arguments in CHECKS if not _run(name, arguments)]
-    passed, failed = _run_behave()
+    passed, failures = _run_behave()
     passed += len(CHECKS) - len(failed_checks)
-    failed += len(failed_checks)
+    failures = failed_checks + failures
     _print_known_red()
-    print(f"{passed} passed, {failed} failed")
-    return 1 if failed else 0
+    # After the known failures, so that the end of a cut output names what failed.
+    for failure in failures:
+        print(f"FAILED: {failure}")
+    print(f"{passed} passed, {len(failures)} failed")
+    return 1 if failures else 0
 
 
 def _run(name: str, arguments: tuple[str, ...]) -> bool:
@@ -37,8 +41,8 @@
     return result.returncode == 0
 
 
-def _run_behave() -> tuple[int, int]:
-    """Run behave and return the number of passed and of failed scenarios."""
+def _run_behave() -> tuple[int, list[str]]:
+    """Run behave; return the number of passed scenarios and what failed, and why."""
     with tempfile.TemporaryDirectory() as folder:
         report = Path(folder) / "behave.json"
         command = [sys.executable, "-m", "behave", "tests", "--tags=not known-red"]
@@ -46,16 +50,34 @@
         command += ["--outfile=/dev/stdout", f"--outfile={report}"]
         code = subprocess.run(command, cwd=ROOT, check=False).returncode
         features = json.loads(report.read_text() or "[]") if report.exists() else []
-    statuses = [
-        element.get("status")
+    scenarios = [
+        element
         for feature in features
         for element in feature.get("elements", [])
         if element.get("type") == "scenario"
     ]
-    passed = statuses.count("passed")
-    failed = sum(status not in {"passed", "skipped"} for status in statuses)
-    # behave fails without a failed scenario if a hook or a feature can't be loaded.
-    return passed, failed or int(code != 0)
+    statuses = [scenario.get("status") for scenario in scenarios]
+    failures = [
+        _failure(scenario)
+        for scenario in scenarios
+        if scenario.get("status") not in {"passed", "skipped"}
+    ]
+    if code != 0 and not failures:
+        # behave fails without a failed scenario if a hook or a feature can't be loaded.
+        failures.append(f"behave ended with code {code} and no failed scenario")
+    return statuses.count("passed"), failures
+
+
+def _failure(scenario: dict[str, Any]) -> str:
+    """Return one line that names a failed scenario, its step and the last line seen."""
+    for step in scenario.get("steps", []):
+        result = step.get("result", {})
+        if result.get("status") in {"failed", "error", "undefined"}:
+            seen = result.get("error_message") or [""]
+            lines = seen.splitlines() if isinstance(seen, str) else seen
+            last = next((line for line in reversed(lines) if line.strip()), "")
+            return f"{scenario['location']} {step['name']}: {last.strip()[:200]}"
+    return f"{scenario['location']} {scenario['name']}"
 
 
 def _print_known_red() -> None:
