Leave out of the crash suspects what others ran to its end

Equal requests of other callers, or for other adapters, share it and run whenever a target ends; after two restarts with broken connections ordinary work got 503 "targets ended while they ran this request" for up to 60 s. Change: the adapter is part of the fingerprint, and a fingerprint that ran to its end within the last 60 s is not made a suspect. A request that ends each target never runs to its end, so it is still refused after two. The tests of the rule: tests/decisions/direct_limits.feature; without the check of what ran to its end, the rows of 1 s and 59 s fail. The proxy of the tests no longer has asyncio log the end of its pumps.

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -2,7 +2,9 @@
 
 A request that was running on a target when the target ended is a suspect. Its caller
 sends it again with another id, so it is known by a fingerprint of what it asks. One
-that was running at the end of several targets is refused for a while.
+that was running at the end of several targets is refused for a while, unless a request
+with its fingerprint ran to its end lately: equal requests of many callers are running
+whenever a target ends.
 """
 
 from __future__ import annotations
@@ -17,13 +19,17 @@
 CRASHES_TO_REFUSE = 2
 REFUSE_S = 60.0
 MAX_SUSPECTS = 2_000
+# About 1 MB, and far more than an entry answers within the time of a target's restart.
+MAX_FINISHED = 8_000
 
 
-def fingerprint(host: str, path: bytes, body: bytes) -> int:
+def fingerprint(host: str, path: bytes, adapter: str, body: bytes) -> int:
     """Return what identifies the same request when it comes again."""
     digest = xxhash.xxh3_64(host.encode())
     digest.update(path)
     digest.update(b"\0")
+    digest.update(adapter.encode())
+    digest.update(b"\0")
     digest.update(body)
     return digest.intdigest()
 
@@ -34,9 +40,12 @@
     def __init__(self) -> None:
         """Start without suspects."""
         self._seen: OrderedDict[int, dict[str, float]] = OrderedDict()
+        self._finished_at_s: OrderedDict[int, float] = OrderedDict()
 
     def ended_with_target(self, print_: int, target_start: str, now_s: float) -> bool:
         """Note that a target ended while it ran the request; True if that is new."""
+        if now_s - self._finished_at_s.get(print_, -REFUSE_S) < REFUSE_S:
+            return False
         starts = self._seen.setdefault(print_, {})
         is_new = target_start not in starts
         if is_new:
@@ -46,9 +55,13 @@
             self._seen.popitem(last=False)
         return is_new
 
-    def finished(self, print_: int) -> None:
+    def finished(self, print_: int, now_s: float) -> None:
         """Clear a request that ran to its end."""
         self._seen.pop(print_, None)
+        self._finished_at_s[print_] = now_s
+        self._finished_at_s.move_to_end(print_)
+        while len(self._finished_at_s) > MAX_FINISHED:
+            self._finished_at_s.popitem(last=False)
 
     def is_refused(self, print_: int, now_s: float) -> bool:
         """Return whether the request ended too many targets lately."""
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -57,7 +57,7 @@
         self._log = HandlingLog(request, route.name, forwarding.clock)
         patience_s = request.patience_s or route.timeout_s
         self._deadline_s = request.arrived_s + min(patience_s, route.timeout_s)
-        self._print = fingerprint(request.host, request.path, request.body)
+        self._print = _print_of(request)
         self._excluded: set[str] = set()
         # Sends to targets, and those of them that may have run.
         self._arrivals = 0
@@ -240,7 +240,8 @@
         self._is_sent = False
         self._excluded.add(record.target_id)
         if outcome is ExchangeOutcome.DELIVERED:
-            self._state.suspects.finished(self._print)
+            now_s = self._clock.monotonic_s()
+            self._state.suspects.finished(self._print, now_s)
             return True
         self._detail, self._peer = result.detail, record.target_id
         self._log.step(
@@ -302,5 +303,10 @@
         self._forwarding.metrics.ended(self._route.kind.value, outcome, took_s)
 
 
+def _print_of(request: CallerRequest) -> int:
+    adapter = request.adapter.key if request.adapter else ""
+    return fingerprint(request.host, request.path, adapter, request.body)
+
+
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
--- a/tests/decisions/direct_limits.feature
+++ b/tests/decisions/direct_limits.feature
@@ -57,4 +57,18 @@
   Scenario: Crash suspects are refused after the second target
     # Guards against one request that takes down target after target.
     Then crash suspects refuse a request after it ended 2 targets, also under another id
+    And crash suspects do not refuse another body or the same for another adapter
     And crash suspects forget a request that ran to its end
+
+  # Load pattern: many callers ask the same thing, and targets end for another reason.
+  Scenario Outline: Crash suspects leave out what others ran to its end lately
+    # Guards against ordinary work that is refused because its equals ran at each end.
+    Given crash suspects of an entry that answered a request <age> s ago
+    When crash suspects hear that 2 targets ended while they ran its equals
+    Then crash suspects <verb> its equals
+
+    Examples:
+      | age | verb    |
+      | 1   | leave   |
+      | 59  | leave   |
+      | 61  | refuse  |
--- a/tests/fakes/tcp_proxy.py
+++ b/tests/fakes/tcp_proxy.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 
 from standins.raw_http import reset
 
@@ -46,10 +47,12 @@
             reset(writer)
             return
         self._writers |= {writer, far_writer}
-        await asyncio.gather(
-            self._pump(reader, far_writer, "silent"),
-            self._pump(far_reader, writer, "deaf"),
-        )
+        # A stop of the loop ends both ways; asyncio would log the cancellation.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(
+                self._pump(reader, far_writer, "silent"),
+                self._pump(far_reader, writer, "deaf"),
+            )
         self._writers -= {writer, far_writer}
 
     async def _pump(self, reader, writer, mode):
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -1,12 +1,12 @@
 Feature: The fault soak
 
-  @known-red
   Scenario Outline: Soak keeps all promises under a short series of faults
     # Guards against broken promises that only show when faults come together: bookings
     # that run twice, untrue refusals, crossed answers, wrong events, too many loads.
-    When soak runs seed <seed> for 3 s
+    When soak runs seed <seed> for <length> s
     Then soak found no broken promise
 
     Examples:
-      | seed |
-      | 7    |
+      | seed | length |
+      | 7    | 3      |
+      | 24   | 6      |
--- a/tests/steps/direct_limits_steps.py
+++ b/tests/steps/direct_limits_steps.py
@@ -108,18 +108,48 @@
     assert 850 <= names.count("x") <= 950, names.count("x")
 
 
+def print_of(body=b"body", adapter="m/a"):
+    return fingerprint("h", b"/x", adapter, body)
+
+
+def ended_at(suspects, print_, *starts, now_s=NOW_S):
+    for start in starts:
+        suspects.ended_with_target(print_, start, now_s)
+
+
 @then("crash suspects refuse a request after it ended 2 targets, also under another id")
 def refuses(context):
     context.suspects = CrashSuspects()
-    context.print = fingerprint("h", b"/x", b"body")
     for start in ("t1@1", "t1@1", "t2@1"):
-        assert not context.suspects.is_refused(context.print, NOW_S)
-        context.suspects.ended_with_target(context.print, start, NOW_S)
-    assert context.suspects.is_refused(fingerprint("h", b"/x", b"body"), NOW_S)
-    assert not context.suspects.is_refused(fingerprint("h", b"/x", b"other"), NOW_S)
+        assert not context.suspects.is_refused(print_of(), NOW_S)
+        ended_at(context.suspects, print_of(), start)
+    assert context.suspects.is_refused(print_of(), NOW_S)
+
+
+@then("crash suspects do not refuse another body or the same for another adapter")
+def refuses_only_it(context):
+    assert not context.suspects.is_refused(print_of(b"other"), NOW_S)
+    assert not context.suspects.is_refused(print_of(adapter="m/b"), NOW_S)
 
 
 @then("crash suspects forget a request that ran to its end")
 def forgets(context):
-    context.suspects.finished(context.print)
-    assert not context.suspects.is_refused(context.print, NOW_S)
+    context.suspects.finished(print_of(), NOW_S)
+    assert not context.suspects.is_refused(print_of(), NOW_S)
+
+
+@given("crash suspects of an entry that answered a request {age_s:g} s ago")
+def answered(context, age_s):
+    context.suspects = CrashSuspects()
+    context.suspects.finished(print_of(), NOW_S - age_s)
+
+
+@when("crash suspects hear that 2 targets ended while they ran its equals")
+def two_ended(context):
+    ended_at(context.suspects, print_of(), "t1@1", "t2@1")
+
+
+@then("crash suspects {verb} its equals")
+def its_equals(context, verb):
+    is_refused = context.suspects.is_refused(print_of(), NOW_S)
+    assert is_refused == (verb == "refuse")
