Take the ports of tests from outside the kernel's range

Cause of "finishes running work when it is told to stop" (KNOWN-RED): the tests asked the kernel for a free port of 127.0.0.1, closed it, and let a program bind it later at another address. Between the two, another test run's program or an outgoing connection can take it; the entry then ends with "address already in use", the harness did not show that, and the scenario failed 10 s later without a reason. The three copies of the old function are one. The system scenarios used the same function, on the address of their own connections.

--- a/bench/binary.py
+++ b/bench/binary.py
@@ -6,7 +6,6 @@
 import hashlib
 import os
 import random
-import socket
 import statistics
 import subprocess
 import sys
@@ -25,6 +24,7 @@
 from lentiltally.config import CONFIG_STREAM, ChangeItem, ChangeRecord, ConfigTree
 from lentiltally.config.snapshot import write_snapshot
 from lentiltally.platform.log_client import LogClient
+from tools._ports import free_port
 from tools.build_binary import OUTPUT
 
 START_BOUND_S: Final = 1.5
@@ -229,7 +229,7 @@
 @contextlib.contextmanager
 def _agent(log_url: str, engine_url: str) -> Iterator[str]:
     """Run an agent from the sources and yield its channel address."""
-    channel, health = _free_ports(2)
+    channel, health = free_port(), free_port()
     address = f"tcp://127.0.0.1:{channel}"
     command = [sys.executable, "-m", "lentiltally", "agent", "--settings"]
     with tempfile.TemporaryDirectory() as folder:
@@ -247,7 +247,7 @@
 
 def _start(binary: Path, neighbours: _Neighbours) -> Started:
     """Start the entry, wait until it is ready and idle, and stop it."""
-    ports = _free_ports(3)
+    ports = [free_port() for _ in range(3)]
     with tempfile.TemporaryDirectory() as folder:
         settings = Path(folder) / "entry.toml"
         settings.write_text(_settings(neighbours, ports))
@@ -334,14 +334,6 @@
 """
 
 
-def _free_ports(count: int) -> list[int]:
-    with contextlib.ExitStack() as stack:
-        sockets = [stack.enter_context(socket.socket()) for _ in range(count)]
-        for each in sockets:
-            each.bind(("127.0.0.1", 0))
-        return [int(each.getsockname()[1]) for each in sockets]
-
-
 def _memory_bytes(process_id: int, name: str) -> int:
     for line in Path(f"/proc/{process_id}/status").read_text().splitlines():
         if line.startswith(f"{name}:"):
--- a/tests/direct/platform.feature
+++ b/tests/direct/platform.feature
@@ -53,7 +53,6 @@
       | busy   |
       | silent |
 
-  @known-red
   Scenario: Direct path finishes running work when it is told to stop
     # Guards against requests that are cut by a planned stop.
     Given direct path with a store, a configuration and two plain targets
--- a/tests/fakes/direct.py
+++ b/tests/fakes/direct.py
@@ -3,7 +3,7 @@
 from __future__ import annotations
 
 import asyncio
-import socket
+import os
 import threading
 
 import h11
@@ -20,15 +20,19 @@
 from lentiltally.platform.target_list import decode_target_record
 from standins.platform_engine import PlatformEngineStandIn
 from standins.platform_store import PlatformStoreStandIn
+from tools._ports import free_port
 
 HOST = "callers.example"
 WAIT_S = 10.0
 
 
-def free_port(kind=socket.SOCK_STREAM):
-    with socket.socket(socket.AF_INET, kind) as sock:
-        sock.bind(("127.0.0.1", 0))
-        return sock.getsockname()[1]
+# Test runs side by side have loopback addresses of their own.
+NETWORK = f"127.{64 + os.getpid() // 256 % 64}.{os.getpid() % 256}"
+ENTRY_IP = f"{NETWORK}.1"
+
+
+def engine_ip(number):
+    return f"{NETWORK}.{10 + number}"
 
 
 def route(name, kind, service, attempts=2, **more):
@@ -101,9 +105,11 @@
         self.store = None
         self.engines = {}
         self.agents = {}
+        self.agent_metrics = []
         self._sequence = 0
         self._started = []
-        self.peer_port = free_port(socket.SOCK_DGRAM)
+        self._failure = None
+        self.peer_port = free_port(ENTRY_IP)
         self.entry_address = None
         self.entry = None
 
@@ -147,7 +153,7 @@
     def add_target(self, name, service="plain", **more):
         """Start a back end on a loopback address of its own and announce it."""
         engine = PlatformEngineStandIn(name, **more)
-        ip = f"127.0.2.{len(self.engines) + 1}"
+        ip = engine_ip(len(self.engines))
         self.run(engine.start(ip))
         engine.ip = ip
         engine.service = service
@@ -182,22 +188,22 @@
             ip=ip,
             store=SocketAddress("127.0.0.1", self.store.port),
             peer_port=self.peer_port,
-            metrics_port=free_port(),
+            metrics_port=free_port(ip),
             heartbeat_s=1.0,
             bounds=HostBounds(leaving_s=0.4, stop_s=4.0, retry_slack=50.0),
             **more,
         )
 
     def start_entry(self):
-        self.entry_address = SocketAddress("127.0.1.1", free_port())
+        self.entry_address = SocketAddress(ENTRY_IP, free_port(ENTRY_IP))
         settings = self.settings(
             "entry-1",
-            "127.0.1.1",
+            ENTRY_IP,
             callers=self.entry_address,
-            readiness=SocketAddress("127.0.1.1", free_port()),
+            readiness=SocketAddress(ENTRY_IP, free_port(ENTRY_IP)),
         )
         self.readiness = settings.readiness
-        self.metrics = SocketAddress("127.0.1.1", settings.metrics_port)
+        self.metrics = SocketAddress(ENTRY_IP, settings.metrics_port)
 
         async def start():
             platform = EntryPlatform(
@@ -218,6 +224,7 @@
         engine = self.engines[engine_name]
         address = SocketAddress(engine.ip, engine.port)
         settings = self.settings(f"agent-{engine_name}", engine.ip, engine=address)
+        self.agent_metrics.append(SocketAddress(engine.ip, settings.metrics_port))
 
         async def start():
             platform = AgentPlatform(
@@ -235,8 +242,13 @@
     def _run_process(self, process):
         stop = StopSignal(process.reload)
         task = asyncio.ensure_future(process.run(stop))
+        task.add_done_callback(self._ended)
         self._started.append((stop, task))
 
+    def _ended(self, task):
+        if not task.cancelled() and task.exception() is not None:
+            self._failure = task.exception()
+
     def stop_entry(self):
         self.loop.call_soon_threadsafe(self._started[0][0].request)
 
@@ -245,6 +257,8 @@
 
         async def poll():
             for _ in range(int(timeout_s / 0.01)):
+                if self._failure is not None:
+                    raise self._failure
                 if condition():
                     return True
                 await asyncio.sleep(0.01)
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -21,12 +21,12 @@
 
 from standins.platform_engine import PlatformEngineStandIn
 from standins.platform_store import PlatformStoreStandIn
-from tests.fakes.direct import DirectSystem, configuration, free_port
+from tests.fakes.direct import ENTRY_IP, DirectSystem, configuration, engine_ip
 from tests.fakes.tcp_proxy import TcpProxy
+from tools._ports import free_port
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 SLOTS = 2
-ENTRY_IP = "127.0.3.1"
 REQUEST_EVERY_S = 0.02
 QUIET_S = 4.0
 FAULT_EVERY_S = (0.05, 0.4)
@@ -52,7 +52,7 @@
         self.engines: list[PlatformEngineStandIn] = []
         self.proxies: dict[str, TcpProxy] = {}
         self.sequence = 0
-        self.peer_port = free_port()
+        self.peer_port = free_port(ENTRY_IP)
         # Only its way of sending requests is used.
         self.callers = DirectSystem.__new__(DirectSystem)
 
@@ -64,7 +64,7 @@
             engine = PlatformEngineStandIn(
                 name, model="m" if is_engine else "", slots=SLOTS if is_engine else 0
             )
-            engine.ip = f"127.0.4.{number + 1}"
+            engine.ip = engine_ip(number)
             engine.service = "llm" if is_engine else "plain"
             await engine.start(engine.ip)
             proxy = self.proxies[name] = TcpProxy(engine.ip, engine.port)
@@ -91,10 +91,10 @@
         if engine is not None:
             document |= {"app": f"{ip}:{engine.port}", "service": "llm"}
         else:
-            self.callers.entry_address = address = _Address(ip, free_port())
+            self.callers.entry_address = address = _Address(ip, free_port(ip))
             document["listenAddresses"] = {
                 "front": f"{ip}:{address.port}",
-                "ready": f"{ip}:{free_port()}",
+                "ready": f"{ip}:{free_port(ip)}",
             }
         (self.folder / f"{name}.toml").write_text(tomlkit.dumps(document))
 
--- a/tools/_deployment.py
+++ b/tools/_deployment.py
@@ -16,7 +16,8 @@
     new_change_id,
 )
 from lentiltally.platform.log_client import LogClient
-from tools._processes import Processes, free_port
+from tools._ports import free_port
+from tools._processes import Processes
 
 BASE_MODEL = "base-1"
 LOG_TIMEOUT_S = 2.0
--- a/tools/_processes.py
+++ b/tools/_processes.py
@@ -3,7 +3,6 @@
 from __future__ import annotations
 
 import signal
-import socket
 import subprocess
 import sys
 import time
@@ -13,6 +12,8 @@
 from types import TracebackType
 from urllib.error import URLError
 
+from tools._ports import free_port
+
 ROOT = Path(__file__).resolve().parent.parent
 START_TIMEOUT_S = 20.0
 STOP_TIMEOUT_S = 20.0
@@ -22,14 +23,6 @@
     """A process of the deployment did not become ready."""
 
 
-def free_port() -> int:
-    """Return a loopback port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        port: int = probe.getsockname()[1]
-        return port
-
-
 class Processes:
     """Processes started by this program; all are ended by id when it leaves."""
 
