Serve counters and histograms of agents, and count dropped log lines

Change: agents serve the metrics page too (time that requests wait for an adapter by outcome, orders by kind and status, whether the engine is lost); what all processes have in common is one class; the count is read from the log stream and its rate limit. Test: tests/direct/platform (dropped lines), tests/direct/streams (an agent's load and grant); both fail on the commit before, where the pages lack the lines.

--- /dev/null
+++ b/lentiltally/direct/agent_metrics.py
@@ -0,0 +1,44 @@
+"""Counters and latency histograms of an agent on the direct path."""
+
+from __future__ import annotations
+
+from prometheus_client import Counter, Gauge, Histogram
+
+from lentiltally.decisions.engine_orders import EngineOrderKind, WantState
+from lentiltally.direct.process_metrics import LATENCY_BUCKETS_S, ProcessMetrics
+
+__all__ = ["AgentMetrics"]
+
+
+class AgentMetrics(ProcessMetrics):
+    """The metrics of one agent, in a registry of their own."""
+
+    def __init__(self) -> None:
+        """Register all metrics."""
+        super().__init__()
+        self._waited = Histogram(
+            "lentiltally_adapter_wait_seconds",
+            "Time from a request for an adapter to the answer",
+            ["outcome"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self._registry,
+        )
+        self._orders = Counter(
+            "lentiltally_orders",
+            "Orders to the engine",
+            ["order", "status"],
+            registry=self._registry,
+        )
+        self.engine_lost = Gauge(
+            "lentiltally_engine_lost",
+            "1 while the engine does not answer",
+            registry=self._registry,
+        )
+
+    def decided(self, state: WantState, waited_s: float) -> None:
+        """Count the answer to a request for an adapter."""
+        self._waited.labels(state.value).observe(waited_s)
+
+    def ordered(self, kind: EngineOrderKind, status: int | None) -> None:
+        """Count an order; the status is None if it was not answered."""
+        self._orders.labels(kind.value, str(status or "unanswered")).inc()
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lentiltally.clock import Clock
@@ -14,6 +15,7 @@
     WantState,
 )
 from lentiltally.decisions.engine_slots import EngineSlots
+from lentiltally.direct.agent_metrics import AgentMetrics
 from lentiltally.direct.entry_feeds import ConfigurationDecoder, ConfigurationFeed
 from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
 from lentiltally.direct.messages import (
@@ -27,6 +29,7 @@
     RequireAdapter,
 )
 from lentiltally.direct.model import AdapterNotice, DesiredState
+from lentiltally.direct.pages import METRICS_PATH, PageServer
 from lentiltally.direct.peer_socket import PeerSocket
 from lentiltally.direct.settings import HostSettings, SocketAddress
 from lentiltally.direct.stop_signal import StopSignal
@@ -78,6 +81,7 @@
         self._platform = platform
         self._clock = clock
         self._slots = EngineSlots()
+        self._metrics = AgentMetrics()
         self._entries: dict[SocketAddress, float] = {}
         self._requesters: dict[str, SocketAddress] = {}
         self._wake = asyncio.Event()
@@ -100,6 +104,10 @@
             wait_s=CONFIGURATION_WAIT_S,
         )
 
+    def watch_log(self, dropped: Callable[[], float]) -> None:
+        """Show on the metrics page how many log lines were dropped."""
+        self._metrics.watch_log(dropped)
+
     def reload(self) -> None:
         """Note a reload: nothing that an agent uses changes at run time."""
         _log.info("settings reload requested")
@@ -109,7 +117,19 @@
         self._peers = await PeerSocket.open(
             SocketAddress(self._settings.ip, self._settings.peer_port), self._heard
         )
-        _log.info("agent started", extra={"engine": str(self._settings.engine)})
+        pages = PageServer(
+            {METRICS_PATH: lambda: (200, self._metrics.page())}, self._clock
+        )
+        await pages.listen(
+            SocketAddress(self._settings.ip, self._settings.metrics_port)
+        )
+        _log.info(
+            "agent started",
+            extra={
+                "engine": str(self._settings.engine),
+                "metrics_port": self._settings.metrics_port,
+            },
+        )
         tasks = [
             asyncio.create_task(self._configuration.run()),
             asyncio.create_task(self._run_engine()),
@@ -117,6 +137,7 @@
         await stop.wait()
         for task in tasks:
             task.cancel()
+        pages.close()
         self._peers.close()
         _log.info("agent stopped")
         return 0
@@ -185,8 +206,11 @@
             self._wake.set()
 
     def _answer_wants(self) -> None:
-        for result in self._slots.results(self._clock.monotonic_s()):
+        now_s = self._clock.monotonic_s()
+        for result in self._slots.results(now_s):
             want = result.want
+            waited_s = now_s - want.since_s
+            self._metrics.decided(result.state, waited_s)
             is_granted = result.state is WantState.GRANTED
             sender = self._requesters.get(want.request_id)
             if not is_granted:
@@ -208,7 +232,7 @@
                     "adapter": want.key,
                     "version": result.version,
                     "reason": result.reason,
-                    "waited_s": round(self._clock.monotonic_s() - want.since_s, 3),
+                    "waited_s": round(waited_s, 3),
                 },
             )
 
@@ -283,13 +307,16 @@
             status = await self._platform.engine.order(order)
         except LentiltallyError as error:
             _log.warning("order unanswered", extra={**fields, "error": str(error)})
+            self._metrics.ordered(order.kind, None)
             return None
+        self._metrics.ordered(order.kind, status)
         _log.info("order answered", extra={**fields, "status": status})
         return status
 
     def _engine_answers(self) -> None:
         if self._is_engine_lost:
             self._is_engine_lost = False
+            self._metrics.engine_lost.set(0)
             _log.info("engine regained")
 
     def _engine_failed(self, error: LentiltallyError) -> None:
@@ -297,6 +324,7 @@
         self._answer_wants()
         if not self._is_engine_lost:
             self._is_engine_lost = True
+            self._metrics.engine_lost.set(1)
             _log.warning("engine lost", extra={"error": str(error)})
 
     def _send_state(self) -> None:
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -31,7 +31,7 @@
     Message,
 )
 from lentiltally.direct.model import CallerLimits
-from lentiltally.direct.pages import PageServer
+from lentiltally.direct.pages import METRICS_PATH, PageServer
 from lentiltally.direct.peer_socket import PeerSocket
 from lentiltally.direct.settings import HostSettings, SocketAddress
 from lentiltally.direct.settings_watch import SettingsWatch
@@ -136,6 +136,10 @@
         """Return whether connections should end after their answer."""
         return self._stopping_since_s is not None
 
+    def watch_log(self, dropped: Callable[[], float]) -> None:
+        """Show on the metrics page how many log lines were dropped."""
+        self._metrics.watch_log(dropped)
+
     def reload(self) -> None:
         """Read the settings again."""
         if self._watch is not None:
@@ -216,7 +220,7 @@
                 self._platform.readiness_path: self._readiness,
                 b"/readyz": self._readiness,
                 b"/healthz": lambda: (200, b"alive\n"),
-                b"/metrics": self._metrics_page,
+                METRICS_PATH: self._metrics_page,
             },
             self._clock,
         )
--- a/lentiltally/direct/pages.py
+++ b/lentiltally/direct/pages.py
@@ -11,7 +11,9 @@
 from lentiltally.direct.settings import SocketAddress
 from lentiltally.problems import Refusal
 
-__all__ = ["PageServer"]
+__all__ = ["METRICS_PATH", "PageServer"]
+
+METRICS_PATH = b"/metrics"
 
 Page = Callable[[], tuple[int, bytes]]
 
--- /dev/null
+++ b/lentiltally/direct/process_metrics.py
@@ -0,0 +1,34 @@
+"""What the metrics of every process on the direct path have in common."""
+
+from __future__ import annotations
+
+from collections.abc import Callable
+
+from prometheus_client import CollectorRegistry, Gauge
+from prometheus_client.exposition import generate_latest
+
+__all__ = ["LATENCY_BUCKETS_S", "ProcessMetrics"]
+
+# Seconds; from a fast lookup to the longest stream that operators wait for.
+LATENCY_BUCKETS_S = (0.05, 0.1, 0.2, 0.4, 0.8, 1.5, 3.0, 6.0, 12.0)
+
+
+class ProcessMetrics:
+    """A registry of its own with the metrics that every process has."""
+
+    def __init__(self) -> None:
+        """Register the common metrics."""
+        self._registry = CollectorRegistry(auto_describe=False)
+        self._log_lines_dropped = Gauge(
+            "lentiltally_log_lines_dropped",
+            "Log lines dropped because they came too fast or nobody read them",
+            registry=self._registry,
+        )
+
+    def watch_log(self, dropped: Callable[[], float]) -> None:
+        """Show how many log lines were dropped, as the function returns it."""
+        self._log_lines_dropped.set_function(dropped)
+
+    def page(self) -> bytes:
+        """Return the metrics as text."""
+        return generate_latest(self._registry)
--- a/lentiltally/platform/roles.py
+++ b/lentiltally/platform/roles.py
@@ -6,6 +6,7 @@
 import logging
 import sys
 import tomllib
+from collections.abc import Callable
 from pathlib import Path
 from typing import Protocol
 
@@ -80,6 +81,8 @@
 
     def reload(self) -> None: ...
 
+    def watch_log(self, dropped: Callable[[], float]) -> None: ...
+
     async def run(self, stop: StopSignal) -> int: ...
 
 
@@ -89,6 +92,7 @@
     rate = LineRate(SystemClock(), LOG_LINES_PER_S)
     for handler in logging.getLogger().handlers:
         handler.addFilter(rate)
+    process.watch_log(lambda: stream.dropped + rate.dropped)
 
     async def run() -> int:
         stop = StopSignal(process.reload)
--- a/tests/direct/platform.feature
+++ b/tests/direct/platform.feature
@@ -94,4 +94,6 @@
   Scenario: Direct path shows its counters
     Given direct path with a store, a configuration and two plain targets
     When direct path gets a GET to "/safe/x"
-    Then direct path metrics count 1 answered request
+    Then direct path metrics of the entry count 1 answered request
+    When direct path drops 7 log lines
+    Then direct path metrics of the entry count 7 dropped log lines
--- a/tests/direct/streams.feature
+++ b/tests/direct/streams.feature
@@ -8,6 +8,11 @@
     Then direct path delivered the events 1 to 5 whole
     And direct path loaded "a1" on 1 engine
 
+  Scenario: Direct path shows the counters of an agent
+    # Guards against loads that nobody can see or count.
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path metrics of one agent count 1 load and 1 adapter granted
+
   Scenario Outline: Direct path resumes a stream at another engine
     # Guards against events that are lost or repeated when an engine fails midway.
     Given direct path engines hold "a1"
--- a/tests/steps/direct_steps.py
+++ b/tests/steps/direct_steps.py
@@ -312,12 +312,40 @@
     assert urllib3.request("GET", url, retries=False).status == status
 
 
-@then("direct path metrics count 1 answered request")
+@then("direct path metrics of the entry count 1 answered request")
 def metrics(context):
-    url = f"http://{context.direct.metrics}/metrics"
-    text = urllib3.request("GET", url, retries=False).data.decode()
     line = 'lentiltally_request_seconds_count{kind="idempotent",outcome="answered"} 1.0'
-    assert line in text, text
+    shows(context.direct.metrics, line)
+
+
+@then("direct path metrics of one agent count 1 load and 1 adapter granted")
+def agent_metrics(context):
+    pages = [page_of(address) for address in context.direct.agent_metrics]
+    for line in (
+        'lentiltally_orders_total{order="load",status="202"} 1.0',
+        'lentiltally_adapter_wait_seconds_count{outcome="granted"} 1.0',
+    ):
+        assert sum(line in page.splitlines() for page in pages) == 1, pages
+
+
+@when("direct path drops {count:d} log lines")
+def drops_lines(context, count):
+    context.direct.entry.watch_log(lambda: float(count))
+
+
+@then("direct path metrics of the entry count {count:d} dropped log lines")
+def dropped_lines(context, count):
+    shows(context.direct.metrics, f"lentiltally_log_lines_dropped {count:.1f}")
+
+
+def shows(address, line):
+    page = page_of(address)
+    assert line in page.splitlines(), page
+
+
+def page_of(address):
+    answer = urllib3.request("GET", f"http://{address}/metrics", retries=False)
+    return answer.data.decode()
 
 
 def all_runs(context):
