Drop what the adapter decoded and nothing read

Cause: the heartbeat period of the settings and the time left of a target that is removed at short notice were decoded into fields that no decision uses: agents send no heartbeats on this platform, and a target that leaves is out of use at once, whatever time it has left. Change: both fields are gone; the model says what the longest pause of a route is for. Run: mypy and tests/direct, tests/platform, tests/decisions: 373 scenarios passed.

--- a/lentiltally/direct/model.py
+++ b/lentiltally/direct/model.py
@@ -42,7 +42,8 @@
     """One route of the desired state.
 
     ``rank`` 0 is the most urgent. ``max_targets`` bounds how many targets may run one
-    caller's attempt. ``objective_s`` is the time within which an answer is worth most.
+    caller's attempt. ``objective_s`` is the time within which an answer is worth most,
+    ``max_gap_s`` the longest pause of a stream that is still on time.
     """
 
     name: str
@@ -138,7 +139,6 @@
 
     ``started_ms`` and ``sequence`` order the records of one target: a restart under the
     same id has a later start, and the sequence counts up within a start.
-    ``lifetime_left_s`` is set when the target is about to be removed.
     """
 
     target_id: str
@@ -150,4 +150,3 @@
     started_ms: int
     sequence: int
     slow_start_left_s: float = 0.0
-    lifetime_left_s: float | None = None
--- a/lentiltally/direct/settings.py
+++ b/lentiltally/direct/settings.py
@@ -58,7 +58,6 @@
     store: SocketAddress
     peer_port: int
     metrics_port: int
-    heartbeat_s: float
     callers: SocketAddress | None = None
     readiness: SocketAddress | None = None
     engine: SocketAddress | None = None
--- a/lentiltally/platform/host_settings.py
+++ b/lentiltally/platform/host_settings.py
@@ -68,7 +68,6 @@
         store=reader.required("platform.address", _ADDRESS),
         peer_port=ports[0],
         metrics_port=ports[1],
-        heartbeat_s=reader.optional("heartbeatMs", _POSITIVE, 1200.0) / MS,
         callers=reader.required("listenAddresses.front", _ADDRESS)
         if is_entry
         else None,
--- a/lentiltally/platform/target_list.py
+++ b/lentiltally/platform/target_list.py
@@ -25,7 +25,6 @@
     version: str = ""
     slots: int = 1
     cold_remaining_ms: float = 0.0
-    remaining_ms: float | None = None
     # Unix milliseconds at which the target started; orders its records after a restart.
     born: int = 0
 
@@ -40,7 +39,6 @@
         raise StoreValueError(
             f"unreadable target entry: {error}", step="decode target", peer=target_id
         ) from error
-    left_ms = entry.remaining_ms
     return TargetRecord(
         target_id=target_id,
         service=entry.service,
@@ -51,5 +49,4 @@
         started_ms=entry.born,
         sequence=entry.sequence,
         slow_start_left_s=entry.cold_remaining_ms / MS,
-        lifetime_left_s=None if left_ms is None else left_ms / MS,
     )
--- a/tests/fakes/direct.py
+++ b/tests/fakes/direct.py
@@ -189,7 +189,6 @@
             store=SocketAddress("127.0.0.1", self.store.port),
             peer_port=self.peer_port,
             metrics_port=free_port(ip),
-            heartbeat_s=1.0,
             bounds=HostBounds(leaving_s=0.4, stop_s=4.0, retry_slack=50.0),
             **more,
         )
