Let a stream pause as long as its route allows before it is moved

Cause: a stream went on elsewhere after a pause of 1.3 s on every route. A deployment whose routes allow pauses of a second or more (their callers leave after eight such pauses) would have healthy streams moved, each at the price of a resend and of the prompt read again. The route's longest pause was decoded and read by nothing. Change: the pause is at least three times the route's longest one; both waits are one decision without network, decisions/answer_patience.

--- a/lentiltally/direct/forwarding.py
+++ b/lentiltally/direct/forwarding.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.answer_patience import PatienceSettings
 from lentiltally.direct.adapter_requests import AdapterRequests
 from lentiltally.direct.entry_metrics import EntryMetrics
 from lentiltally.direct.entry_state import EntryState
@@ -23,11 +24,9 @@
     is how many targets may refuse a request before it is given back, ``max_declines``
     how many agents may decline to hold its adapter, which is cheaper. ``hold_share`` is
     the part of the time left for which one agent may keep a request waiting.
-    ``first_share`` of the time left is waited for a first byte before another target is
-    tried, at least ``first_objectives`` times the route's objective.
-    ``stall_s`` is the pause after which a stream goes on elsewhere: callers leave after
-    two seconds. ``version_share`` of the time in which a new version must be in use is
-    allowed before targets are told to check it.
+    ``patience`` is with targets where another may take over. ``version_share`` of the
+    time in which a new version must be in use is allowed before targets are told to
+    check it.
     """
 
     deadline_margin_s: float = 0.03
@@ -35,9 +34,7 @@
     max_declines: int = 10
     hold_share: float = 0.3
     max_hold_s: float = 1.5
-    first_share: float = 0.4
-    first_objectives: float = 1.2
-    stall_s: float = 1.3
+    patience: PatienceSettings = PatienceSettings()
     version_share: float = 0.5
     connect_share: float = 0.3
     max_connect_s: float = 0.5
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -4,6 +4,7 @@
 
 import asyncio
 
+from lentiltally.decisions.answer_patience import Patience
 from lentiltally.decisions.crash_suspects import fingerprint
 from lentiltally.decisions.target_choice import Candidate
 from lentiltally.direct.adapter_hold import AdapterHold
@@ -18,7 +19,6 @@
 from lentiltally.direct.target_exchange import (
     ExchangeOutcome,
     ExchangeResult,
-    Patience,
 )
 from lentiltally.direct.target_sender import TargetSender
 from lentiltally.problems import Executed, Refusal
@@ -227,12 +227,12 @@
         )
         if not can_move:
             return Patience()
-        settings = self._settings
-        first_s = max(
-            settings.first_objectives * self._route.objective_s,
-            settings.first_share * self._left_s,
+        return Patience.of_route(
+            self._route.objective_s,
+            self._route.max_gap_s,
+            self._left_s,
+            self._settings.patience,
         )
-        return Patience(first_s, settings.stall_s)
 
     def _is_over(self, record: TargetRecord, result: ExchangeResult) -> bool:
         """Act on the result of a send; return whether the request is answered."""
--- a/lentiltally/direct/target_exchange.py
+++ b/lentiltally/direct/target_exchange.py
@@ -9,13 +9,14 @@
 import h11
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.answer_patience import Patience
 from lentiltally.decisions.event_stream import StreamBroken
 from lentiltally.direct.caller_answer import CallerAnswer
 from lentiltally.direct.http_connection import HttpConnection, PeerFailed
 from lentiltally.direct.request import AnswerHead, CallerRequest, TargetSend
 from lentiltally.direct.wire import Wire
 
-__all__ = ["ExchangeOutcome", "ExchangeResult", "Patience", "TargetExchange"]
+__all__ = ["ExchangeOutcome", "ExchangeResult", "TargetExchange"]
 
 # Answers to other requests that may arrive before the right one.
 MAX_STRAY_ANSWERS = 4
@@ -50,14 +51,6 @@
     was_reset: bool = False
 
 
-@dataclass(frozen=True, slots=True)
-class Patience:
-    """How long to wait for the first byte, and between events; None is unlimited."""
-
-    first_s: float | None = None
-    gap_s: float | None = None
-
-
 class TargetExchange:
     """Sends a request on a connection and reads its answer."""
 
--- a/lentiltally/direct/target_sender.py
+++ b/lentiltally/direct/target_sender.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+from lentiltally.decisions.answer_patience import Patience
 from lentiltally.direct.caller_answer import CallerAnswer
 from lentiltally.direct.forwarding import Forwarding
 from lentiltally.direct.http_connection import HttpConnection
@@ -10,7 +11,6 @@
 from lentiltally.direct.target_exchange import (
     ExchangeOutcome,
     ExchangeResult,
-    Patience,
     TargetExchange,
 )
 
