Use only the last of two targets at one address

Requests for the old one got 421 (295 in 3 s). Ruled out: lost hellos (agents answered the requests of the same entries), slow links. Change: of two targets that are listed at one address, the one that started later is used; a state goes to the target at that host that started when the state says. Test: tests/decisions/direct_limits.feature, both orders of reading; without the check of the address the first step fails, with the old match the order "new,old" fails.

--- a/lentiltally/decisions/target_directory.py
+++ b/lentiltally/decisions/target_directory.py
@@ -3,7 +3,8 @@
 The list lags, repeats old records and loses entries while its store is away. Records
 are ordered by the target's start and sequence, a leaving target never becomes ready
 again within one start, and an entry that vanished while the store was away has some
-time to come back.
+time to come back. Of two targets at one address only the one that started last is
+there; the entry of the other stays listed for some seconds after its end.
 """
 
 from __future__ import annotations
@@ -41,6 +42,9 @@
     def __init__(self) -> None:
         """Start empty."""
         self._known: dict[str, _Known] = {}
+        # The target that started last at each address.
+        self._at_address: dict[str, tuple[int, str]] = {}
+        self._ids_at_host: dict[str, set[str]] = {}
         self._returned_at_s: float | None = None
 
     def get(self, target_id: str) -> TargetRecord | None:
@@ -57,12 +61,22 @@
             and not known.is_unreadable
             and known.record.service == service
             and known.record.stage is TargetStage.READY
+            and self._is_last_at_address(known.record)
         ]
 
     def all(self) -> list[TargetRecord]:
         """Return all targets that are not gone."""
         return [known.record for known in self._known.values() if not known.is_gone]
 
+    def at_host(self, ip: str, started_ms: int) -> str | None:
+        """Return the target at a host that started then, else the last one there."""
+        ids = self._ids_at_host.get(ip, ())
+        known = [record for i in ids if (record := self.get(i)) is not None]
+        there = [r for r in known if r.address.rpartition(":")[0] == ip]
+        exact = [r for r in there if r.started_ms == started_ms]
+        last = max(exact or there, key=_order, default=None)
+        return last.target_id if last is not None else None
+
     def unreadable(self, target_id: str) -> None:
         """Use a target no more until a readable record of it comes."""
         known = self._known.get(target_id)
@@ -75,6 +89,7 @@
 
     def updated(self, record: TargetRecord) -> DirectoryChange | None:
         """Take a record; old ones are ignored."""
+        self._note_address(record)
         known = self._known.get(record.target_id)
         if known is None:
             self._known[record.target_id] = _Known(record)
@@ -122,6 +137,22 @@
             if known.missing_since_s is not None and not known.is_gone
         ]
 
+    def _note_address(self, record: TargetRecord) -> None:
+        start = record.started_ms, record.target_id
+        if start > self._at_address.get(record.address, (-1, "")):
+            self._at_address[record.address] = start
+        ip = record.address.rpartition(":")[0]
+        self._ids_at_host.setdefault(ip, set()).add(record.target_id)
+
+    def _is_last_at_address(self, record: TargetRecord) -> bool:
+        """Return whether no other target that is still there started later."""
+        last_id = self._at_address[record.address][1]
+        if last_id == record.target_id:
+            return True
+        last = self.get(last_id)
+        is_there = last is not None and last.address == record.address
+        return not is_there
+
     def _is_after_outage(self, now_s: float) -> bool:
         returned_s = self._returned_at_s
         return returned_s is not None and now_s - returned_s < RETURN_AFTER_OUTAGE_S
@@ -129,6 +160,8 @@
     def _drop(self, target_id: str, known: _Known) -> DirectoryChange:
         known.is_gone = True
         known.missing_since_s = None
+        ip = known.record.address.rpartition(":")[0]
+        self._ids_at_host[ip].discard(target_id)
         return DirectoryChange(target_id, "gone", known.record)
 
 
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -280,7 +280,6 @@
 
     def _target_changed(self, change: DirectoryChange) -> None:
         if change.what == "appeared":
-            self._state.target_appeared(change.record)
             self._report_suspects(change.target_id, "started anew")
             self._say_hello()
         elif change.what == "gone":
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -48,7 +48,6 @@
         self._clock = clock
         self._budgets: dict[str, ResendBudget] = {}
         self._notices: dict[str, tuple[int, float]] = {}
-        self._by_ip: dict[str, str] = {}
         self._resets: dict[str, list[tuple[int, float]]] = {}
 
     @property
@@ -101,10 +100,6 @@
         known = self._notices.get(key)
         return known and (known[0], self._clock.monotonic_s() - known[1])
 
-    def target_appeared(self, record: TargetRecord) -> None:
-        """Note a target's address, by which its agent's messages are matched."""
-        self._by_ip[record.address.rpartition(":")[0]] = record.target_id
-
     def engine_targets(self) -> list[TargetRecord]:
         """Return the targets beside which an agent runs."""
         return [
@@ -117,7 +112,7 @@
         """Take an agent's message about its engine."""
         if state.entries:
             self.entries = state.entries
-        target_id = self._by_ip.get(ip)
+        target_id = self.directory.at_host(ip, state.started_ms)
         if target_id is None:
             return
         known = self.choice.view(target_id).state
--- a/tests/decisions/direct_limits.feature
+++ b/tests/decisions/direct_limits.feature
@@ -41,6 +41,24 @@
     When target directory sees the entry missing
     Then target directory has 0 usable targets
 
+  # Load pattern: all machines come back at once, and the list still holds the targets
+  # that were there before, at the addresses of those that are there now.
+  Scenario Outline: Target directory uses the last of two targets at one address
+    # Guards against requests for a target that is gone, and against agents' states that
+    # go to it, so that its successor counts as unknown.
+    Given target directory that reads <order> at one address, started at 5 and 8
+    Then target directory uses only "new"
+    And target directory finds "new" at the host for start 8
+    And target directory finds "new" at the host for start 9
+    And target directory finds "old" at the host for start 5
+    When target directory loses "new"
+    Then target directory uses only "old"
+
+    Examples:
+      | order   |
+      | old,new |
+      | new,old |
+
   Scenario: Route table takes the longest prefix of the host
     Then route table matches these
       | host | path       | route |
--- a/tests/steps/direct_limits_steps.py
+++ b/tests/steps/direct_limits_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from dataclasses import replace
+
 from behave import given, then, when
 
 from lentiltally.decisions.crash_suspects import CrashSuspects, fingerprint
@@ -65,6 +67,31 @@
     context.directory.updated(target("ready", 5, 5))
 
 
+@given("target directory that reads {order} at one address, started at 5 and 8")
+def one_address(context, order):
+    starts = {"old": 5, "new": 8}
+    context.directory = TargetDirectory()
+    for name in order.split(","):
+        record = replace(target("ready", starts[name], 1), target_id=name)
+        context.directory.updated(record)
+
+
+@then('target directory uses only "{name}"')
+def uses_only(context, name):
+    assert [r.target_id for r in context.directory.usable("s")] == [name]
+
+
+@then('target directory finds "{name}" at the host for start {start:d}')
+def finds(context, name, start):
+    ip = target("ready", 1, 1).address.rpartition(":")[0]
+    assert context.directory.at_host(ip, start) == name
+
+
+@when('target directory loses "{name}"')
+def loses(context, name):
+    context.directory.removed(name, NOW_S)
+
+
 @when("target directory reads {stage} of start {start:d} and sequence {sequence:d}")
 def reads(context, stage, start, sequence):
     context.directory.updated(target(stage, start, sequence))
