Test the bounded log of the direct path

Change: a pipe that nobody reads, and a crest of lines against the rate. Run: 2 scenarios passed; with the bound of waiting lines taken out the first fails.

--- /dev/null
+++ b/tests/steps/log_stream_steps.py
@@ -0,0 +1,61 @@
+"""Steps for the bounded log of the direct path."""
+
+from __future__ import annotations
+
+import logging
+import os
+import time
+from datetime import UTC, datetime, timedelta
+
+from behave import then, when
+
+from lentiltally.clock import ManualClock
+from lentiltally.direct.log_stream import BoundedStream, LineRate
+
+
+def let_through(rate, level, count):
+    record = logging.LogRecord("t", level, "", 0, "line", None, None)
+    return sum(rate.filter(record) for _ in range(count))
+
+
+@when("log stream gets {count:d} lines that nobody reads")
+def unread(context, count):
+    reader, writer = os.pipe()
+    context.stream = BoundedStream(writer)
+    started_s = time.monotonic()
+    for _ in range(count):
+        context.stream.write("x" * 200 + "\n")
+    context.took_s = time.monotonic() - started_s
+    # Its reader gone, the thread's last write ends.
+    os.close(reader)
+
+
+@then("log stream took them within 1 s and dropped some")
+def took_them(context):
+    assert context.took_s < 1.0, context.took_s
+    assert context.stream.dropped > 0
+
+
+@when("log rate of {rate:d} lines a second gets {infos:d} infos and {n:d} warnings")
+def gets_lines(context, rate, infos, n):
+    context.clock = ManualClock(datetime(2026, 1, 1, tzinfo=UTC))
+    context.rate = LineRate(context.clock, float(rate))
+    context.infos = let_through(context.rate, logging.INFO, infos)
+    context.warnings = let_through(context.rate, logging.WARNING, n)
+
+
+@then("log rate lets {infos:d} infos, {n:d} warnings through, {d:d} dropped")
+def let_lines(context, infos, n, d):
+    assert (context.infos, context.warnings) == (infos, n)
+    assert context.rate.dropped == d
+
+
+@when("log rate gets {infos:d} infos {later_s:g} s later")
+def later(context, infos, later_s):
+    context.clock.advance(timedelta(seconds=later_s))
+    context.infos = let_through(context.rate, logging.INFO, infos)
+
+
+@then("log rate lets {infos:d} more infos through")
+def more(context, infos):
+    assert context.infos == infos
