Decode followed records in one place, print documents in one

Change: the follower takes the stream's decoder and hands on typed records; the line on a malformed record names its offset too. The commands share print_document. Conclusion: behaviour is as before but for the offset in that log line.

--- a/lentiltally/agent/leases.py
+++ b/lentiltally/agent/leases.py
@@ -37,7 +37,7 @@
         self._lock = lock
         self._clock = clock
         self._stopped = threading.Event()
-        self._follower = StreamFollower(log, STREAM, self._apply, clock)
+        self._follower = StreamFollower(log, STREAM, _decoder, self._apply, clock)
         self._thread = threading.Thread(target=self._run, daemon=True, name="leases")
 
     def start(self) -> None:
@@ -80,12 +80,7 @@
             return
         self._follower.wait_past(result.next_offset - 1, CHECK_S)
 
-    def _apply(self, record: LogRecord) -> None:
-        try:
-            lease = _decoder.decode(record.value)
-        except msgspec.MsgspecError:
-            _log.warning("malformed record", extra={"stream": STREAM})
-            return
+    def _apply(self, lease: LeaseRecord, record: LogRecord) -> None:
         with self._lock:
             for owner in self._owners.values():
                 owner.apply(lease, record.offset)
--- a/lentiltally/agent/permits.py
+++ b/lentiltally/agent/permits.py
@@ -55,7 +55,7 @@
         )
         self._lock = threading.Lock()
         self._follower = StreamFollower(
-            log, STREAM, self._apply, clock, newest_only=START_RECORDS
+            log, STREAM, _decoder, self._apply, clock, newest_only=START_RECORDS
         )
 
     def start(self) -> None:
@@ -136,12 +136,7 @@
             threading.Event().wait(CHECK_S)
         return None
 
-    def _apply(self, record: LogRecord) -> None:
-        try:
-            entry = _decoder.decode(record.value)
-        except msgspec.MsgspecError:
-            _log.warning("malformed record", extra={"stream": STREAM})
-            return
+    def _apply(self, entry: LoadRecord, record: LogRecord) -> None:
         log_time_s = record.time_ms / 1000
         with self._lock:
             self._table.apply(entry, record.offset, log_time_s)
--- a/lentiltally/agent/process.py
+++ b/lentiltally/agent/process.py
@@ -15,7 +15,12 @@
 from lentiltally.agent.reporter import Reporter, by_entry
 from lentiltally.agent.runner import TargetRunner
 from lentiltally.agent.service_target import ServiceTarget
-from lentiltally.agent.shared import QUARANTINE_STREAM, AgentState, refuse
+from lentiltally.agent.shared import (
+    QUARANTINE_STREAM,
+    AgentState,
+    quarantine_decoder,
+    refuse,
+)
 from lentiltally.agent.stream_reader import StreamReader
 from lentiltally.clock import Clock, SystemClock
 from lentiltally.config import (
@@ -94,7 +99,11 @@
         self._permits = Permits(log, settings.process.name, clock, PermitSettings())
         self._config = FollowerThread(ConfigFollower(log, clock), self._configured)
         self._quarantine = StreamFollower(
-            log, QUARANTINE_STREAM, self._state.apply_quarantine, clock
+            log,
+            QUARANTINE_STREAM,
+            quarantine_decoder,
+            self._state.apply_quarantine,
+            clock,
         )
         self._reader = StreamReader(clock)
         self._targets: dict[str, EngineTarget | ServiceTarget] = {}
--- a/lentiltally/agent/shared.py
+++ b/lentiltally/agent/shared.py
@@ -24,7 +24,7 @@
 
 QUARANTINE_STREAM = "quarantine"
 CLAIMS_STREAM = "claims"
-_decoder = msgspec.json.Decoder(QuarantineRecord)
+quarantine_decoder = msgspec.json.Decoder(QuarantineRecord)
 
 
 @dataclass(slots=True)
@@ -93,13 +93,8 @@
         """Append a quarantine record in the background."""
         self.background.submit(self._append_quarantine, record)
 
-    def apply_quarantine(self, record: LogRecord) -> None:
+    def apply_quarantine(self, entry: QuarantineRecord, record: LogRecord) -> None:
         """Apply a record of stream ``quarantine``."""
-        try:
-            entry = _decoder.decode(record.value)
-        except msgspec.MsgspecError:
-            _log.warning("malformed record", extra={"stream": QUARANTINE_STREAM})
-            return
         with self.lock:
             self.quarantine.apply(entry, record.offset, record.time_ms)
 
--- a/lentiltally/cli/_admin_client.py
+++ b/lentiltally/cli/_admin_client.py
@@ -5,6 +5,7 @@
 import json
 import os
 import sys
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Annotated, Any, Final
 from urllib.parse import quote, urlencode
@@ -171,3 +172,17 @@
     if document.get("executed") == "unknown":
         code = UNKNOWN_OUTCOME
     return CommandError(message, code, document)
+
+
+def print_document(
+    document: dict[str, Any],
+    lines: Callable[[dict[str, Any]], Iterable[str]],
+    *,
+    as_json: bool,
+) -> None:
+    """Print a document as JSON, or as the lines that are made of it."""
+    if as_json:
+        print(json.dumps(document))
+        return
+    for line in lines(document):
+        print(line)
--- a/lentiltally/cli/audit.py
+++ b/lentiltally/cli/audit.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import json
+from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Annotated, Any
 
@@ -13,6 +14,7 @@
     AdminClient,
     AdminUrl,
     JsonOutput,
+    print_document,
     run_guarded,
 )
 
@@ -48,13 +50,13 @@
         query = {name: value for name, value in given.items() if value is not None}
         client = AdminClient.from_environment(self.admin)
         document = client.get("/audit", limit="10000", **query).document()
-        if self.json:
-            print(json.dumps(document))
-            return
-        for entry in document["entries"]:
-            print(_line(entry))
-        if document["omitted"]:
-            print(f"{document['omitted']} earlier records are not shown")
+        print_document(document, _lines, as_json=self.json)
+
+
+def _lines(document: dict[str, Any]) -> Iterator[str]:
+    yield from map(_line, document["entries"])
+    if document["omitted"]:
+        yield f"{document['omitted']} earlier records are not shown"
 
 
 def _line(entry: dict[str, Any]) -> str:
--- a/lentiltally/cli/status.py
+++ b/lentiltally/cli/status.py
@@ -5,6 +5,7 @@
 import json
 from collections.abc import Iterator
 from dataclasses import dataclass
+from typing import Any
 
 import cappa
 
@@ -13,6 +14,7 @@
     AdminClient,
     AdminUrl,
     JsonOutput,
+    print_document,
     run_guarded,
 )
 
@@ -35,11 +37,11 @@
 
     def _run(self) -> None:
         document = AdminClient.from_environment(self.admin).get("/status").document()
-        if self.json:
-            print(json.dumps(document))
-            return
-        for name, value in _flatten("", document):
-            print(f"{name}: {value}")
+        print_document(document, _lines, as_json=self.json)
+
+
+def _lines(document: dict[str, Any]) -> Iterator[str]:
+    return (f"{name}: {value}" for name, value in _flatten("", document))
 
 
 def _flatten(name: str, value: object) -> Iterator[tuple[str, object]]:
--- a/lentiltally/entry/suspicions.py
+++ b/lentiltally/entry/suspicions.py
@@ -32,7 +32,7 @@
         self._log = log
         self._table = Quarantine()
         self._lock = threading.Lock()
-        self._follower = StreamFollower(log, STREAM, self._apply, clock)
+        self._follower = StreamFollower(log, STREAM, _decoder, self._apply, clock)
 
     def start(self) -> None:
         """Begin to follow."""
@@ -56,11 +56,6 @@
         """Append the end of a quarantine; raises LogError."""
         self._log.append(STREAM, [record])
 
-    def _apply(self, record: LogRecord) -> None:
-        try:
-            decoded = _decoder.decode(record.value)
-        except msgspec.MsgspecError:
-            _log.warning("malformed record", extra={"stream": STREAM})
-            return
+    def _apply(self, decoded: QuarantineRecord, record: LogRecord) -> None:
         with self._lock:
             self._table.apply(decoded, record.offset, record.time_ms)
--- a/lentiltally/platform/stream_follower.py
+++ b/lentiltally/platform/stream_follower.py
@@ -6,6 +6,9 @@
 import threading
 from collections.abc import Callable
 from datetime import timedelta
+from typing import Generic, TypeVar
+
+import msgspec
 
 from lentiltally.clock import Clock
 from lentiltally.platform.log_client import (
@@ -17,6 +20,7 @@
     LogUnavailable,
 )
 
+_T = TypeVar("_T")
 _log = logging.getLogger(__name__)
 
 POLL_WAIT_MS = 10_000
@@ -24,9 +28,11 @@
 RETRY = timedelta(milliseconds=200)
 
 
-class StreamFollower:
+class StreamFollower(Generic[_T]):
     """Reads a stream on a thread of its own and hands each record to ``apply``.
 
+    A record that ``decoder`` can't read is logged and left out.
+
     The log keeps no positions of its readers; each follower keeps its own (idea: MySQL
     5.0 manual, 15.4). ``apply`` is called on the follower's thread, in offset order,
     each offset once.
@@ -36,7 +42,8 @@
         self,
         log: LogClient,
         stream: str,
-        apply: Callable[[LogRecord], None],
+        decoder: msgspec.json.Decoder[_T],
+        apply: Callable[[_T, LogRecord], None],
         clock: Clock,
         *,
         newest_only: int | None = None,
@@ -44,6 +51,7 @@
         """Start at the oldest kept record, or ``newest_only`` records from the end."""
         self._log = log
         self._stream = stream
+        self._decoder = decoder
         self._apply = apply
         self._clock = clock
         self._newest_only = newest_only
@@ -117,7 +125,7 @@
         asked_at_s = self._clock.monotonic_s()
         page = self._log.read(self._stream, self._next_offset, PAGE_RECORDS, wait_ms)
         for record in page.records:
-            self._apply(record)
+            self._hand_on(record)
             self._next_offset = record.offset + 1
         self.is_log_down = False
         self.heard_at_s = self._clock.monotonic_s()
@@ -140,3 +148,14 @@
                 extra={"stream": self._stream, "error": str(error)},
             )
         self.is_log_down = True
+
+    def _hand_on(self, record: LogRecord) -> None:
+        try:
+            decoded = self._decoder.decode(record.value)
+        except msgspec.MsgspecError:
+            _log.warning(
+                "malformed record",
+                extra={"stream": self._stream, "offset": record.offset},
+            )
+            return
+        self._apply(decoded, record)
--- a/lentiltally/routing/claims.py
+++ b/lentiltally/routing/claims.py
@@ -63,7 +63,7 @@
         self._batcher: ClaimBatcher[_Append] = ClaimBatcher()
         self._work = threading.Condition()
         self._is_stopped = False
-        self._follower = StreamFollower(log, STREAM, self._apply, clock)
+        self._follower = StreamFollower(log, STREAM, _decoder, self._apply, clock)
         self._thread = threading.Thread(target=self._run, daemon=True, name="claims")
 
     def start(self) -> None:
@@ -196,12 +196,7 @@
             else:
                 self._put(append)
 
-    def _apply(self, record: LogRecord) -> None:
-        try:
-            decoded = _decoder.decode(record.value)
-        except msgspec.MsgspecError:
-            _log.warning("malformed record", extra={"stream": STREAM})
-            return
+    def _apply(self, decoded: Record, record: LogRecord) -> None:
         with self._changed:
             self._table.apply(decoded, record.offset, record.time_ms)
             self._changed.notify_all()
