Weigh prompts that wait for the callers already there, too

Each prompt ahead adds 0.12 s to the first event; with four ahead 38% of the streams then had a pause over 0.4 s, with none 16%, while the other engines had 1.0 to 1.6 prompts waiting on average. A third of the streams was late: 1193 of 5470 by the first event, 911 more by a pause. Ruled out: waiting for adapters (p90 0.42 s) and for loads (p50 0.29 s, as the store). Change: prompts that wait count 1.8 times in the choice of an engine, because each also lengthens the pauses of every stream there; a crowded adapter gets a second engine. Test: tests/decisions/direct_choice (four prompts waiting fails with a weight of 1).

--- a/lentiltally/decisions/target_choice.py
+++ b/lentiltally/decisions/target_choice.py
@@ -26,7 +26,9 @@
     """Weights of a choice, in seconds unless the name says otherwise.
 
     ``prefill_tokens_per_s`` turns prompts that wait into time; engines read about 20
-    tokens in a millisecond. ``cold_s`` is a load from the weight store, ``recent_s``
+    tokens in a millisecond. ``crowd_weight`` is for the callers already there: each
+    prompt that is read lengthens the pauses of all streams of its engine.
+    ``cold_s`` is a load from the weight store, ``recent_s``
     one from the engine's own memory, ``coming_s`` the rest of a load under way.
     ``away_s`` is added for each place by which a target lies behind the adapter's
     first in the hash order, so entries that know little load an adapter at the same
@@ -36,6 +38,7 @@
     """
 
     prefill_tokens_per_s: float = 19_000.0
+    crowd_weight: float = 1.8
     usual_prompt_tokens: float = 1_800.0
     batch_slowdown_s: float = 0.25
     no_memory_s: float = 1.5
@@ -246,7 +249,8 @@
             )
             running = max(running, state.running + state.waiting)
             is_full = 0 < state.cache_total < state.cache_used + tokens * 1.2
-        cost_s = (waiting_tokens + tokens) / settings.prefill_tokens_per_s
+        read_tokens = settings.crowd_weight * waiting_tokens + tokens
+        cost_s = read_tokens / settings.prefill_tokens_per_s
         cost_s += settings.batch_slowdown_s * running / record.places
         return cost_s + (settings.no_memory_s if is_full else 0.0)
 
--- a/tests/decisions/direct_choice.feature
+++ b/tests/decisions/direct_choice.feature
@@ -12,6 +12,20 @@
       | 20      | e1      |
       | 200     | another |
 
+  # Load pattern: one adapter becomes so popular that prompts pile up where it is held.
+  Scenario Outline: Target choice gives a crowded adapter a second engine
+    # Guards against streams that pause because their engine reads prompt after prompt,
+    # while other engines have nothing to read.
+    Given target choice of 3 engines
+    And target choice engine "e1" holds the adapter and has <waiting> prompts to read
+    Then target choice takes <target> for the adapter
+
+    Examples:
+      | waiting | target  |
+      | 1       | e1      |
+      | 2       | e1      |
+      | 4       | another |
+
   # Load pattern: rare adapters asked for at once by callers of all entries.
   Scenario: Target choice of entries with other loads puts a cold adapter on the same engine
     # Guards against several engines that load one rare adapter each.
--- a/tests/steps/direct_choice_steps.py
+++ b/tests/steps/direct_choice_steps.py
@@ -20,12 +20,12 @@
     return TargetRecord(name, "s", address, "z1", places, TargetStage.READY, 1, 1)
 
 
-def state(number=1, held=(), running=0, free_slots=2):
+def state(number=1, held=(), running=0, free_slots=2, waiting=0):
     return EngineState(
         started_ms=1,
         number=number,
         running=running,
-        waiting=0,
+        waiting=waiting,
         cache_used=0,
         cache_total=0,
         held=("m", *held),
@@ -57,6 +57,12 @@
     context.choice.state_received(name, held, NOW_S)
 
 
+@given('target choice engine "{name}" holds the adapter and has {n:d} prompts to read')
+def has_prompts(context, name, n):
+    held = state(2, held=[KEY], waiting=n)
+    context.choice.state_received(name, held, NOW_S)
+
+
 @given('target choice engine "{name}" has no free slot')
 def no_slot(context, name):
     context.choice.state_received(name, state(2, free_slots=0), NOW_S)
