--- a/tests/decisions/direct_choice.feature
+++ b/tests/decisions/direct_choice.feature
@@ -26,6 +26,15 @@
       | 2       | e1      |
       | 4       | another |
 
+  # Load pattern: a deployment whose prompts are several times as long as usual.
+  Scenario: Target choice learns how long the prompts of its callers are
+    # Guards against waiting prompts that are taken for a third of what they are.
+    Given target choice of 3 engines
+    And target choice engine "e1" holds the adapter and has 2 prompts to read
+    Then target choice takes e1 for the adapter
+    When target choice has sent 200 prompts of 6000 tokens
+    Then target choice takes another for the adapter
+
   # Load pattern: rare adapters asked for at once by callers of all entries.
   Scenario: Target choice of entries with other loads puts a cold adapter on the same engine
     # Guards against several engines that load one rare adapter each.
--- a/tests/steps/direct_choice_steps.py
+++ b/tests/steps/direct_choice_steps.py
@@ -68,6 +68,14 @@
     context.choice.state_received(name, state(2, free_slots=0), NOW_S)
 
 
+@when("target choice has sent {count:d} prompts of {tokens:d} tokens")
+def sent_prompts(context, count, tokens):
+    for _ in range(count):
+        context.choice.sent("e3", tokens)
+        context.choice.first_byte("e3", tokens, 0.2)
+        context.choice.ended("e3", is_failure=False, now_s=NOW_S)
+
+
 @when('target choice sees 8 failures at "{name}"')
 def fails(context, name):
     for _ in range(8):
