Weigh waiting prompts 1.5 times, now that their length is learnt

Cause: the weight of 1.8 was measured with prompts counted as 1,800 tokens. Callers of the two sites send 2,180 on average, which is learnt since, so the same weight would count 2.2 times. Change: 1.5, which is the measured weight for prompts of that length. Test: the rows of tests/decisions/direct_choice pass with it.

--- a/lentiltally/decisions/target_choice.py
+++ b/lentiltally/decisions/target_choice.py
@@ -40,7 +40,7 @@
     """
 
     prefill_tokens_per_s: float = 19_000.0
-    crowd_weight: float = 1.8
+    crowd_weight: float = 1.5
     usual_prompt_tokens: float = 1_800.0
     prompt_share: float = 0.02
     batch_slowdown_s: float = 0.25
