--- a/tests/steps/operations_steps.py
+++ b/tests/steps/operations_steps.py
@@ -10,14 +10,14 @@
 from lentiltally.clock import ManualClock
 from lentiltally.decisions.claims import ClaimRecord, ClaimTable, OutcomeRecord
 from lentiltally.decisions.quarantine import CrashRecord, Quarantine
-from tests.fakes.config_log import FakeLog
-from tests.steps.admin_steps import (
+from tests.fakes.admin_api import (
     NOW,
     SECRETS,
     FixedStatus,
     make_api,
     make_tokens,
 )
+from tests.fakes.config_log import FakeLog
 
 
 class FakeOperations:
--- a/tests/steps/operator_steps.py
+++ b/tests/steps/operator_steps.py
@@ -15,8 +15,8 @@
 from lentiltally.cli import main
 from lentiltally.clock import ManualClock
 from lentiltally.config import ChangeItem, ChangeRecord
+from tests.fakes.admin_api import NOW, SECRETS, make_api
 from tests.fakes.config_log import FakeLog
-from tests.steps.admin_steps import NOW, SECRETS, make_api
 
 
 @given("operator commands with an administration API and token ann")
