--- a/tests/fakes/system.py
+++ b/tests/fakes/system.py
@@ -99,6 +99,23 @@
         self._folder.cleanup()
         assert not failed, "\n".join([f"exit codes {codes}", *outputs])
 
+    def remove_version(self, adapter, version):
+        """Take a version out of the configuration, as an operator does."""
+        path = f"/config/teams/{TEAM}/adapters/{adapter}"
+        url = self.deployment.admin_urls["entry-1"] + path
+        known = self._get(url, OPERATOR_TOKEN)
+        value = _adapter(adapter, ADAPTERS[adapter])
+        del value["versions"][version]
+        headers = {
+            "Authorization": f"Bearer {OPERATOR_TOKEN}",
+            "Content-Type": "application/json",
+            "If-Match": known.headers["ETag"],
+        }
+        answer = urllib3.request(
+            "PUT", url, body=json.dumps(value), headers=headers, timeout=TIMEOUT_S
+        )
+        assert answer.status < 300, answer.data
+
     # Requests
 
     def body(self, prompt, adapter="drafts", tokens=5, version="1", **fields):
@@ -228,11 +245,7 @@
 
 def _configuration(deadline_s):
     values = {
-        f"/teams/{TEAM}/adapters/{name}": {
-            "base_model": BASE_MODEL,
-            "versions": {"1": {"source": f"{name}/1"}, "2": {"source": f"{name}/2"}},
-            "non_idempotent": is_booking,
-        }
+        f"/teams/{TEAM}/adapters/{name}": _adapter(name, is_booking)
         for name, is_booking in ADAPTERS.items()
     }
     values[f"/teams/{TEAM}/services/shelf"] = {
@@ -241,3 +254,11 @@
     }
     values[f"/teams/{TEAM}/limits"] = {"deadline_s": deadline_s}
     return values
+
+
+def _adapter(name, is_booking):
+    return {
+        "base_model": BASE_MODEL,
+        "versions": {"1": {"source": f"{name}/1"}, "2": {"source": f"{name}/2"}},
+        "non_idempotent": is_booking,
+    }
