--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -53,6 +53,7 @@
         self.proxies: dict[str, TcpProxy] = {}
         self.sequence = 0
         self.peer_port = free_port(ENTRY_IP)
+        self.metrics_port = free_port(ENTRY_IP)
         # Only its way of sending requests is used.
         self.callers = DirectSystem.__new__(DirectSystem)
 
@@ -84,7 +85,7 @@
             "serves": ["side"] if engine else ["front"],
             "ipAddress": ip,
             "zone": "z1",
-            "internalPorts": [self.peer_port, self.peer_port + 1],
+            "internalPorts": [self.peer_port, self.metrics_port],
             "platform": {"address": f"127.0.0.1:{self.store.port}"},
             "bounds": {"drainMs": 400, "graceS": 4},
         }
