--- a/tests/cli/operators.feature
+++ b/tests/cli/operators.feature
@@ -54,3 +54,9 @@
     When operator runs config set /teams/a/limits --file - --yes with input share = 2.0
     And operator runs config set /teams/a/limits --yes on a terminal
     Then operator gets exit code 0 and output containing +share = 4.0
+
+  Scenario: Operator runs every command of the operations page as it stands there
+    # Guards against a page that fails an operator at night.
+    When operator runs config set /teams/listdesk/limits --file - --yes with input share = 2.0
+    And operator has limits.toml with share = 3.0
+    Then operator runs the 5 commands of the operations page with exit code 0
--- a/tests/steps/operator_steps.py
+++ b/tests/steps/operator_steps.py
@@ -6,7 +6,9 @@
 import io
 import os
 import sys
+import tempfile
 import threading
+from pathlib import Path
 from unittest import mock
 
 from behave import given, then, when
@@ -18,6 +20,8 @@
 from tests.fakes.admin_api import NOW, SECRETS, make_api
 from tests.fakes.config_log import FakeLog
 
+ROOT = Path(__file__).resolve().parents[2]
+
 
 @given("operator commands with an administration API and token ann")
 def operator_api(context):
@@ -93,6 +97,26 @@
     run(context, command, Terminal())
 
 
+@when("operator has limits.toml with {text}")
+def operator_has_file(context, text):
+    folder = tempfile.TemporaryDirectory()
+    context.add_cleanup(folder.cleanup)
+    context.folder = folder.name
+    Path(folder.name, "limits.toml").write_text(text)
+
+
+@then("operator runs the {count:d} commands of the operations page with exit code 0")
+def operator_runs_page(context, count):
+    lines = (ROOT / "docs/OPERATIONS.md").read_text().splitlines()
+    start = "    lentiltally "
+    commands = [line.removeprefix(start) for line in lines if line.startswith(start)]
+    assert len(commands) == count, commands
+    for command in commands:
+        with contextlib.chdir(context.folder):
+            run(context, command, Terminal("y\n"))
+        assert context.code == 0, (command, context.code, context.output)
+
+
 @then("operator gets exit code {code:d} and output containing {text}")
 @then("operator gets exit code {code:d} and output containing ")
 @then("operator gets exit code {code:d} and output containing")
