--- a/tests/steps/system_outages_steps.py
+++ b/tests/steps/system_outages_steps.py
@@ -90,5 +90,43 @@
     assert text == text_of(context.prompt, adapter, LONG), data[-500:]
 
 
+@when('the system\'s host list says that {agent} is "{status}"')
+def host_list_says(context, agent, status):
+    deployment = context.system.deployment
+    host = {
+        "host": agent,
+        "address": deployment.agent_addresses[agent],
+        "role": "agent",
+        "region": "region-1",
+        "failure_domain": "domain-a",
+        "status": status,
+    }
+    answer = urllib3.request("PUT", f"{deployment.hosts_url}/hosts", json=[host])
+    assert answer.status == 200, answer.data
+
+
+@then("no entry of the system gives {engine} work")
+def gives_no_work(context, engine):
+    context.system.wait(lambda: not any(eligible(context, engine)))
+    context.known = len(context.system.journal(engine)["executions"])
+
+
+@then("the system's {engine} ran none of them")
+def ran_none(context, engine):
+    assert len(context.system.journal(engine)["executions"]) == context.known
+
+
+@then("each entry of the system gives every target work")
+def gives_all_work(context):
+    context.system.wait(lambda: all(eligible(context)))
+
+
+def eligible(context, name=""):
+    """Return for each entry and target, or the named target, whether it gets work."""
+    entries = context.system.deployment.entry_urls
+    targets = [target for entry in entries for target in context.system.targets(entry)]
+    return [t["eligible"] == "ok" for t in targets if name in ("", t["target"])]
+
+
 def send(context, adapter):
     return context.system.send(context.system.body(context.prompt, adapter))
--- a/tests/system/outages.feature
+++ b/tests/system/outages.feature
@@ -33,3 +33,12 @@
     And the operators remove version 1 of adapter "extra-21"
     Then system refuses new requests for version 1 of adapter "extra-21" in the end
     And system's caller gets the stream of adapter "extra-21" whole
+
+  # Guards against new work at a host that the platform is about to take away.
+  Scenario: a host leaves by the host list
+    When the system's host list says that agent-1 is "leaving"
+    Then no entry of the system gives engine-1 work
+    And system answers 8 requests at each entry
+    And the system's engine-1 ran none of them
+    When the system's host list says that agent-1 is "live"
+    Then each entry of the system gives every target work
