Wait for the receiving thread before nng goes

Its stack: nng_recvmsg -> nni_aio_fini -> panic "pthread_mutex_lock: Invalid argument". The inbox closed its socket and did not wait for its thread; if that was still inside the receive when the process ended, nng's own end took the lock away. A stop was then reported as a crash. Ruled out: a send that times out at the close (outboxes wait for their threads already). Change: closing an inbox waits for its thread, 3 s at most. Test: tests/wire/channel.feature, a handler that takes 0.3 s; fails without the wait.

--- a/lentiltally/wire/channel.py
+++ b/lentiltally/wire/channel.py
@@ -59,8 +59,13 @@
         self._thread.start()
 
     def close(self) -> None:
-        """Stop receiving and release the address."""
+        """Stop receiving, wait for the handler, and release the address.
+
+        nng can abort the process if it ends while a thread is still inside a receive.
+        """
         self._socket.close()
+        if self._thread.is_alive() and self._thread is not threading.current_thread():
+            self._thread.join(timeout=CLOSE_TIMEOUT_S)
 
     def _receive(self) -> None:
         while True:
