--- a/lentiltally/decisions/target_directory.py
+++ b/lentiltally/decisions/target_directory.py
@@ -57,13 +57,14 @@
         return [
             known.record
             for known in self._known.values()
-            if not known.is_gone
-            and not known.is_unreadable
-            and known.record.service == service
-            and known.record.stage is TargetStage.READY
-            and self._is_last_at_address(known.record)
+            if known.record.service == service and self._may_get_work(known)
         ]
 
+    def is_usable(self, target_id: str) -> bool:
+        """Return whether a target may still get new work."""
+        known = self._known.get(target_id)
+        return known is not None and self._may_get_work(known)
+
     def all(self) -> list[TargetRecord]:
         """Return all targets that are not gone."""
         return [known.record for known in self._known.values() if not known.is_gone]
@@ -137,6 +138,14 @@
             if known.missing_since_s is not None and not known.is_gone
         ]
 
+    def _may_get_work(self, known: _Known) -> bool:
+        return (
+            not known.is_gone
+            and not known.is_unreadable
+            and known.record.stage is TargetStage.READY
+            and self._is_last_at_address(known.record)
+        )
+
     def _note_address(self, record: TargetRecord) -> None:
         start = record.started_ms, record.target_id
         if start > self._at_address.get(record.address, (-1, "")):
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -153,6 +153,9 @@
             if grant is not None and not grant.is_granted:
                 self._declined(candidate.record, grant)
                 return None
+            if not self._state.directory.is_usable(candidate.record.target_id):
+                self._left_meanwhile(candidate.record)
+                return None
             return await self._send(candidate, grant)
         finally:
             # Also after a cancellation, because a grant may be on its way.
@@ -166,6 +169,11 @@
         self._pass_over(record, detail, is_unreachable=is_unreachable)
         self._log.step("adapter declined", record.target_id, reason=grant.reason)
 
+    def _left_meanwhile(self, record: TargetRecord) -> None:
+        """Try another target after this one began to leave while the agent worked."""
+        self._pass_over(record, "the target leaves", is_unreachable=False)
+        self._log.step("target left", record.target_id, reason="leaves or is gone")
+
     def _pass_over(
         self, record: TargetRecord, detail: str, *, is_unreachable: bool
     ) -> None:
--- a/tests/direct/streams.feature
+++ b/tests/direct/streams.feature
@@ -106,3 +106,11 @@
     When direct path engines start anew under another id
     And direct path gets a stream from "/stream/x" for adapter "a2"
     Then direct path orders named the engine's start
+
+  Scenario: Direct path sends nothing to a target that began to leave while it loaded
+    # Guards against work that reaches a leaving target as late as a load takes, beyond the
+    # time in which entries notice it.
+    Given direct path engines take 0.5 s to load an adapter
+    When direct path gets a stream for adapter "a1" whose engine leaves during the load
+    Then direct path delivered the events 1 to 5 whole
+    And direct path engine that left ran nothing
--- a/tests/steps/direct_streams_steps.py
+++ b/tests/steps/direct_streams_steps.py
@@ -256,3 +256,29 @@
     orders = [order for engine in llm_engines(context) for order in engine.ordered_as]
     assert orders
     assert all(expected == name for expected, name in orders), orders
+
+
+@given("direct path engines take {load_s:f} s to load an adapter")
+def loads_slow(context, load_s):
+    for engine in llm_engines(context):
+        engine.load_s = load_s
+
+
+@when(
+    'direct path gets a stream for adapter "{adapter}" whose engine leaves during the '
+    "load"
+)
+def leaves_during_load(context, adapter):
+    system = context.direct
+    call = asyncio.run_coroutine_threadsafe(
+        system.request("/stream/x", "s1", headers=headers(adapter)), system.loop
+    )
+    assert system.wait(lambda: any(e.coming for e in llm_engines(context)))
+    (context.left,) = [e for e in llm_engines(context) if e.coming]
+    system.announce(context.left.name, state="draining")
+    context.answer = call.result(20)
+
+
+@then("direct path engine that left ran nothing")
+def left_ran_nothing(context):
+    assert context.left.runs == [], context.left.runs
