--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -53,7 +53,7 @@
 CONFIGURATION_WAIT_SHARE = 0.3
 CONFIGURATION_PAUSE_S = 0.02
 # The list of targets is read this often within the time in which leaving must be seen.
-TARGET_READS_PER_BOUND = 4.0
+TARGET_READS_PER_BOUND = 2.0
 # After SIGTERM new connections come for two checks of readiness and a little longer.
 STILL_TAKEN_S = 2.5
 STOP_MARGIN_S = 0.7
@@ -126,6 +126,7 @@
             pause_s=bounds.leaving_s / TARGET_READS_PER_BOUND,
             wait_s=0.0,
         )
+        self._state.on_list_outdated = self._targets.read_soon
 
     @property
     def limits(self) -> CallerLimits:
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import logging
+from collections.abc import Callable
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.crash_suspects import CrashSuspects
@@ -45,6 +46,7 @@
         self.choice = TargetChoice(settings.failure_domain)
         self.suspects = CrashSuspects()
         self.entries = ASSUMED_ENTRIES
+        self.on_list_outdated: Callable[[], None] = _do_nothing
         self._clock = clock
         self._budgets: dict[str, ResendBudget] = {}
         self._notices: dict[str, tuple[int, float]] = {}
@@ -113,6 +115,9 @@
         if state.entries:
             self.entries = state.entries
         target_id = self.directory.at_host(ip, state.started_ms)
+        record = None if target_id is None else self.directory.get(target_id)
+        if record is None or record.started_ms != state.started_ms:
+            self.on_list_outdated()
         if target_id is None:
             return
         known = self.choice.view(target_id).state
@@ -120,6 +125,11 @@
             self.target_ended(target_id, "engine started anew")
         self.choice.state_received(target_id, state, self._clock.monotonic_s())
 
+    def unreachable(self, target_id: str, until_s: float) -> None:
+        """Prefer other targets for a while, and see whether this one is gone."""
+        self.choice.avoid(target_id, until_s)
+        self.on_list_outdated()
+
     def was_reset(self, target_id: str, print_: int) -> None:
         """Note a request whose connection broke; the target may have ended."""
         resets = self._resets.setdefault(target_id, [])
@@ -141,3 +151,7 @@
             extra={"target": target_id, "reason": reason, "suspects": len(new)},
         )
         return new
+
+
+def _do_nothing() -> None:
+    """Stand in until an entry's process asks to be told."""
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -182,7 +182,7 @@
         self._detail, self._peer = detail, record.target_id
         if is_unreachable:
             until_s = self._clock.monotonic_s() + self._settings.unreachable_avoid_s
-            self._state.choice.avoid(record.target_id, until_s)
+            self._state.unreachable(record.target_id, until_s)
 
     async def _send(
         self, candidate: Candidate, grant: AdapterGrant | None
--- a/lentiltally/direct/keyed_feed.py
+++ b/lentiltally/direct/keyed_feed.py
@@ -8,6 +8,7 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -31,6 +32,8 @@
 
 RETRY_S = 0.25
 MAX_RETRY_S = 1.0
+# Reads that evidence asks for are at least this far apart.
+SOON_S = 0.25
 
 
 class FeedError(LentiltallyError):
@@ -114,6 +117,7 @@
         self._listener = listener
         self._clock = clock
         self._pause = timedelta(seconds=pause_s)
+        self._soon = asyncio.Event()
         self._wait_s = wait_s
         self._on_read = on_read
         self._next: int | None = None
@@ -123,8 +127,9 @@
         """Follow the topic until cancelled."""
         while True:
             try:
+                self._soon.clear()
                 await self.step()
-                await asyncio.sleep(self._pause.total_seconds())
+                await self._rest()
             except FeedTruncatedError:
                 _log.info("feed truncated", extra={"topic": self.name})
                 self._next = None
@@ -132,6 +137,19 @@
                 self._failed(error)
                 await asyncio.sleep(min(MAX_RETRY_S, RETRY_S * self._failures))
 
+    def read_soon(self) -> None:
+        """Read before the pause is over, because what is known seems to be old."""
+        self._soon.set()
+
+    async def _rest(self) -> None:
+        """Wait for the next read: the whole pause unless one is asked for."""
+        pause_s = self._pause.total_seconds()
+        least_s = min(SOON_S, pause_s)
+        await asyncio.sleep(least_s)
+        with contextlib.suppress(TimeoutError):
+            async with asyncio.timeout(pause_s - least_s):
+                await self._soon.wait()
+
     async def step(self) -> None:
         """Read once and tell the listener; raises FeedError."""
         if self._next is None:
