--- a/lentiltally/decisions/engine_orders.py
+++ b/lentiltally/decisions/engine_orders.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import enum
+import math
 from dataclasses import dataclass
 
 __all__ = [
@@ -86,6 +87,8 @@
     since_s: float
     patience_until_s: float
     expires_s: float
+    prompt_tokens: int = 0
+    objective_until_s: float = math.inf
 
     @property
     def key(self) -> str:
--- a/lentiltally/decisions/engine_slots.py
+++ b/lentiltally/decisions/engine_slots.py
@@ -20,6 +20,7 @@
     WantResult,
     WantState,
 )
+from lentiltally.decisions.prompt_pacing import PromptPacing
 from lentiltally.direct.model import AdapterNotice, EngineSpec, ModelSpec
 
 __all__ = ["EngineSlots", "EngineSlotsSettings"]
@@ -56,6 +57,7 @@
         self._models: set[str] = set()
         self._waiting: dict[str, AdapterWant] = {}
         self._pins: dict[str, AdapterWant] = {}
+        self._pacing = PromptPacing()
         self._use = AdapterUse(half_life_s=self._settings.use_half_life_s)
         self._recent: OrderedDict[str, None] = OrderedDict()
 
@@ -79,6 +81,12 @@
         """Return the adapters that requests hold."""
         return frozenset(w.key for w in self._pins.values() if w.adapter)
 
+    @property
+    def prompt_tokens(self) -> int:
+        """Return the tokens of prompts that are being read or wait for that."""
+        waiting = sum(want.prompt_tokens for want in self._waiting.values())
+        return self._pacing.tokens + waiting
+
     @property
     def free_slots(self) -> int:
         """Return how many slots no request holds; 0 before the spec is known."""
@@ -126,6 +134,7 @@
         if is_new:
             # What the engine ran and kept in memory ended with it.
             self._pins.clear()
+            self._pacing.clear()
             self._recent.clear()
         self._report = report
         self._models = {model.name for model in report.models}
@@ -155,8 +164,13 @@
             self._use.used(want.key, want.since_s)
         self._waiting[want.request_id] = want
 
+    def prompt_read(self, request_id: str, now_s: float) -> None:
+        """Note that the engine has read the prompt of a request."""
+        self._pacing.read(request_id, now_s)
+
     def release(self, request_id: str) -> None:
         """Forget a request that ended or went elsewhere."""
+        self._pacing.ended(request_id)
         self._pins.pop(request_id, None)
         self._waiting.pop(request_id, None)
 
@@ -165,12 +179,13 @@
         self._expire(now_s)
         results = []
         blocked = self._is_blocked()
-        for want in sorted(self._waiting.values(), key=_urgency):
+        for want in self._in_order(now_s):
             result = self._decide(want, blocked, now_s)
             if result is not None:
                 del self._waiting[want.request_id]
                 if result.state is WantState.GRANTED:
                     self._pins[want.request_id] = want
+                    self._pacing.started(want.request_id, want.prompt_tokens, now_s)
                 results.append(result)
         return results
 
@@ -187,6 +202,16 @@
             or self._adapter_order(report, now_s)
         )
 
+    def _in_order(self, now_s: float) -> list[AdapterWant]:
+        """Return the waiting requests, those first that can still be in time."""
+
+        def order(want: AdapterWant) -> tuple[bool, int, float]:
+            read_s = now_s + self._pacing.expected_s(want.prompt_tokens)
+            is_late = read_s > want.objective_until_s
+            return is_late, *_urgency(want)
+
+        return sorted(self._waiting.values(), key=order)
+
     def _expire(self, now_s: float) -> None:
         for table in (self._pins, self._waiting):
             for request_id, want in list(table.items()):
@@ -197,6 +222,11 @@
         self, want: AdapterWant, is_blocked: bool, now_s: float
     ) -> WantResult | None:
         if self._report is not None and self._is_usable(want):
+            is_impatient = want.patience_until_s <= now_s
+            if not is_impatient and not self._pacing.has_room(
+                want.prompt_tokens, now_s
+            ):
+                return None
             version = self._held.get(want.key, 0)
             return WantResult(want, WantState.GRANTED, version, "held")
         if self._report is None:
@@ -266,7 +296,7 @@
     def _adapter_order(self, report: EngineReport, now_s: float) -> EngineOrder | None:
         if len(report.coming) >= self._settings.max_coming:
             return None
-        for want in sorted(self._waiting.values(), key=_urgency):
+        for want in self._in_order(now_s):
             is_on_its_way = want.key in self._held or want.key in report.coming
             if not want.adapter or want.model not in self._models or is_on_its_way:
                 continue
--- a/lentiltally/decisions/target_choice.py
+++ b/lentiltally/decisions/target_choice.py
@@ -27,9 +27,7 @@
 
     ``prefill_tokens_per_s`` turns prompts that wait into time; engines read about 20
     tokens in a millisecond. ``crowd_weight`` is for the callers already there: each
-    prompt that is read lengthens the pauses of all streams of its engine. Prompts of
-    other entries count as the mean of the entry's own, which begins at
-    ``usual_prompt_tokens`` and takes ``prompt_share`` of each new one.
+    prompt that is read lengthens the pauses of all streams of its engine.
     ``cold_s`` is a load from the weight store, ``recent_s``
     one from the engine's own memory, ``coming_s`` the rest of a load under way.
     ``away_s`` is added for each place by which a target lies behind the adapter's
@@ -41,8 +39,6 @@
 
     prefill_tokens_per_s: float = 19_000.0
     crowd_weight: float = 1.5
-    usual_prompt_tokens: float = 1_800.0
-    prompt_share: float = 0.02
     batch_slowdown_s: float = 0.25
     no_memory_s: float = 1.5
     cold_s: float = 0.55
@@ -107,7 +103,6 @@
         self._domain = failure_domain
         self._settings = settings or ChoiceSettings()
         self._views: dict[str, TargetView] = {}
-        self._prompt_tokens = self._settings.usual_prompt_tokens
 
     def view(self, target_id: str) -> TargetView:
         """Return the view of a target, new if it was unknown."""
@@ -134,9 +129,6 @@
         view = self.view(target_id)
         view.in_flight += 1
         view.waiting_tokens += tokens
-        if tokens > 0:
-            share = self._settings.prompt_share
-            self._prompt_tokens += share * (tokens - self._prompt_tokens)
 
     def first_byte(self, target_id: str, tokens: int, latency_s: float) -> None:
         """Take the time to the first byte of an answer."""
@@ -251,7 +243,7 @@
         is_full = False
         state = self._fresh_state(view, now_s)
         if state is not None:
-            waiting_tokens = max(waiting_tokens, state.waiting * self._prompt_tokens)
+            waiting_tokens = max(waiting_tokens, float(state.prompt_tokens))
             running = max(running, state.running + state.waiting)
             is_full = 0 < state.cache_total < state.cache_used + tokens * 1.2
         read_tokens = settings.crowd_weight * waiting_tokens + tokens
--- a/lentiltally/direct/adapter_hold.py
+++ b/lentiltally/direct/adapter_hold.py
@@ -24,7 +24,9 @@
         self._request = request
         self._rank = rank
 
-    async def hold(self, candidate: Candidate, left_s: float) -> AdapterGrant | None:
+    async def hold(
+        self, candidate: Candidate, left_s: float, objective_left_s: float
+    ) -> AdapterGrant | None:
         """Ask the agent to hold the adapter; None where no agent is concerned."""
         adapter = self._request.adapter
         if adapter is None or candidate.residency == "held before":
@@ -36,6 +38,8 @@
             self._request.request_id,
             adapter,
             rank=self._rank,
+            prompt_tokens=self._request.prompt_tokens,
+            objective_left_s=objective_left_s,
             patience_s=min(settings.max_hold_s, settings.hold_share * left_s),
             left_s=left_s,
         )
@@ -48,6 +52,12 @@
             return AdapterGrant(False, reason="older version")
         return grant
 
+    def prompt_read(self, record: TargetRecord) -> None:
+        """Tell the agent that the answer began, so another prompt may be read."""
+        if self._request.adapter is not None:
+            agent = self._agent(record)
+            self._forwarding.adapters.prompt_read(agent, self._request.request_id)
+
     def release(self, record: TargetRecord) -> None:
         """Tell the agent that the request no longer needs the adapter."""
         if self._request.adapter is not None:
--- a/lentiltally/direct/adapter_requests.py
+++ b/lentiltally/direct/adapter_requests.py
@@ -10,6 +10,7 @@
     AdapterAnswer,
     AdapterDecision,
     Message,
+    PromptRead,
     ReleaseAdapter,
     RequireAdapter,
 )
@@ -70,6 +71,8 @@
         adapter: AdapterRef,
         *,
         rank: int,
+        prompt_tokens: int,
+        objective_left_s: float,
         patience_s: float,
         left_s: float,
     ) -> AdapterGrant:
@@ -89,6 +92,8 @@
             rank,
             int(patience_s * 1000),
             int(left_s * 1000),
+            prompt_tokens,
+            int(objective_left_s * 1000),
         )
         until_s = loop.time() + patience_s
         try:
@@ -117,6 +122,10 @@
         elif not waiting.answer.done():
             waiting.answer.set_result(message)
 
+    def prompt_read(self, agent: SocketAddress, request_id: str) -> None:
+        """Tell an agent that its engine has read the prompt of a request."""
+        self._peers.send(agent, PromptRead(request_id))
+
     def release(self, agent: SocketAddress, request_id: str) -> None:
         """Tell an agent that a request no longer needs its adapter."""
         self._peers.send(agent, ReleaseAdapter(request_id))
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -25,6 +25,7 @@
     EngineState,
     EntryHello,
     Message,
+    PromptRead,
     ReleaseAdapter,
     RequireAdapter,
     adapter_mark,
@@ -180,6 +181,10 @@
         elif isinstance(message, ReleaseAdapter):
             self._slots.release(message.request_id)
             self._requesters.pop(message.request_id, None)
+            self._answer_wants()
+        elif isinstance(message, PromptRead):
+            self._slots.prompt_read(message.request_id, now_s)
+            self._answer_wants()
         elif isinstance(message, CrashSuspect):
             for entry in self._entries:
                 if entry != sender:
@@ -198,6 +203,8 @@
                 since_s=now_s,
                 patience_until_s=now_s + message.patience_ms / 1000,
                 expires_s=now_s + message.left_ms / 1000,
+                prompt_tokens=message.prompt_tokens,
+                objective_until_s=now_s + message.objective_ms / 1000,
             )
         )
         self._answer_wants()
@@ -356,6 +363,7 @@
             free_slots=self._slots.free_slots,
             waiting_keys=self._slots.waiting_keys,
             entries=len(self._entries),
+            prompt_tokens=self._slots.prompt_tokens,
         )
         for entry in self._entries:
             self._peers.send(entry, state)
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -52,8 +52,10 @@
         self._service = service
         self._connection = connection
         self._answer = CallerAnswer(connection, forwarding.clock, request.last_event)
-        self._sender = TargetSender(forwarding, request, route, self._answer)
         self._hold = AdapterHold(forwarding, request, route.rank)
+        self._sender = TargetSender(
+            forwarding, request, route, self._answer, self._hold
+        )
         self._log = HandlingLog(request, route.name, forwarding.clock)
         patience_s = request.patience_s or route.timeout_s
         self._deadline_s = request.arrived_s + min(patience_s, route.timeout_s)
@@ -73,6 +75,11 @@
     def _left_s(self) -> float:
         return self._deadline_s - self._clock.monotonic_s()
 
+    @property
+    def _objective_left_s(self) -> float:
+        since_s = self._clock.monotonic_s() - self._request.arrived_s
+        return self._route.objective_s - since_s
+
     async def run(self) -> None:
         """Answer the request; raises Refusal for the caller, CallerGone if it left."""
         self._check_suspect()
@@ -149,7 +156,9 @@
         if self._service.engine is None:
             return await self._send(candidate, None)
         try:
-            grant = await self._hold.hold(candidate, self._left_s)
+            grant = await self._hold.hold(
+                candidate, self._left_s, self._objective_left_s
+            )
             if grant is not None and not grant.is_granted:
                 self._declined(candidate.record, grant)
                 return None
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -18,6 +18,7 @@
     "EngineState",
     "EntryHello",
     "Message",
+    "PromptRead",
     "ReleaseAdapter",
     "RequireAdapter",
     "AdapterAnswer",
@@ -54,7 +55,8 @@
     ``held`` are the marks of models and adapters that can be used now, ``coming`` of
     those on their way, and ``recent`` of those that load fast. ``free_slots`` are slots
     that no request holds. ``started_ms`` is the engine's start, ``entries`` the number
-    of live entries.
+    of live entries. ``prompt_tokens`` are those of prompts that are being read or wait
+    for that.
     """
 
     started_ms: int
@@ -69,6 +71,7 @@
     free_slots: int
     waiting_keys: int
     entries: int
+    prompt_tokens: int
 
 
 class RequireAdapter(Struct, tag=3, array_like=True, frozen=True):
@@ -80,6 +83,8 @@
     rank: int
     patience_ms: int
     left_ms: int
+    prompt_tokens: int
+    objective_ms: int
 
 
 class AdapterDecision(enum.Enum):
@@ -109,6 +114,12 @@
     request_id: str
 
 
+class PromptRead(Struct, tag=7, array_like=True, frozen=True):
+    """The engine has read the prompt of a request: its answer began."""
+
+    request_id: str
+
+
 class CrashSuspect(Struct, tag=6, array_like=True, frozen=True):
     """A target ended while it ran a request with this fingerprint.
 
@@ -126,6 +137,7 @@
     | AdapterAnswer
     | ReleaseAdapter
     | CrashSuspect
+    | PromptRead
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/lentiltally/direct/target_exchange.py
+++ b/lentiltally/direct/target_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 import enum
 from dataclasses import dataclass
+from typing import Protocol
 
 import h11
 
@@ -16,13 +17,25 @@
 from lentiltally.direct.request import AnswerHead, CallerRequest, TargetSend
 from lentiltally.direct.wire import Wire
 
-__all__ = ["ExchangeOutcome", "ExchangeResult", "TargetExchange"]
+__all__ = ["ExchangeListener", "ExchangeOutcome", "ExchangeResult", "TargetExchange"]
 
 # Answers to other requests that may arrive before the right one.
 MAX_STRAY_ANSWERS = 4
 MAX_WHOLE_BYTES = 16 * 1024 * 1024
 
 
+class ExchangeListener(Protocol):
+    """What is told of an answer while it is still coming."""
+
+    def head_received(self, head: AnswerHead) -> None:
+        """Take the head of the request's own answer."""
+        ...
+
+    def answer_began(self, after_s: float) -> None:
+        """Note that the target has begun to answer, so its prompt is read."""
+        ...
+
+
 class ExchangeOutcome(enum.Enum):
     """What is known after a send.
 
@@ -61,6 +74,8 @@
         connection: HttpConnection,
         request: CallerRequest,
         patience: Patience,
+        *,
+        listener: ExchangeListener,
     ) -> None:
         """Prepare a send; the connection is used by nothing else."""
         self._wire = wire
@@ -68,9 +83,10 @@
         self._connection = connection
         self._request = request
         self._patience = patience
+        self._listener = listener
+        self._has_begun = False
         self.head: AnswerHead | None = None
         self.sent_at_s = 0.0
-        self.first_byte_s: float | None = None
 
     async def run(
         self, send: TargetSend, answer: CallerAnswer, *, is_stream: bool
@@ -92,6 +108,7 @@
         except TimeoutError:
             return self._failed(ExchangeOutcome.SLOW, "no answer in time")
         self.head = head
+        self._listener.head_received(head)
         try:
             return await self._read_answer(head, answer, is_stream)
         except (PeerFailed, StreamBroken) as error:
@@ -109,7 +126,6 @@
                 event.status_code, event.headers.raw_items()
             )
             if head.request_id == self._request.request_id:
-                self._first_byte()
                 return head
             if head.request_id is None and head.did_not_run:
                 return head
@@ -123,6 +139,8 @@
         is_success = 200 <= head.status < 300
         if is_stream and is_success and _is_genuine(head):
             return await self._relay(head, answer)
+        if not head.did_not_run:
+            self._began()
         body = await self._read_body(MAX_WHOLE_BYTES)
         if head.did_not_run:
             return ExchangeResult(
@@ -145,6 +163,7 @@
                 event = await self._connection.next_event()
             if not isinstance(event, h11.Data):
                 break
+            self._began()
             if await answer.data_received(bytes(event.data)):
                 limit_s = self._patience.gap_s
         if answer.stream.has_partial_event:
@@ -161,9 +180,10 @@
                     raise self._protocol_error("answer too large")
         return bytes(body)
 
-    def _first_byte(self) -> None:
-        if self.first_byte_s is None:
-            self.first_byte_s = self._clock.monotonic_s() - self.sent_at_s
+    def _began(self) -> None:
+        if not self._has_begun:
+            self._has_begun = True
+            self._listener.answer_began(self._clock.monotonic_s() - self.sent_at_s)
 
     def _failed(
         self, outcome: ExchangeOutcome, detail: str, *, was_reset: bool = False
--- a/lentiltally/direct/target_sender.py
+++ b/lentiltally/direct/target_sender.py
@@ -2,12 +2,15 @@
 
 from __future__ import annotations
 
+from lentiltally.clock import Clock
 from lentiltally.decisions.answer_patience import Patience
+from lentiltally.decisions.target_choice import TargetChoice
+from lentiltally.direct.adapter_hold import AdapterHold
 from lentiltally.direct.caller_answer import CallerAnswer
 from lentiltally.direct.forwarding import Forwarding
 from lentiltally.direct.http_connection import HttpConnection
 from lentiltally.direct.model import Route, RouteKind, TargetRecord
-from lentiltally.direct.request import CallerRequest, TargetSend
+from lentiltally.direct.request import AnswerHead, CallerRequest, TargetSend
 from lentiltally.direct.target_exchange import (
     ExchangeOutcome,
     ExchangeResult,
@@ -16,11 +19,53 @@
 
 __all__ = ["TargetSender"]
 
+_NO_FAILURE = frozenset({ExchangeOutcome.DELIVERED, ExchangeOutcome.NOT_RUN})
 _CLEAN = frozenset(
     {ExchangeOutcome.DELIVERED, ExchangeOutcome.ANSWERED, ExchangeOutcome.NOT_RUN}
 )
 
 
+class _AnswerObserver:
+    """Tells the choice and the agent what one send shows of the target."""
+
+    def __init__(
+        self,
+        choice: TargetChoice,
+        clock: Clock,
+        hold: AdapterHold,
+        request: CallerRequest,
+        record: TargetRecord,
+    ) -> None:
+        """Observe one send of a request to a target."""
+        self._choice = choice
+        self._clock = clock
+        self._hold = hold
+        self._record = record
+        self._tokens = request.prompt_tokens
+        self._has_begun = False
+
+    def head_received(self, head: AnswerHead) -> None:
+        """Take the load that the head tells."""
+        if head.load is not None:
+            now_s = self._clock.monotonic_s()
+            self._choice.load_received(self._record.target_id, head.load, now_s)
+
+    def answer_began(self, after_s: float) -> None:
+        """Count the prompt as read."""
+        self._has_begun = True
+        self._choice.first_byte(self._record.target_id, self._tokens, after_s)
+        self._hold.prompt_read(self._record)
+
+    def ended(self, result: ExchangeResult | None) -> None:
+        """Count the end of the send; None if it was cancelled."""
+        target_id = self._record.target_id
+        if not self._has_begun:
+            self._choice.not_first_byte(target_id, self._tokens)
+        is_failure = result is not None and result.outcome not in _NO_FAILURE
+        now_s = self._clock.monotonic_s()
+        self._choice.ended(target_id, is_failure=is_failure, now_s=now_s)
+
+
 class TargetSender:
     """Opens or reuses connections for one request and reads its answers."""
 
@@ -30,6 +75,7 @@
         request: CallerRequest,
         route: Route,
         answer: CallerAnswer,
+        hold: AdapterHold,
     ) -> None:
         """Send a request of a route; what targets answer goes into ``answer``."""
         self._forwarding = forwarding
@@ -38,6 +84,7 @@
         self._request = request
         self._route = route
         self._answer = answer
+        self._hold = hold
 
     async def connect(self, record: TargetRecord, left_s: float) -> HttpConnection:
         """Return a connection to a target; raises ConnectError."""
@@ -56,8 +103,16 @@
         patience: Patience,
     ) -> ExchangeResult:
         """Send to a target and read its answer."""
+        observer = _AnswerObserver(
+            self._choice, self._clock, self._hold, self._request, record
+        )
         exchange = TargetExchange(
-            self._forwarding.wire, self._clock, connection, self._request, patience
+            self._forwarding.wire,
+            self._clock,
+            connection,
+            self._request,
+            patience,
+            listener=observer,
         )
         self._choice.sent(record.target_id, self._request.prompt_tokens)
         is_stream = self._route.kind is RouteKind.STREAM
@@ -66,32 +121,9 @@
             result = await exchange.run(send, self._answer, is_stream=is_stream)
             return result
         finally:
-            self._observe(record, exchange, result)
+            observer.ended(result)
             self._settle(record, connection, exchange, result)
 
-    def _observe(
-        self,
-        record: TargetRecord,
-        exchange: TargetExchange,
-        result: ExchangeResult | None,
-    ) -> None:
-        """Tell the choice what the send showed of the target."""
-        now_s = self._clock.monotonic_s()
-        target_id, tokens = record.target_id, self._request.prompt_tokens
-        outcome = result.outcome if result else None
-        if exchange.first_byte_s is None or outcome is ExchangeOutcome.NOT_RUN:
-            self._choice.not_first_byte(target_id, tokens)
-        else:
-            self._choice.first_byte(target_id, tokens, exchange.first_byte_s)
-        if exchange.head is not None and exchange.head.load is not None:
-            self._choice.load_received(target_id, exchange.head.load, now_s)
-        is_failure = outcome not in (
-            None,
-            ExchangeOutcome.DELIVERED,
-            ExchangeOutcome.NOT_RUN,
-        )
-        self._choice.ended(target_id, is_failure=is_failure, now_s=now_s)
-
     def _settle(
         self,
         record: TargetRecord,
--- a/tests/decisions/engine_slots.feature
+++ b/tests/decisions/engine_slots.feature
@@ -59,3 +59,21 @@
     And engine slots granted "a" and "b"
     When engine slots are asked for "c" and again every 0.3 s for 1.2 s
     Then engine slots have declined it once with "patience"
+
+  # Load pattern: a crest longer than the objective, with more prompts than can be read.
+  Scenario: Engine slots serve first what can still be in time
+    # Guards against a crest in which every answer is late, because each waits behind
+    # others that are late already.
+    Given engine slots with 2 slots that hold "a" and "b"
+    And engine slots let a prompt of 4000 tokens through
+    When engine slots get a late request "old" and then one in time "new" for "a"
+    And engine slots see that the prompt is read
+    Then engine slots grant "new" before "old"
+
+  Scenario: Engine slots grant a request whose patience ends while prompts are read
+    # Guards against a request that is sent from engine to engine though each could run it.
+    Given engine slots with 2 slots that hold "a" and "b"
+    And engine slots let a prompt of 4000 tokens through
+    When engine slots get a late request "old" and then one in time "new" for "a"
+    And engine slots reach the end of their patience
+    Then engine slots grant "old" before "new"
--- a/tests/steps/engine_slots_steps.py
+++ b/tests/steps/engine_slots_steps.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import dataclasses
+
 from behave import given, then, when
 from hypothesis import given as for_all
 from hypothesis import strategies as st
@@ -209,3 +211,41 @@
 @then('engine slots have declined it once with "{reason}"')
 def declined_once(context, reason):
     assert [result.reason for result in context.results] == [reason]
+
+
+@given("engine slots let a prompt of {tokens:d} tokens through")
+def let_through(context, tokens):
+    large = dataclasses.replace(want("a", request_id="large"), prompt_tokens=tokens)
+    context.slots.want(large)
+    (result,) = context.slots.results(NOW_S)
+    assert result.state is WantState.GRANTED, result
+
+
+@when('engine slots get a late request "{old}" and then one in time "{new}" for "a"')
+def late_and_new(context, old, new):
+    for request_id, left_s in ((old, -0.5), (new, 0.9)):
+        asked = want("a", request_id=request_id)
+        context.slots.want(
+            dataclasses.replace(
+                asked, prompt_tokens=2000, objective_until_s=NOW_S + left_s
+            )
+        )
+    assert context.slots.results(NOW_S) == []
+
+
+@when("engine slots see that the prompt is read")
+def prompt_read(context):
+    context.slots.prompt_read("large", NOW_S + 0.2)
+    context.results = context.slots.results(NOW_S + 0.2)
+
+
+@when("engine slots reach the end of their patience")
+def patience_ends(context):
+    context.results = context.slots.results(NOW_S + 1.0)
+
+
+@then('engine slots grant "{first}" before "{second}"')
+def grant_order(context, first, second):
+    granted = [r.want.request_id for r in context.results]
+    assert granted == [first, second], granted
+    assert all(r.state is WantState.GRANTED for r in context.results)
