--- a/tests/direct/platform.feature
+++ b/tests/direct/platform.feature
@@ -62,10 +62,17 @@
   Scenario: Direct path finishes running work when it is told to stop
     # Guards against requests that are cut by a planned stop.
     Given direct path with a store, a configuration and two plain targets
-    When direct path is told to stop while a request runs
+    When direct path is told to stop while a request runs for 0.3 s
     Then direct path answered it with 200
     And direct path readiness is 503
 
+  Scenario: Direct path finishes work that runs longer than new connections are taken
+    # Guards against requests that are cut when the entry stops listening.
+    Given direct path with a store, a configuration and two plain targets
+    When direct path is told to stop while a request runs for 2.7 s
+    Then direct path answered it with 200
+    And direct path entry had not ended before
+
   Scenario Outline: Direct path rejects what is no proper request and closes
     # Guards against requests that are hidden in another one's body or framing.
     Given direct path with a store, a configuration and two plain targets
--- a/tests/steps/direct_steps.py
+++ b/tests/steps/direct_steps.py
@@ -210,19 +210,27 @@
     system.announce(name, sequence=10_000)
 
 
-@when("direct path is told to stop while a request runs")
-def told_to_stop(context):
+@when("direct path is told to stop while a request runs for {run_s:f} s")
+def told_to_stop(context, run_s):
     system = context.direct
     for engine in system.engines.values():
-        engine.answer_after_s = 0.3
+        engine.answer_after_s = run_s
 
     async def act():
         work = asyncio.ensure_future(system.request("/once/x", body=b"b"))
         await asyncio.sleep(0.1)
-        system._started[0][0].request()
-        return await work
+        stop_signal, process = system._started[0]
+        stop_signal.request()
+        answer = await work
+        return answer, process.done()
 
-    context.answer = system.run(act())
+    context.answer, context.has_ended = system.run(act())
+
+
+@then("direct path entry had not ended before")
+def had_not_ended(context):
+    # The end of a real process cuts what is still running.
+    assert not context.has_ended
 
 
 @when('direct path gets the bytes of "{kind}"')
