--- a/lentiltally/direct/adapter_hold.py
+++ b/lentiltally/direct/adapter_hold.py
@@ -33,6 +33,7 @@
             # With a gone agent, the engine itself refuses if it dropped the adapter.
             return None
         settings = self._forwarding.settings
+        newest = self._state.newest_version(adapter.key)
         grant = await self._forwarding.adapters.require(
             self._agent(candidate.record),
             self._request.request_id,
@@ -40,6 +41,7 @@
             rank=self._rank,
             prompt_tokens=self._request.prompt_tokens,
             objective_left_s=objective_left_s,
+            newest_version=newest[0] if newest is not None else 0,
             patience_s=min(settings.max_hold_s, settings.hold_share * left_s),
             left_s=left_s,
         )
--- a/lentiltally/direct/adapter_requests.py
+++ b/lentiltally/direct/adapter_requests.py
@@ -73,6 +73,7 @@
         rank: int,
         prompt_tokens: int,
         objective_left_s: float,
+        newest_version: int,
         patience_s: float,
         left_s: float,
     ) -> AdapterGrant:
@@ -94,6 +95,7 @@
             int(left_s * 1000),
             prompt_tokens,
             int(objective_left_s * 1000),
+            newest_version,
         )
         until_s = loop.time() + patience_s
         try:
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -194,6 +194,10 @@
         self, message: RequireAdapter, sender: SocketAddress, now_s: float
     ) -> None:
         self._requesters[message.request_id] = sender
+        if message.newest_version > 0:
+            self._noticed(
+                AdapterNotice(message.model, message.adapter, message.newest_version)
+            )
         self._slots.want(
             AdapterWant(
                 request_id=message.request_id,
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -75,7 +75,12 @@
 
 
 class RequireAdapter(Struct, tag=3, array_like=True, frozen=True):
-    """A request needs an adapter on the agent's engine."""
+    """A request needs an adapter on the agent's engine.
+
+    ``newest_version`` is the newest one that the entry knows, 0 if none was named; the
+    agent may not have read of it yet. ``objective_ms`` is what is left of the route's
+    objective, negative once it is missed.
+    """
 
     request_id: str
     model: str
@@ -85,6 +90,7 @@
     left_ms: int
     prompt_tokens: int
     objective_ms: int
+    newest_version: int = 0
 
 
 class AdapterDecision(enum.Enum):
--- a/tests/direct/streams.feature
+++ b/tests/direct/streams.feature
@@ -68,6 +68,16 @@
     Then direct path delivered the events 1 to 5 whole
     And direct path ran it on version 2
 
+  Scenario: Direct path serves the newest version while agents have not read of it
+    # Guards against an old version that runs, or requests that are declined, until a long
+    # read of an agent at the store is over.
+    Given direct path engines hold "a1"
+    When direct path learns of version 2 of "a1"
+    And direct path agents lose what they read of versions
+    And direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 whole
+    And direct path ran it on version 2
+
   Scenario: Direct path serves on when an engine starts anew and empty
     # Guards against requests for adapters that an engine lost with its restart.
     Given direct path engines hold "a1"
--- a/tests/steps/direct_streams_steps.py
+++ b/tests/steps/direct_streams_steps.py
@@ -117,6 +117,17 @@
     return agent._slots._newest.get(f"m/{adapter}") == version
 
 
+@when("direct path agents lose what they read of versions")
+def agents_lose_versions(context):
+    system = context.direct
+
+    def lose():
+        for agent in system.agents.values():
+            agent._slots._newest.clear()
+
+    system.call(lose)
+
+
 @when("direct path engines start anew")
 def engines_restart(context):
     def restart():
