--- a/lentiltally/decisions/engine_slots.py
+++ b/lentiltally/decisions/engine_slots.py
@@ -68,8 +68,8 @@
 
     @property
     def waiting_keys(self) -> int:
-        """Return for how many adapters requests wait that need a slot first."""
-        return len({w.key for w in self._waiting.values() if self._needs_slot(w)})
+        """Return how many different adapters requests wait for."""
+        return len({want.key for want in self._waiting.values()})
 
     @property
     def has_work(self) -> bool:
@@ -178,12 +178,9 @@
         """Return the wants that are decided now, and drop what has expired."""
         self._expire(now_s)
         results = []
-        queue: set[str] = set()
+        blocked = self._is_blocked()
         for want in self._in_order(now_s):
-            if self._needs_slot(want):
-                queue.add(want.key)
-            is_too_far_back = len(queue) > self._settings.max_waiting_keys
-            result = self._decide(want, is_too_far_back, now_s)
+            result = self._decide(want, blocked, now_s)
             if result is not None:
                 del self._waiting[want.request_id]
                 if result.state is WantState.GRANTED:
@@ -222,7 +219,7 @@
                     del table[request_id]
 
     def _decide(
-        self, want: AdapterWant, is_too_far_back: bool, now_s: float
+        self, want: AdapterWant, is_blocked: bool, now_s: float
     ) -> WantResult | None:
         if self._report is not None and self._is_usable(want):
             is_impatient = want.patience_until_s <= now_s
@@ -236,7 +233,7 @@
             return WantResult(want, WantState.NO_ENGINE, 0, "engine lost")
         if want.patience_until_s <= now_s:
             return WantResult(want, WantState.DECLINED, 0, "patience")
-        if is_too_far_back and self.free_slots <= 0 and self._needs_slot(want):
+        if is_blocked and want.adapter and want.key not in self._coming():
             return WantResult(want, WantState.DECLINED, 0, "slots in use")
         return None
 
@@ -251,11 +248,10 @@
     def _coming(self) -> frozenset[str]:
         return frozenset(self._report.coming) if self._report else frozenset()
 
-    def _needs_slot(self, want: AdapterWant) -> bool:
-        """Return whether the adapter must still be ordered."""
-        if not want.adapter or want.key in self._coming():
-            return False
-        return not self._is_usable(want)
+    def _is_blocked(self) -> bool:
+        """Return whether running work holds every slot and enough requests wait."""
+        is_queue_full = self.waiting_keys > self._settings.max_waiting_keys
+        return self._spec is not None and self.free_slots <= 0 and is_queue_full
 
     def _model_order(self, report: EngineReport) -> EngineOrder | None:
         """Load a base model that is wanted, or the only one after an empty start."""
