--- a/lentiltally/direct/keyed_feed.py
+++ b/lentiltally/direct/keyed_feed.py
@@ -1,8 +1,8 @@
 """Follows a keyed topic of the platform's store.
 
 The follower reads the newest record of each key once and then the records that come
-after. When records it needs were deleted, it reads the newest ones again; positions
-never move back, so an old answer changes nothing.
+after. When records it needs were deleted, it reads the newest ones again; of one key no
+older record follows a newer one, so an old answer changes nothing.
 """
 
 from __future__ import annotations
@@ -41,7 +41,9 @@
 
 
 class FeedTruncatedError(FeedError):
-    """Records after the reader's position were deleted."""
+    """Records after the reader's position were deleted, up to ``first_offset``."""
+
+    first_offset: int = 0
 
 
 @dataclass(frozen=True, slots=True)
@@ -55,7 +57,11 @@
 
 @dataclass(frozen=True, slots=True)
 class FeedPage:
-    """Records of a read; ``next_offset`` is where the next read starts."""
+    """Records of a read; ``next_offset`` is where the next read starts.
+
+    For the newest records that may be before ``end``: a record that was appended while
+    they were collected is among those that follow.
+    """
 
     end: int
     records: tuple[FeedRecord, ...]
@@ -121,6 +127,8 @@
         self._wait_s = wait_s
         self._on_read = on_read
         self._next: int | None = None
+        self._first = 0
+        self._newest_offsets: dict[str, int] = {}
         self._failures = 0
 
     async def run(self) -> None:
@@ -130,9 +138,10 @@
                 self._soon.clear()
                 await self.step()
                 await self._rest()
-            except FeedTruncatedError:
+            except FeedTruncatedError as error:
                 _log.info("feed truncated", extra={"topic": self.name})
-                self._next = None
+                if not self._truncated(error.first_offset):
+                    await asyncio.sleep(RETRY_S)
             except FeedError as error:
                 self._failed(error)
                 await asyncio.sleep(min(MAX_RETRY_S, RETRY_S * self._failures))
@@ -164,16 +173,26 @@
         for record in page.records:
             self._listener.feed_record(record)
         self._listener.feed_listed({record.key for record in page.records})
-        self._next = page.end
+        # What was deleted before this read is in it, where it still matters.
+        self._next = max(page.next_offset, self._first)
+        self._newest_offsets = {record.key: record.offset for record in page.records}
         self.is_current = True
 
     async def _read_on(self, offset: int) -> None:
         page = await self._topic.read(offset, 0.0 if self.is_down else self._wait_s)
         self._returned()
         for record in page.records:
-            self._listener.feed_record(record)
+            if record.offset > self._newest_offsets.get(record.key, -1):
+                self._listener.feed_record(record)
         self._next = max(offset, page.next_offset)
 
+    def _truncated(self, first_offset: int) -> bool:
+        """Read the newest again; return whether more was deleted than known."""
+        has_grown = first_offset > self._first
+        self._next = None
+        self._first = max(first_offset, self._first)
+        return has_grown
+
     def _returned(self) -> None:
         self._failures = 0
         if self.is_down:
--- a/lentiltally/platform/store_client.py
+++ b/lentiltally/platform/store_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import struct
 from base64 import b64decode
 from dataclasses import dataclass
@@ -22,6 +23,8 @@
 
 __all__ = ["StoreTopic"]
 
+_log = logging.getLogger(__name__)
+
 # Some hundred times the usual answer: the store may be slow for a while.
 CALL_TIMEOUT_S = 1.0
 _HEAD = struct.Struct(">QQ")
@@ -60,23 +63,27 @@
     async def newest(self) -> FeedPage:
         """Return the newest record of each key; raises FeedError.
 
-        Pages are no snapshot, so reading on starts at the end that the first one gave.
+        Pages are no snapshot, and neither need a page's items be as new as its end. So
+        reading on starts after the newest record of the first page.
         """
         records: list[FeedRecord] = []
         end: int | None = None
+        following = 0
         after = ""
         while True:
             query = {"topic": self.name, "part": "0"}
             if after:
                 query["after"] = after
             page = self._decode_newest(await self._get("/-/log-newest", query, 0.0))
-            end = page.end if end is None else end
+            if end is None:
+                end = page.end
+                following = _following(page)
             records += [
                 FeedRecord(item.key, b64decode(item.value), item.offset)
                 for item in page.items
             ]
             if not page.more or not page.items:
-                return FeedPage(end, tuple(records))
+                return FeedPage(end, tuple(records), following)
             after = page.items[-1].key
 
     async def read(self, offset: int, wait_s: float) -> FeedPage:
@@ -102,13 +109,22 @@
         except (ConnectError, PeerFailed) as error:
             raise self._error(str(error)) from error
         if answer.status == 410:
-            raise FeedTruncatedError(
-                "records were deleted", step="read", peer=str(self.caller.address)
-            )
+            raise self._truncation(answer)
         if answer.status != 200:
             raise self._error(f"the store answered {answer.status}")
         return answer
 
+    def _truncation(self, answer: WholeAnswer) -> FeedTruncatedError:
+        error = FeedTruncatedError(
+            "records were deleted", step="read", peer=str(self.caller.address)
+        )
+        try:
+            truncation = msgspec.json.decode(answer.body, type=_Truncation)
+            error.first_offset = truncation.first
+        except msgspec.MsgspecError as problem:
+            _log.warning("unreadable truncation", extra={"error": str(problem)})
+        return error
+
     def _decode_newest(self, answer: WholeAnswer) -> _Newest:
         try:
             return msgspec.json.decode(answer.body, type=_Newest)
@@ -137,6 +153,13 @@
         )
 
 
+def _following(page: _Newest) -> int:
+    """Return the offset of the first record that a page may not have seen."""
+    if not page.items:
+        return page.end
+    return min(page.end, 1 + max(item.offset for item in page.items))
+
+
 def _record(content: bytes, offset: int) -> FeedRecord:
     key_end = _KEY_LENGTH_BYTES + (content[0] if content else 0)
     key = content[_KEY_LENGTH_BYTES:key_end].decode("utf-8", "replace")
--- a/tests/direct/feed_pace.feature
+++ b/tests/direct/feed_pace.feature
@@ -23,3 +23,30 @@
       | start | asks         |
       | 5     | does not ask |
       | 9     | asks         |
+
+  Scenario Outline: Feed pace misses no record that is appended while the newest are read
+    # Guards against a configuration that stays unknown until the next one, because it was
+    # written in the moment in which an entry that had just started read the newest.
+    Given feed pace of a store whose page has "a" at offset 4 and the end <end>
+    When feed pace reads the newest records and then on
+    Then feed pace read on from offset <from>
+
+    Examples:
+      | end | from |
+      | 5   | 5    |
+      | 6   | 5    |
+      | 9   | 5    |
+      | 4   | 4    |
+
+  Scenario: Feed pace passes on no record that is older than the newest of its key
+    # Guards against a target that is taken for gone by a removal from before its return.
+    Given feed pace of a topic with "b" at offset 7 that is read on from offset 5
+    When feed pace reads on and gets the removal of "b" at 5, "c" at 6 and "b" at 7
+    Then feed pace passed on "b", then "c"
+
+  Scenario: Feed pace reads on behind what was deleted
+    # Guards against an endless change between the newest records and a position that the
+    # store has deleted.
+    Given feed pace of a topic that has deleted what lies before offset 9
+    When feed pace follows the topic for a while
+    Then feed pace read from offset 5 once and then from offset 9
--- a/tests/steps/feed_pace_steps.py
+++ b/tests/steps/feed_pace_steps.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import dataclasses
+import json
 
 import msgspec
 from behave import given, then, when
@@ -11,8 +12,15 @@
 
 from lentiltally.clock import SystemClock
 from lentiltally.direct.entry_state import EntryState
-from lentiltally.direct.keyed_feed import FeedPage, KeyedFeed
+from lentiltally.direct.keyed_feed import (
+    FeedPage,
+    FeedRecord,
+    FeedTruncatedError,
+    KeyedFeed,
+)
 from lentiltally.direct.settings import HostSettings, SocketAddress
+from lentiltally.direct.whole_call import WholeAnswer
+from lentiltally.platform.store_client import StoreTopic
 
 # Far above what any machine needs, far below the regular pause.
 LIMIT_S = 10.0
@@ -116,3 +124,133 @@
 @then("feed pace of the entry {asks} for the list")
 def asks(context, asks):
     assert bool(context.asked) == (asks == "asks"), context.asked
+
+
+class OnePageCaller:
+    """Answers the newest records with one page, and later reads with none."""
+
+    address = SocketAddress("127.0.0.1", 1)
+
+    def __init__(self, end):
+        self.end = end
+        self.paths = []
+
+    async def call(self, method, path, *, timeout_s, **more):
+        self.paths.append(path.decode())
+        if b"log-newest" in path:
+            item = {"key": "a", "value": "", "offset": 4}
+            page = {"items": [item], "more": False, "end": self.end}
+            return WholeAnswer(200, {}, json.dumps(page).encode())
+        return WholeAnswer(200, {}, bytes(16))
+
+
+@given('feed pace of a store whose page has "a" at offset 4 and the end {end:d}')
+def one_page(context, end):
+    context.caller = OnePageCaller(end)
+
+
+@when("feed pace reads the newest records and then on")
+def reads_on(context):
+    topic = StoreTopic("keyed.op", context.caller)
+    feed = KeyedFeed(
+        "configuration", topic, Listener(), SystemClock(), pause_s=0.0, wait_s=0.0
+    )
+
+    async def play():
+        await feed.step()
+        await feed.step()
+
+    asyncio.run(play())
+
+
+@then("feed pace read on from offset {offset:d}")
+def read_from(context, offset):
+    assert f"from={offset}" in context.caller.paths[1].split("&"), context.caller.paths
+
+
+class ScriptedTopic:
+    """Gives the newest records, then those that follow."""
+
+    async def newest(self):
+        return FeedPage(8, (FeedRecord("b", b"new", 7),), 5)
+
+    async def read(self, offset, wait_s):
+        records = (
+            FeedRecord("b", None, 5),
+            FeedRecord("c", b"other", 6),
+            FeedRecord("b", b"new", 7),
+        )
+        return FeedPage(8, records, 8)
+
+
+@given('feed pace of a topic with "b" at offset 7 that is read on from offset 5')
+def scripted(context):
+    context.topic = ScriptedTopic()
+
+
+@when('feed pace reads on and gets the removal of "b" at 5, "c" at 6 and "b" at 7')
+def reads_scripted(context):
+    class Taking(Listener):
+        def feed_record(self, record):
+            context.passed_on.append(record.key)
+
+    context.passed_on = []
+    feed = KeyedFeed(
+        "targets", context.topic, Taking(), SystemClock(), pause_s=0.0, wait_s=0.0
+    )
+
+    async def play():
+        await feed.step()
+        await feed.step()
+
+    asyncio.run(play())
+
+
+@then('feed pace passed on "{one}", then "{two}"')
+def passed_on(context, one, two):
+    assert context.passed_on == [one, two], context.passed_on
+
+
+class TruncatedTopic:
+    """Its newest record lies before what it has deleted."""
+
+    def __init__(self):
+        self.offsets = []
+
+    async def newest(self):
+        return FeedPage(9, (FeedRecord("a", b"x", 4),), 5)
+
+    async def read(self, offset, wait_s):
+        self.offsets.append(offset)
+        if offset < 9:
+            error = FeedTruncatedError("deleted", step="read")
+            error.first_offset = 9
+            raise error
+        return FeedPage(9, (), offset)
+
+
+@given("feed pace of a topic that has deleted what lies before offset 9")
+def truncated(context):
+    context.topic = TruncatedTopic()
+
+
+@when("feed pace follows the topic for a while")
+def follows(context):
+    feed = KeyedFeed(
+        "targets", context.topic, Listener(), SystemClock(), pause_s=0.01, wait_s=0.0
+    )
+
+    async def play():
+        task = asyncio.create_task(feed.run())
+        async with asyncio.timeout(LIMIT_S):
+            while len(context.topic.offsets) < 4:
+                await asyncio.sleep(0.01)
+        task.cancel()
+
+    asyncio.run(play())
+
+
+@then("feed pace read from offset 5 once and then from offset 9")
+def read_behind(context):
+    first, *others = context.topic.offsets
+    assert first == 5 and set(others) == {9}, context.topic.offsets
