--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -9,6 +9,7 @@
 
 from lentiltally.agent._http import TargetError
 from lentiltally.agent.kept_answers import AnswerMessage, KeptAnswer
+from lentiltally.agent.queue_metrics import QueueMetrics
 from lentiltally.agent.reporter import Reporter
 from lentiltally.agent.shared import AgentState, refuse
 from lentiltally.agent.target import Job, Target
@@ -56,9 +57,7 @@
         self._lengths = LengthEstimates()
         self._running: dict[str, Job] = {}
         self._is_leaving = False
-        # Attempts whose adapter was absent when they arrived.
-        self._cold: set[str] = set()
-        self._fill_samples: list[float] = []
+        self._measured = QueueMetrics(state.metrics, self.name, self.places)
         self._last_state: TargetState | None = None
         self._pool = ThreadPoolExecutor(self.places, f"run-{settings.name}")
 
@@ -139,7 +138,7 @@
         with shared.lock:
             known = self._last_state
             state = self._make_state(known.sequence if known is not None else 0)
-            if known is None or not _is_same(known, state):
+            if known is None or not known.equals_but_for_counts(state):
                 shared.state_sequence += 1
                 state = msgspec.structs.replace(state, sequence=shared.state_sequence)
             self._last_state = state
@@ -214,7 +213,7 @@
         state.live[execute.attempt_id] = KeptAnswer(execute.reply_address)
         self._target.accepted(execute)
         if adapter and adapter not in self._target.resident():
-            self._cold.add(execute.attempt_id)
+            self._measured.arrived_cold(execute.attempt_id)
 
     def _objection(self, execute: Execute) -> str:
         """Return why an attempt is refused on arrival, or an empty text."""
@@ -278,30 +277,23 @@
         self._pool.submit(self._run, job)
 
     def _time_wait(self, job: Job, now_s: float) -> None:
-        metrics, waited_s = self._state.metrics, now_s - job.item.enqueued_s
-        metrics.timing("queue_wait", waited_s)
-        is_cold = job.item.attempt_id in self._cold
-        self._cold.discard(job.item.attempt_id)
-        metrics.timing("load_wait", waited_s if is_cold else 0.0)
         is_short = not self._queue.is_long(job.item.predicted_tokens)
-        if is_short and self._running_long():
-            metrics.timing("short_behind_long_wait", waited_s)
+        self._measured.began(
+            job.item.attempt_id,
+            now_s - job.item.enqueued_s,
+            is_behind_long=is_short and self._running_long() > 0,
+        )
 
     def sample(self) -> None:
         """Take a sample of how full the batch is while work waits."""
         with self._state.lock:
             if len(self._queue):
-                self._fill_samples.append(100.0 * len(self._running) / self.places)
+                self._measured.sample(len(self._running))
 
     def set_gauges(self) -> None:
         """Send the queue's length and the mean fill of the batch."""
         with self._state.lock:
-            samples, self._fill_samples = self._fill_samples, []
-            queued = len(self._queue)
-        metrics = self._state.metrics
-        metrics.gauge("queue_length", queued, label=self.name)
-        if samples:
-            metrics.gauge("batch_fill", sum(samples) / len(samples), label=self.name)
+            self._measured.send_gauges(len(self._queue))
 
     def _run(self, job: Job) -> None:
         is_finished = False
@@ -355,8 +347,7 @@
         state = self._state
         state.attempts.refuse(item.attempt_id)
         state.live.pop(item.attempt_id, None)
-        self._cold.discard(item.attempt_id)
-        state.metrics.count("not_run")
+        self._measured.given_back(item.attempt_id)
         self._refuse(execute, reason, retry_after_s=1.0)
 
     def _refuse(
@@ -400,11 +391,3 @@
         if self._is_leaving:
             return LEAVING
         return LIVE if self._target.is_ready() else STARTING
-
-
-def _is_same(one: TargetState, other: TargetState) -> bool:
-    """Return whether two states agree in everything but the counts."""
-    counts = Counts()
-    return msgspec.structs.replace(one, counts=counts) == msgspec.structs.replace(
-        other, counts=counts
-    )
--- /dev/null
+++ b/lentiltally/routing/target_view.py
@@ -0,0 +1,25 @@
+"""What placement needs of the states that agents send."""
+
+from __future__ import annotations
+
+from lentiltally.decisions.placement import TargetView
+from lentiltally.wire import TargetState
+
+__all__ = ["placement_view"]
+
+
+def placement_view(state: TargetState, now_s: float) -> TargetView:
+    """Return what placement needs of a target's state, as of now."""
+    return TargetView(
+        name=state.target,
+        failure_domain=state.failure_domain,
+        base_model=state.base_model or f"service:{state.target}",
+        agent=state.agent,
+        batch_places=state.batch_places,
+        adapter_slots=state.adapter_slots,
+        queued=state.counts.queued,
+        running=state.counts.running,
+        resident=frozenset(state.resident),
+        reported_at_s=now_s,
+        free_slots=state.counts.free_slots,
+    )
--- a/lentiltally/routing/targets.py
+++ b/lentiltally/routing/targets.py
@@ -15,11 +15,11 @@
     Placement,
     PlacementChoice,
     PlacementRequest,
-    TargetView,
 )
 from lentiltally.decisions.slow_targets import SlowTargets
 from lentiltally.errors import LentiltallyError
 from lentiltally.platform.host_list import HostListClient
+from lentiltally.routing.target_view import placement_view
 from lentiltally.wire import (
     ChannelError,
     Counts,
@@ -334,21 +334,7 @@
             self._hide(state.target)
             return
         self._hidden.discard(state.target)
-        self._placement.update(
-            TargetView(
-                name=state.target,
-                failure_domain=state.failure_domain,
-                base_model=state.base_model or f"service:{state.target}",
-                agent=state.agent,
-                batch_places=state.batch_places,
-                adapter_slots=state.adapter_slots,
-                queued=state.counts.queued,
-                running=state.counts.running,
-                resident=frozenset(state.resident),
-                reported_at_s=now_s,
-                free_slots=state.counts.free_slots,
-            )
-        )
+        self._placement.update(placement_view(state, now_s))
 
     def _greet(self) -> None:
         next_all_s = 0.0
--- a/lentiltally/wire/messages.py
+++ b/lentiltally/wire/messages.py
@@ -58,6 +58,10 @@
     adapter_slots: int
     resident: tuple[int, ...]
 
+    def equals_but_for_counts(self, other: TargetState) -> bool:
+        """Return whether two states agree in everything but the counts."""
+        return self == msgspec.structs.replace(other, counts=self.counts)
+
 
 class Heartbeat(msgspec.Struct, frozen=True, tag="beat", array_like=True):
     """An agent lives; sent to every entry at intervals.
