--- a/lentiltally/agent/queue_metrics.py
+++ b/lentiltally/agent/queue_metrics.py
@@ -24,7 +24,7 @@
         self._cold.add(attempt_id)
 
     def began(self, attempt_id: str, waited_s: float, *, is_behind_long: bool) -> None:
-        """Time the wait of an attempt; ``is_behind_long`` if long work ran before it."""
+        """Time a wait; ``is_behind_long`` for short work while long work ran."""
         self._metrics.timing("queue_wait", waited_s)
         is_cold = attempt_id in self._cold
         self._cold.discard(attempt_id)
