--- a/lentiltally/decisions/engine_orders.py
+++ b/lentiltally/decisions/engine_orders.py
@@ -77,7 +77,8 @@
 class AdapterWant:
     """A request that needs a model, and mostly an adapter of it, on this engine.
 
-    It is declined after ``patience_until_s``, and forgotten after ``expires_s``.
+    It is declined after ``patience_until_s``, and forgotten after ``expires_s``. Its
+    caller is served in time if its prompt is read before ``objective_until_s``.
     """
 
     request_id: str
--- a/lentiltally/decisions/prompt_pacing.py
+++ b/lentiltally/decisions/prompt_pacing.py
@@ -20,6 +20,8 @@
     ``max_tokens`` are about two pieces, between which no stream pauses for long; a
     longer prompt is read alone. ``overdue_s`` is the time after which a prompt no
     longer counts, because the notice that it was read was lost or its engine stands.
+    An engine is expected to read ``usual_tokens_per_s`` until more is known;
+    ``rate_share`` is how much each prompt that was read changes that.
     """
 
     max_tokens: int = 4_096
@@ -30,7 +32,7 @@
 
 @dataclass(slots=True)
 class _Reading:
-    """One prompt that was let through; ``since_s`` is when."""
+    """One prompt that was let through at ``since_s``, behind ``ahead`` other tokens."""
 
     tokens: int
     since_s: float
