--- a/tests/decisions/engine_slots.feature
+++ b/tests/decisions/engine_slots.feature
@@ -34,6 +34,15 @@
     When engine slots are asked for 5 other adapters
     Then engine slots decline 5 with "slots in use"
 
+  # Load pattern: a crest of cold adapters on all engines of one weight store.
+  Scenario: Engine slots order a third load only when one of two has ended
+    # Guards against loads that slow each other down at the weight store.
+    Given engine slots of an engine with 4 slots that loads "x" and "y"
+    When engine slots are asked for "z"
+    Then engine slots order nothing
+    When engine slots see that "x" is loaded and "y" is not
+    Then engine slots order the load of "z"
+
   Scenario: Engine slots load a newer version before they grant it
     # Guards against an old version that runs after a newer one was named.
     Given engine slots with 2 slots that hold "a" and "b"
--- a/tests/steps/engine_slots_steps.py
+++ b/tests/steps/engine_slots_steps.py
@@ -249,3 +249,15 @@
     granted = [r.want.request_id for r in context.results]
     assert granted == [first, second], granted
     assert all(r.state is WantState.GRANTED for r in context.results)
+
+
+@given('engine slots of an engine with 4 slots that loads "{one}" and "{two}"')
+def loads_two(context, one, two):
+    context.slots = EngineSlots()
+    context.slots.set_spec(dataclasses.replace(SPEC, adapter_slots=4))
+    context.slots.reported(report(coming=(one, two)))
+
+
+@when('engine slots see that "{loaded}" is loaded and "{coming}" is not')
+def one_loaded(context, loaded, coming):
+    context.slots.reported(report([loaded], coming=(coming,)))
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -278,6 +278,22 @@
         "direct/feed_pace",
         "reads at once",
     ),
+    Mutation(
+        "loads under way",
+        "decisions/engine_slots.py",
+        "if len(report.coming) >= self._settings.max_coming:",
+        "if False:",
+        "decisions/engine_slots",
+        "order a third load",
+    ),
+    Mutation(
+        "time to come back",
+        "direct/handling.py",
+        "retry_after_s=self._forwarding.retry_after_s() if can_return else None,",
+        "retry_after_s=None,",
+        "direct/path",
+        "refuses at once when every target is full",
+    ),
     Mutation(
         "prompts in turn",
         "decisions/prompt_pacing.py",
