--- a/lentiltally/decisions/prompt_pacing.py
+++ b/lentiltally/decisions/prompt_pacing.py
@@ -1,9 +1,9 @@
 """How many prompts one engine reads at a time.
 
-An engine reads prompts in pieces between the tokens of its streams. Prompts that queue
-at the engine are read one after the other, and each stream there pauses until the last
-of them is read. The agent therefore lets requests through in turn: while prompts are
-being read, further ones wait beside the engine, and streams go on in between.
+Prompts that queue at an engine can't be put in order any more: one whose caller is
+served late in any case is read before one that could still be in time. The agent
+therefore lets requests through in turn; while prompts are being read, further ones
+wait beside the engine, where their order can change.
 """
 
 from __future__ import annotations
@@ -17,7 +17,7 @@
 class PromptPacingSettings:
     """Bounds of the prompts that are read at the same time.
 
-    ``max_tokens`` are about two pieces, between which no stream pauses for long; a
+    ``max_tokens`` keep the engine reading while the next request is on its way; a
     longer prompt is read alone. ``overdue_s`` is the time after which a prompt no
     longer counts, because the notice that it was read was lost or its engine stands.
     An engine is expected to read ``usual_tokens_per_s`` until more is known;
--- a/tests/decisions/prompt_pacing.feature
+++ b/tests/decisions/prompt_pacing.feature
@@ -2,7 +2,7 @@
 
   # Load pattern: a crest in which prompts come faster than the engine reads them.
   Scenario Outline: Prompt pacing lets prompts through in turn
-    # Guards against streams that pause until a whole queue of prompts is read.
+    # Guards against a queue at the engine, whose order nobody can change any more.
     Given prompt pacing of 4000 tokens at a time
     And prompt pacing let through prompts of <reading> tokens
     Then prompt pacing has room for <tokens> tokens: <room>
