--- a/lentiltally/pipeline/dispatch.py
+++ b/lentiltally/pipeline/dispatch.py
@@ -10,6 +10,7 @@
 import msgspec
 
 from lentiltally.decisions.answers import DeliverHead, DeliverWhole, Failed
+from lentiltally.decisions.attempts import RefusalReason
 from lentiltally.decisions.placement import PlacementRequest
 from lentiltally.exchange import Answer, Exchange, Work
 from lentiltally.ids import adapter_hash
@@ -27,6 +28,9 @@
 # Work that a target without free slots may hand back before it has to keep it.
 MAX_RETURNS = 2
 CALLER_ERROR_REASONS = frozenset({"quarantined"})
+# Failures that the request can't have caused: the engine lives, or the agent's run that
+# the attempt was meant for had ended before the attempt arrived.
+BLAMELESS_REASONS = frozenset({ANSWER_MISMATCH, RefusalReason.OTHER_INCARNATION.value})
 
 
 class RetryPolicy(Protocol):
@@ -84,14 +88,13 @@
             attempt.close()
             excluded.add(attempt.target.target)
             self._note(work, attempt, first)
-            is_blamed = first.executed == "unknown" and first.reason != ANSWER_MISMATCH
+            is_blamed = _is_blamed(first)
             failures += is_blamed
             delay_s = self._retry_delay_s(work, first, tries, deadline_s)
             is_last = tries == MAX_TRIES or failures >= MAX_TARGET_FAILURES
             if delay_s is None or is_last:
                 raise failure_refusal(first, attempt.target.target)
             if is_blamed:
-                # The request may be what brought the target down.
                 exchange = msgspec.structs.replace(exchange, is_suspect=True)
             self._wait(delay_s, exchange, attempt, first)
         raise AssertionError("the last try neither answered nor refused")
@@ -171,6 +174,11 @@
         return Answer(head.status, headers, _events(attempt, exchange))
 
 
+def _is_blamed(failed: Failed) -> bool:
+    """Return whether the request may be what brought its target down."""
+    return failed.executed == "unknown" and failed.reason not in BLAMELESS_REASONS
+
+
 def placement_request(
     work: Work, failure_domain: str, excluded: frozenset[str]
 ) -> PlacementRequest:
--- /dev/null
+++ b/tests/steps/dispatch_steps.py
@@ -0,0 +1,159 @@
+"""Steps for the dispatch filter, with agents that answer as they are told."""
+
+from __future__ import annotations
+
+import random
+from datetime import timedelta
+
+import msgspec
+from behave import given, then, when
+
+from lentiltally.exchange import CallerRequest, Exchange, Work
+from lentiltally.ids import AttemptIds
+from lentiltally.metrics import Metrics
+from lentiltally.pipeline.dispatch import Dispatch
+from lentiltally.problems import Refusal
+from lentiltally.routing.attempts import AttemptContext
+from lentiltally.routing.pending import PendingAttempts
+from lentiltally.routing.retry_policy import BudgetedRetries
+from lentiltally.wire import AnswerWhole, Counts, Execute, Refused, TargetState
+
+DEADLINE_S = 20.0
+WORK = Work(
+    kind="model",
+    team="t",
+    adapter="a",
+    version="1",
+    source="a/1",
+    base_model="m",
+    targets=(),
+    path="/v1/completions",
+    stream=False,
+    is_idempotent=True,
+    is_keyed=False,
+    criticality=0,
+    share=1.0,
+    max_concurrent=0,
+    deadline_s=DEADLINE_S,
+    config_offset=0,
+    max_tokens=1,
+    prefix_hash=0,
+)
+
+
+class FakeClock:
+    """Moves only when something sleeps."""
+
+    def __init__(self):
+        self.now_s = 0.0
+
+    def monotonic_s(self):
+        return self.now_s
+
+    def sleep(self, duration: timedelta):
+        self.now_s += duration.total_seconds()
+
+
+class FakeDirectory:
+    """Chooses the first target that was not tried."""
+
+    def __init__(self, count):
+        self.targets = [_target(number) for number in range(1, count + 1)]
+
+    def choose(self, wanted, targets):
+        left = [t for t in self.targets if t.target not in wanted.excluded]
+        return left[0] if left else None
+
+    def finished(self, state):
+        pass
+
+    def not_run(self, target, adapter):
+        pass
+
+    def counted(self, target, counts):
+        pass
+
+
+class FakeAgents:
+    """Answers each attempt at once, the first ones with a refusal."""
+
+    def __init__(self, pending, refusals):
+        self._pending = pending
+        self._refusals = list(refusals)
+        self.sent = []
+
+    def put(self, address, message):
+        if not isinstance(message, Execute):
+            return
+        self.sent.append(message)
+        if self._refusals:
+            executed, reason = self._refusals.pop(0)
+            answer = Refused(message.attempt_id, executed, reason, "run", "agent", 0.0)
+        else:
+            answer = AnswerWhole(message.attempt_id, 200, "text/plain", b"done")
+        self._pending.deliver(answer)
+
+
+class FakeReleases:
+    """Forgets what is released."""
+
+    def put(self, address, attempt_id):
+        pass
+
+
+def _target(number):
+    return TargetState(
+        agent=f"agent-{number}",
+        agent_address=f"tcp://agent-{number}",
+        agent_incarnation="run",
+        sequence=1,
+        target=f"target-{number}",
+        kind="engine",
+        base_model="m",
+        failure_domain="domain-a",
+        status="ready",
+        reason="",
+        engine_incarnation="engine",
+        counts=Counts(),
+        batch_places=1,
+        adapter_slots=1,
+        resident=(),
+    )
+
+
+@given(
+    "dispatch has {count:d} targets, of which the first {refused:d} answer "
+    "{executed:w} {reason}"
+)
+def dispatch_targets(context, count, refused, executed, reason):
+    pending = PendingAttempts()
+    context.agents = FakeAgents(pending, [(executed, reason)] * refused)
+    attempts = AttemptContext(
+        pending=pending,
+        directory=FakeDirectory(count),
+        outboxes=context.agents,
+        releases=FakeReleases(),
+        ids=AttemptIds("entry"),
+        reply_address="tcp://entry",
+        clock=FakeClock(),
+    )
+    retries = BudgetedRetries(random.Random(1))
+    context.dispatch = Dispatch(attempts, retries, Metrics(None, "entry"), "domain-a")
+
+
+@when("dispatch runs {kind} work")
+def dispatch_runs(context, kind):
+    work = msgspec.structs.replace(WORK, is_idempotent=kind == "idempotent")
+    request = CallerRequest("POST", WORK.path, "", {}, b"{}", 0.0)
+    try:
+        context.status = context.dispatch(Exchange(request, "r", work=work)).status
+    except Refusal as refusal:
+        context.status = refusal.status
+
+
+@then("dispatch ends with {status:d} after {sends:d} sends, {suspicion}")
+def dispatch_ended(context, status, sends, suspicion):
+    sent = context.agents.sent
+    assert (context.status, len(sent)) == (status, sends), (context.status, sent)
+    is_suspected = any(message.is_suspect for message in sent)
+    assert is_suspected == (suspicion == "suspected"), sent
