--- a/lentiltally/decisions/target_choice.py
+++ b/lentiltally/decisions/target_choice.py
@@ -63,7 +63,8 @@
 class TargetView:
     """What an entry knows of one target.
 
-    ``failures`` is a decayed share of requests without a proper answer.
+    ``failures`` is a decayed share of requests without a proper answer. ``recent`` are
+    the marks of adapters that the engine held lately and loads fast.
     """
 
     in_flight: int = 0
@@ -75,6 +76,7 @@
     failed_at_s: float = 0.0
     avoid_until_s: float = 0.0
     state: EngineState | None = None
+    recent: frozenset[int] = frozenset()
     state_at_s: float = field(default=-math.inf)
 
 
@@ -121,6 +123,7 @@
         is_recent = now_s - view.state_at_s < self._settings.state_max_age_s
         if known is not None and is_recent and _is_older(state, known):
             return
+        view.recent = _recent(view, state)
         view.state = state
         view.state_at_s = now_s
 
@@ -268,7 +271,7 @@
             return "coming", settings.coming_s
         queue_s = settings.queue_for_slot_s * (state.waiting_keys + len(state.coming))
         blocked_s = settings.blocked_s if state.free_slots <= 0 else 0.0
-        if mark in state.recent:
+        if mark in view.recent:
             return "recent", settings.recent_s + away_s + queue_s + blocked_s
         return "cold", settings.cold_s + away_s + queue_s + blocked_s
 
@@ -304,6 +307,16 @@
         return values[len(values) // 2] if values else self._settings.first_latency_s
 
 
+def _recent(view: TargetView, state: EngineState) -> frozenset[int]:
+    """Return what an engine held lately, by its list or by what left it since."""
+    if state.recent is not None:
+        return frozenset(state.recent)
+    known = view.state
+    if known is None or known.started_ms != state.started_ms:
+        return frozenset()
+    return (view.recent | frozenset(known.held)) - frozenset(state.held)
+
+
 def _is_older(state: EngineState, known: EngineState) -> bool:
     return state.started_ms == known.started_ms and state.number < known.number
 
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -4,7 +4,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from lentiltally.clock import Clock
@@ -22,18 +22,17 @@
     AdapterAnswer,
     AdapterDecision,
     CrashSuspect,
-    EngineState,
     EntryHello,
     Message,
     PromptRead,
     ReleaseAdapter,
     RequireAdapter,
-    adapter_mark,
 )
 from lentiltally.direct.model import AdapterNotice, DesiredState
 from lentiltally.direct.pages import METRICS_PATH, PageServer
 from lentiltally.direct.peer_socket import PeerSocket
 from lentiltally.direct.settings import HostSettings, SocketAddress
+from lentiltally.direct.state_publisher import StatePublisher
 from lentiltally.direct.stop_signal import StopSignal
 from lentiltally.direct.wire import EngineWire
 from lentiltally.errors import LentiltallyError
@@ -48,9 +47,6 @@
 # The engine is asked this often, and oftener while something waits for a load.
 REPORT_S = 0.1
 REPORT_SOON_S = 0.015
-# States go out at once when adapters change, and at least this often otherwise.
-STATE_S = 0.1
-ENTRY_FORGOTTEN_S = 5.0
 
 
 _DECISIONS = {
@@ -85,13 +81,10 @@
         self._clock = clock
         self._slots = EngineSlots()
         self._metrics = AgentMetrics()
-        self._entries: dict[SocketAddress, float] = {}
         self._requesters: dict[str, SocketAddress] = {}
         self._wake = asyncio.Event()
-        self._peers: PeerSocket
-        self._number = 0
-        self._sent_state: tuple[object, ...] | None = None
-        self._sent_at_s = 0.0
+        self._peers = PeerSocket(self._heard)
+        self._states = StatePublisher(self._slots, self._peers)
         self._config_version = 0
         self._is_engine_lost = False
         self._identified_ms: int | None = None
@@ -117,8 +110,8 @@
 
     async def run(self, stop: StopSignal) -> int:
         """Run until told to stop; return the exit code. Raises OSError at start."""
-        self._peers = await PeerSocket.open(
-            SocketAddress(self._settings.ip, self._settings.peer_port), self._heard
+        await self._peers.open(
+            SocketAddress(self._settings.ip, self._settings.peer_port)
         )
         pages = PageServer(
             {METRICS_PATH: lambda: (200, self._metrics.page())}, self._clock
@@ -172,10 +165,7 @@
     def _heard(self, message: Message, sender: SocketAddress) -> None:
         now_s = self._clock.monotonic_s()
         if isinstance(message, EntryHello):
-            is_new = sender not in self._entries
-            self._entries[sender] = now_s
-            if is_new:
-                self._sent_state = None
+            if self._states.greeted(sender, now_s):
                 self._wake.set()
         elif isinstance(message, RequireAdapter):
             self._required(message, sender, now_s)
@@ -187,9 +177,7 @@
             self._slots.prompt_read(message.request_id, now_s)
             self._answer_wants()
         elif isinstance(message, CrashSuspect):
-            for entry in self._entries:
-                if entry != sender:
-                    self._peers.send(entry, message)
+            self._states.pass_on(message, sender)
 
     def _required(
         self, message: RequireAdapter, sender: SocketAddress, now_s: float
@@ -259,7 +247,7 @@
                 self._engine_failed(error)
             except Exception:
                 _log.exception("engine step failed")
-            self._send_state()
+            self._states.publish(self._clock.monotonic_s())
             pause_s = REPORT_SOON_S if self._slots.has_work else REPORT_S
             self._wake.clear()
             try:
@@ -339,40 +327,3 @@
             self._is_engine_lost = True
             self._metrics.engine_lost.set(1)
             _log.warning("engine lost", extra={"error": str(error)})
-
-    def _send_state(self) -> None:
-        """Tell the entries if something changed or the last state is old."""
-        now_s = self._clock.monotonic_s()
-        for entry, heard_s in list(self._entries.items()):
-            if now_s - heard_s > ENTRY_FORGOTTEN_S:
-                del self._entries[entry]
-        report = self._slots.report
-        if report is None or self._is_engine_lost:
-            return
-        held = tuple(self._slots.usable_keys())
-        key: tuple[object, ...] = (report.started_ms, held, report.coming)
-        if key == self._sent_state and now_s - self._sent_at_s < STATE_S:
-            return
-        self._sent_state, self._sent_at_s = key, now_s
-        self._number += 1
-        state = EngineState(
-            started_ms=report.started_ms,
-            number=self._number,
-            running=report.running,
-            waiting=report.waiting,
-            cache_used=report.cache_used_tokens,
-            cache_total=report.cache_total_tokens,
-            held=_marks(held),
-            coming=_marks(report.coming),
-            recent=_marks(self._slots.recent_keys()),
-            free_slots=self._slots.free_slots,
-            waiting_keys=self._slots.waiting_keys,
-            entries=len(self._entries),
-            prompt_tokens=self._slots.prompt_tokens,
-        )
-        for entry in self._entries:
-            self._peers.send(entry, state)
-
-
-def _marks(keys: Iterable[str]) -> tuple[int, ...]:
-    return tuple(adapter_mark(key) for key in keys)
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -96,8 +96,8 @@
         self._greeted_at_s = -HELLO_S
         self.is_listening = False
         self._forwarder: Forwarder
-        self._peers: PeerSocket
-        self._adapters: AdapterRequests
+        self._peers = PeerSocket(self._heard)
+        self._adapters = AdapterRequests(self._peers)
         self._watch = (
             SettingsWatch(settings, load_settings, self._state.bounds_changed)
             if load_settings
@@ -150,10 +150,9 @@
 
     async def run(self, stop: StopSignal) -> int:
         """Serve until told to stop; return the exit code. Raises OSError at start."""
-        self._peers = await PeerSocket.open(
-            SocketAddress(self._settings.ip, self._settings.peer_port), self._heard
+        await self._peers.open(
+            SocketAddress(self._settings.ip, self._settings.peer_port)
         )
-        self._adapters = AdapterRequests(self._peers)
         self._forwarder = Forwarder(
             Forwarding(
                 state=self._state,
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -53,7 +53,8 @@
     """What an agent knows of its engine.
 
     ``held`` are the marks of models and adapters that can be used now, ``coming`` of
-    those on their way, and ``recent`` of those that load fast. ``free_slots`` are slots
+    those on their way. ``recent`` are those that load fast; None if what the entry was
+    told or saw since still holds. ``free_slots`` are slots
     that no request holds. ``started_ms`` is the engine's start, ``entries`` the number
     of live entries. ``prompt_tokens`` are those of prompts that are being read or wait
     for that.
@@ -67,7 +68,7 @@
     cache_total: int
     held: tuple[int, ...]
     coming: tuple[int, ...]
-    recent: tuple[int, ...]
+    recent: tuple[int, ...] | None
     free_slots: int
     waiting_keys: int
     entries: int
--- a/lentiltally/direct/peer_socket.py
+++ b/lentiltally/direct/peer_socket.py
@@ -31,14 +31,12 @@
         self._handler = handler
         self._transport: asyncio.DatagramTransport | None = None
 
-    @classmethod
-    async def open(cls, address: SocketAddress, handler: Handler) -> PeerSocket:
-        """Bind the port; raises OSError."""
+    async def open(self, address: SocketAddress) -> None:
+        """Bind the port; raises OSError. Messages may come before this returns."""
         loop = asyncio.get_running_loop()
-        _, protocol = await loop.create_datagram_endpoint(
-            lambda: cls(handler), local_addr=(address.ip, address.port)
+        await loop.create_datagram_endpoint(
+            lambda: self, local_addr=(address.ip, address.port)
         )
-        return protocol
 
     def send(self, address: SocketAddress, message: Message) -> None:
         """Send a message; it may be lost."""
--- a/tests/decisions/direct_choice.feature
+++ b/tests/decisions/direct_choice.feature
@@ -91,6 +91,22 @@
     # Guards against control traffic that takes the link from answers.
     Then states of 28 agents with 30 recent adapters, 10 a second, take a seventh of it
 
+  Scenario Outline: Target choice knows what loads fast between two whole lists
+    # Guards against loads from the weight store while an engine has the adapter at hand.
+    Given target choice of 3 engines
+    And target choice got a whole list of "e1" with the adapter as <listed>
+    When target choice gets a state of "e1" without a list, <change>
+    Then target choice sees the adapter at "e1" as <residency>
+
+    Examples:
+      | listed | change                   | residency |
+      | held   | without the adapter      | recent    |
+      | recent | without the adapter      | recent    |
+      | recent | with the adapter         | held      |
+      | other  | without the adapter      | cold      |
+      | held   | of a new start           | cold      |
+      | recent | of a new start           | cold      |
+
   Scenario: Marks of adapters tell 10,000 adapters apart
     # Guards against a mark so short that engines seem to hold what they don't.
     Then marks of 10000 adapters are all different but for 3 at most
--- a/tests/steps/direct_choice_steps.py
+++ b/tests/steps/direct_choice_steps.py
@@ -202,3 +202,31 @@
 def marks_differ(context):
     marks = {adapter_mark(f"model-a/a{number}") for number in range(10_000)}
     assert len(marks) >= 9_997
+
+
+@given('target choice got a whole list of "{name}" with the adapter as {listed}')
+def whole_list(context, name, listed):
+    held = [KEY] if listed == "held" else []
+    recent = (adapter_mark(KEY),) if listed == "recent" else (adapter_mark("m/b"),)
+    listing = msgspec.structs.replace(state(2, held=held), recent=recent)
+    context.choice.state_received(name, listing, NOW_S)
+
+
+@when('target choice gets a state of "{name}" without a list, {change}')
+def state_without_list(context, name, change):
+    held = [KEY] if change == "with the adapter" else []
+    following = msgspec.structs.replace(
+        state(3, held=held),
+        recent=None,
+        started_ms=2 if change == "of a new start" else 1,
+    )
+    context.choice.state_received(name, following, NOW_S)
+
+
+@then('target choice sees the adapter at "{name}" as {residency}')
+def sees_as(context, name, residency):
+    ranked = context.choice.engines(
+        context.records, KEY, 1800, (), NOW_S, needs_adapter=True
+    )
+    by_name = {c.record.target_id: c.residency for c in ranked}
+    assert by_name[name] == residency, by_name
--- /dev/null
+++ b/tests/steps/state_publisher_steps.py
@@ -0,0 +1,87 @@
+"""Steps for the states that an agent sends to entries."""
+
+from __future__ import annotations
+
+import dataclasses
+
+from behave import given, then, when
+from steps.engine_slots_steps import new_slots, report
+
+from lentiltally.direct.settings import SocketAddress
+from lentiltally.direct.state_publisher import StatePublisher
+
+START_S = 100.0
+STEP_S = 0.02
+ENTRIES = [SocketAddress("10.0.0.1", port) for port in (1, 2, 3)]
+
+
+class SentStates:
+    """Keeps what was sent to whom."""
+
+    def __init__(self):
+        self.states = []
+
+    def send(self, address, message):
+        self.states.append((address, message))
+
+    def to(self, entry):
+        return [state for address, state in self.states if address == entry]
+
+
+@given('state publisher of an engine that holds "a", greeted by 2 entries')
+def publisher(context):
+    context.sent = SentStates()
+    context.slots = new_slots(["a"])
+    context.publisher = StatePublisher(context.slots, context.sent)
+    context.now_s = START_S
+    for entry in ENTRIES[:2]:
+        context.publisher.greeted(entry, START_S)
+
+
+@when("state publisher is asked every 0.02 s for {seconds:g} s while {change}")
+def asked(context, seconds, change):
+    for step in range(round(seconds / STEP_S)):
+        context.now_s = START_S + step * STEP_S
+        if change == "prompts come and go":
+            running = dataclasses.replace(report(["a"]), running=step)
+            context.slots.reported(running)
+        elif change.startswith("the held adapter") and step:
+            context.slots.reported(report(["ab"[step // 10 % 2]]))
+        context.publisher.publish(context.now_s)
+
+
+@when("state publisher is greeted by a third entry")
+def third(context):
+    assert context.publisher.greeted(ENTRIES[2], context.now_s)
+    context.publisher.publish(context.now_s)
+
+
+@when("state publisher is greeted by a third entry after 4 s and asked again after 6 s")
+def third_later(context):
+    context.publisher.greeted(ENTRIES[2], START_S + 4.0)
+    context.publisher.publish(START_S + 4.0)
+    context.before = len(context.sent.states)
+    context.publisher.publish(START_S + 6.0)
+
+
+@then(
+    "state publisher sent each entry {least:d} to {most:d} states, "
+    "{lists:d} with the list"
+)
+def sent_each(context, least, most, lists):
+    for entry in ENTRIES[:2]:
+        states = context.sent.to(entry)
+        assert least <= len(states) <= most, len(states)
+        assert sum(state.recent is not None for state in states) == lists
+
+
+@then("state publisher sent the third entry 1 state, with the list")
+def sent_third(context):
+    (state,) = context.sent.to(ENTRIES[2])
+    assert state.recent is not None
+
+
+@then("state publisher's last state went to the third entry only and counts 1 entry")
+def sent_only_third(context):
+    ((entry, state),) = context.sent.states[context.before :]
+    assert entry == ENTRIES[2] and state.entries == 1, (entry, state)
