--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -251,6 +251,8 @@
         _log.info("entry stopping", extra={"open_requests": self._busy()})
         await asyncio.sleep(STILL_TAKEN_S)
         server.close()
+        # A kept connection whose answer began before the stop may bring another one.
+        self._forwarder.stop_taking()
         until_s = started_s + self._settings.bounds.stop_s - STOP_MARGIN_S
         while self._clock.monotonic_s() < until_s and self._connections:
             for connection in list(self._connections):
--- a/lentiltally/direct/forwarder.py
+++ b/lentiltally/direct/forwarder.py
@@ -27,6 +27,11 @@
         """Forward with the entry's parts."""
         self._forwarding = forwarding
         self._state = forwarding.state
+        self._is_closed = False
+
+    def stop_taking(self) -> None:
+        """Refuse every further request, because the process is about to end."""
+        self._is_closed = True
 
     async def handle(self, raw: RawRequest, connection: CallerConnection) -> None:
         """Answer one request."""
@@ -36,6 +41,7 @@
                 raw.method, raw.path, raw.headers, raw.body, raw.arrived_s
             )
             request_id = request.request_id
+            self._check_open()
             route, service = self._route(request)
             now_s = self._forwarding.clock.monotonic_s()
             self._state.budget(service.name).requested(now_s)
@@ -66,6 +72,13 @@
         )
         connection.refuse(refusal, request_id)
 
+    def _check_open(self) -> None:
+        if self._is_closed:
+            # Another entry gets the caller's next connection, so it may return at once.
+            raise Refusal(
+                503, "stopping", "the entry stops", step="accept", retry_after_s=0.0
+            )
+
     def _route(self, request: CallerRequest) -> tuple[Route, Service]:
         table = self._state.table
         if table is None:
--- a/lentiltally/direct/peer_socket.py
+++ b/lentiltally/direct/peer_socket.py
@@ -44,9 +44,10 @@
             self._transport.sendto(encode_message(message), (address.ip, address.port))
 
     def close(self) -> None:
-        """Release the port."""
+        """Release the port; messages of requests that still run are dropped."""
         if self._transport is not None:
             self._transport.close()
+            self._transport = None
 
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Keep the transport."""
--- a/tests/direct/streams.feature
+++ b/tests/direct/streams.feature
@@ -124,3 +124,12 @@
     When direct path gets a stream for adapter "a1" whose engine leaves during the load
     Then direct path delivered the events 1 to 5 whole
     And direct path engine that left ran nothing
+
+  Scenario: Direct path takes no request behind a stream that outlasts its stop
+    # Guards against a request that a stopping entry takes on a kept connection so late
+    # that its own end cuts the answer.
+    Given direct path engines hold "a1"
+    And direct path engines take 0.7 s an event
+    When direct path is told to stop during a stream and gets another request behind it
+    Then direct path refused the request behind it as not executed and closed
+    And direct path request ran 1 time
--- a/tests/steps/direct_streams_steps.py
+++ b/tests/steps/direct_streams_steps.py
@@ -8,7 +8,7 @@
 from behave import given, then, when
 
 from lentiltally.direct.messages import adapter_mark
-from tests.fakes.direct import DirectSystem, configuration
+from tests.fakes.direct import HOST, DirectSystem, configuration, route
 
 SLOTS = 2
 
@@ -293,3 +293,42 @@
 @then("direct path engine that left ran nothing")
 def left_ran_nothing(context):
     assert context.left.runs == [], context.left.runs
+
+
+@when("direct path is told to stop during a stream and gets another request behind it")
+def stops_during_stream(context):
+    system = context.direct
+    routes = [route("stream", "streaming", "llm", timeoutMs=9000)]
+    changed = configuration(4, routes, adapter_slots=SLOTS)
+    system.call(lambda: system.store.put_json("keyed.op", "config", changed))
+    assert system.wait(lambda: system.entry._state.table.state.version == 4)
+
+    def request_bytes(request_id):
+        fields = {"Host": HOST, "X-Request-Id": request_id, **headers("a1")}
+        lines = ["GET /stream/x HTTP/1.1", *(f"{n}: {v}" for n, v in fields.items())]
+        return ("\r\n".join(lines) + "\r\n\r\n").encode()
+
+    async def act():
+        reader, writer = await asyncio.open_connection(
+            system.entry_address.ip, system.entry_address.port
+        )
+        writer.write(request_bytes("first"))
+        received = await reader.readuntil(b"id: 1\n")
+        stop_signal, _ = system._started[0]
+        stop_signal.request()
+        writer.write(request_bytes("behind"))
+        async with asyncio.timeout(10.0):
+            received += await reader.read()
+        writer.transport.abort()
+        return received
+
+    context.received = system.run(act())
+
+
+@then("direct path refused the request behind it as not executed and closed")
+def refused_behind(context):
+    first, _, behind = context.received.partition(b"HTTP/1.1 503")
+    assert first.startswith(b"HTTP/1.1 200") and b"id: 5\n" in first, first
+    assert b'"executed":"no"' in behind, context.received
+    assert b"problem:stopping" in behind, behind
+    assert b"Connection: close" in behind, behind
