--- a/lentiltally/config/schema.py
+++ b/lentiltally/config/schema.py
@@ -77,12 +77,12 @@
     """How much a team may use.
 
     ``share`` is a weight relative to the other teams' shares; ``deadline_s`` is how
-    long one of its requests may take.
+    long one of its requests may take, 0 for the default of the entry that has it.
     """
 
     share: Annotated[float, Meta(gt=0, le=1000)] = 1.0
     max_concurrent: Annotated[int, Meta(ge=1, le=100_000)] = 256
-    deadline_s: Annotated[float, Meta(gt=0, le=3600)] = 60.0
+    deadline_s: Annotated[float, Meta(ge=0, le=3600)] = 0.0
     criticality: Literal["interactive", "deferrable"] = "interactive"
 
 
--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -228,7 +228,10 @@
                 RefusalFilter(self._metrics, self._clock),
                 ParseFilter(self._settings.callers.max_key_bytes),
                 ModelsFilter(lambda: self._config.tree),
-                ResolveFilter(lambda: self._config.tree),
+                ResolveFilter(
+                    lambda: self._config.tree,
+                    self._settings.callers.default_deadline_s,
+                ),
                 ObserveFilter(self._metrics, self._clock),
                 QuarantineFilter(self._quarantine),
                 AdmitFilter(self._directory, domain, self._clock, self._metrics),
--- a/lentiltally/pipeline/resolve.py
+++ b/lentiltally/pipeline/resolve.py
@@ -34,9 +34,15 @@
 class ResolveFilter:
     """Finds team, adapter and version, or team and service, of a request."""
 
-    def __init__(self, tree: Callable[[], ConfigTree | None]) -> None:
-        """``tree`` returns the configuration in force."""
+    def __init__(
+        self, tree: Callable[[], ConfigTree | None], default_deadline_s: float
+    ) -> None:
+        """``tree`` returns the configuration in force.
+
+        ``default_deadline_s`` is for teams whose limits set no deadline.
+        """
         self._tree = tree
+        self._default_deadline_s = default_deadline_s
 
     def __call__(self, exchange: Exchange, following: Handler) -> Answer:
         """Pass the exchange on with its resolved work."""
@@ -75,7 +81,7 @@
             criticality=_criticality(limits, config.non_idempotent),
             share=limits.share,
             max_concurrent=limits.max_concurrent,
-            deadline_s=limits.deadline_s,
+            deadline_s=limits.deadline_s or self._default_deadline_s,
             config_offset=tree.offset,
             max_tokens=document.get("max_tokens") or DEFAULT_MAX_TOKENS,
             prefix_hash=_prefix_hash(team, adapter, document),
@@ -112,7 +118,7 @@
             criticality=_criticality(limits, is_keyed),
             share=limits.share,
             max_concurrent=limits.max_concurrent,
-            deadline_s=limits.deadline_s,
+            deadline_s=limits.deadline_s or self._default_deadline_s,
             config_offset=tree.offset,
             max_tokens=1,
             prefix_hash=0,
