--- a/lentiltally/decisions/admission.py
+++ b/lentiltally/decisions/admission.py
@@ -159,7 +159,11 @@
         ahead = sum(self.waiting[: criticality + 1])
         if ahead == 0 or self._seen_s == 0.0:
             return self.usual_wait_s
-        per_s = max(self._ended, 1.0) / self._seen_s
+        # No wait can have ended before the first load has had its usual time.
+        counted_s = self._seen_s - self.usual_wait_s
+        if counted_s <= 0.0:
+            return self.usual_wait_s
+        per_s = max(self._ended, 1.0) / counted_s
         return self.usual_wait_s + ahead / per_s
 
     def _decay(self, now_s: float) -> None:
--- a/tests/decisions/admission.feature
+++ b/tests/decisions/admission.feature
@@ -22,6 +22,18 @@
     # Guards against a queue of loads that none of its requests outlives.
     Then admission sheds a one-off adapter before an adapter with many requests
 
+  Scenario Outline: Admission judges the rate of loads only once a load may have ended
+    # Load pattern: many cold adapters asked for at once, by callers with 20 s each.
+    # Guards against refusals while nothing is known of the loads but that they just began.
+    Then admission of 24 cold starts within <within> s takes <taken>
+
+    Examples:
+      | within | taken      |
+      | 0.02   | all        |
+      | 0.2    | all        |
+      | 0.28   | all        |
+      | 6.0    | not all    |
+
   Scenario: Admission tells when to come back
     Then admission delays are within 0.5 and 30 s and grow with the backlog
 
--- a/tests/steps/admission_steps.py
+++ b/tests/steps/admission_steps.py
@@ -169,3 +169,17 @@
             assert left == {"0", "1", "2"}
 
     check()
+
+
+@then("admission of 24 cold starts within {within_s:g} s takes {taken}")
+def cold_starts_at_once(context, within_s, taken):
+    admission = Admission(random.Random(1))
+    results = [
+        admission.offer(
+            AdmissionRequest("t", 1, 20.0, 0.0, needs_load=True, adapter=f"a{number}"),
+            100.0 + within_s * number / 24,
+        )
+        for number in range(24)
+    ]
+    admitted = sum(isinstance(result, Admitted) for result in results)
+    assert (admitted == 24) == (taken == "all"), admitted
