--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -310,4 +310,55 @@
         "decisions/engine_slots",
         "serve first what can still be in time",
     ),
+    Mutation(
+        "nothing taken behind a stop",
+        "direct/entry_process.py",
+        "self._forwarder.stop_taking()",
+        "pass",
+        "direct/streams",
+        "outlasts its stop",
+    ),
+    Mutation(
+        "slow store",
+        "platform/store_client.py",
+        "limit_s = wait_s + WAITED_TIMEOUT_S if wait_s else CALL_TIMEOUT_S",
+        "limit_s = wait_s + WAITED_TIMEOUT_S",
+        "direct/feed_pace",
+        "while the store is slow",
+    ),
+    Mutation(
+        "what leaves an engine loads fast",
+        "decisions/target_choice.py",
+        "return (view.recent | frozenset(known.held)) - frozenset(state.held)",
+        "return frozenset()",
+        "decisions/direct_choice",
+        "between two whole lists",
+    ),
+    Mutation(
+        "states as rarely as changes allow",
+        "direct/state_publisher.py",
+        "pause_s = UNCHANGED_S if load == self._load else LOAD_CHANGE_S",
+        "pause_s = LOAD_CHANGE_S",
+        "direct/state_publisher",
+        "as rarely as changes allow",
+    ),
+    Mutation(
+        "whole list for a new entry",
+        "direct/state_publisher.py",
+        """        if is_new:
+            self._adapters = None
+            self._recent_at_s = None
+""",
+        "",
+        "direct/state_publisher",
+        "tells a new entry at once",
+    ),
+    Mutation(
+        "no blame for a restarted agent",
+        "pipeline/dispatch.py",
+        "frozenset({ANSWER_MISMATCH, RefusalReason.OTHER_INCARNATION.value})",
+        "frozenset({ANSWER_MISMATCH})",
+        "pipeline/dispatch",
+        "gives up on the second failure",
+    ),
 )
