--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -290,6 +290,13 @@
         self.port = port
 
 
+def kept_folder(folder: Path, seed: int) -> Path:
+    """Return where one seed keeps its settings and logs, apart from other runs."""
+    kept = folder / f"seed-{seed}"
+    kept.mkdir(parents=True, exist_ok=True)
+    return kept
+
+
 def main() -> int:
     """Run one seed and print what was seen."""
     parser = argparse.ArgumentParser()
@@ -298,10 +305,10 @@
     parser.add_argument("--keep-logs", type=Path)
     arguments = parser.parse_args()
     with tempfile.TemporaryDirectory() as folder:
-        kept = arguments.keep_logs
-        if kept is not None:
-            kept.mkdir(parents=True, exist_ok=True)
-        soak = Soak(arguments.seed, kept or Path(folder))
+        used = Path(folder)
+        if arguments.keep_logs is not None:
+            used = kept_folder(arguments.keep_logs, arguments.seed)
+        soak = Soak(arguments.seed, used)
         asyncio.run(soak.run(arguments.seconds))
     seen = {
         "seed": arguments.seed,
--- a/tests/soak/soak.feature
+++ b/tests/soak/soak.feature
@@ -10,3 +10,8 @@
       | seed | length |
       | 7    | 3      |
       | 24   | 6      |
+
+  Scenario: Soak runs that keep their logs don't share settings
+    # Guards against processes that start with the settings of another run beside them,
+    # whose callers then find nothing at their address.
+    Then soak keeps the files of seeds 601 and 606 in two folders of one place
--- a/tests/steps/soak_steps.py
+++ b/tests/steps/soak_steps.py
@@ -5,10 +5,13 @@
 import json
 import subprocess
 import sys
+import tempfile
 from pathlib import Path
 
 from behave import then, when
 
+from tests.soak.__main__ import kept_folder
+
 ROOT = Path(__file__).resolve().parent.parent.parent
 
 
@@ -27,3 +30,11 @@
 def no_broken_promise(context):
     assert not context.seen["broken"], context.output
     assert context.seen["outcomes"].get("200", 0) > 0, context.output
+
+
+@then("soak keeps the files of seeds {one:d} and {other:d} in two folders of one place")
+def keeps_apart(context, one, other):
+    with tempfile.TemporaryDirectory() as place:
+        folders = {kept_folder(Path(place), seed) for seed in (one, other)}
+        assert len(folders) == 2, folders
+        assert all(folder.is_dir() for folder in folders)
