Let each entry say how often it takes engine states

Cause: every agent sent every change of its engine's load to every entry, up to ten times a second, encoded anew for each: on the large fleet 59 x 68 pairs. An entry served about 4.5 requests a second and received up to 590 states.

A subscription names the interval between two states of an engine, so that all states together stay below 200 a second at an entry; up to 20 engines the pace is as before. Repeats and the age at which a state is stale follow from it. A message to several peers is encoded once, and renewals are spread (every 2 s, at random within a quarter; every second before).

--- a/lentiltally/decisions/target_choice.py
+++ b/lentiltally/decisions/target_choice.py
@@ -15,6 +15,7 @@
 import xxhash
 
 from lentiltally.decisions._ring import rendezvous_weight
+from lentiltally.decisions.state_pacing import StatePace
 from lentiltally.direct.messages import EngineState, adapter_key_hash
 from lentiltally.direct.model import TargetRecord
 from lentiltally.direct.request import LoadReport
@@ -45,7 +46,7 @@
     - ``no_free_slot_penalty_s`` is the wait if requests use every adapter slot, and
       ``wait_per_queued_load_s`` the wait for each load that is queued or in progress.
     - ``unknown_state_penalty_s`` replaces the costs of the load and the slots if the
-      last state report is older than ``state_max_age_s``.
+      last state report is older than ``TargetChoice.state_max_age_s``.
 
     All targets:
 
@@ -76,7 +77,6 @@
     failure_penalty_s: float = 1.0
     avoided_penalty_s: float = 5.0
     unknown_state_penalty_s: float = 0.5
-    state_max_age_s: float = 1.5
     load_max_age_s: float = 1.0
     slowness_half_life_s: float = 0.3
     default_latency_s: float = 0.1
@@ -133,6 +133,8 @@
         self._domain = failure_domain
         self._settings = settings or ChoiceSettings()
         self._views: dict[str, TargetView] = {}
+        # Age at which a state report is no longer used.
+        self.state_max_age_s = StatePace().max_age_s
 
     def view(self, target_id: str) -> TargetView:
         """Return the view of a target; an empty one is added if it is unknown."""
@@ -148,7 +150,7 @@
         known = view.state
         # A report with a lower number is a datagram that a newer one has overtaken. If
         # it comes long after the last report, the agent has restarted instead.
-        is_recent = now_s - view.state_received_s < self._settings.state_max_age_s
+        is_recent = now_s - view.state_received_s < self.state_max_age_s
         if known is not None and is_recent and _is_older(state, known):
             return
         view.cached = _cached_adapters(view, state)
@@ -326,7 +328,7 @@
         return "cold", settings.cold_load_s + position_s + queue_s + slot_s
 
     def _fresh_state(self, view: TargetView, now_s: float) -> EngineState | None:
-        is_fresh = now_s - view.state_received_s <= self._settings.state_max_age_s
+        is_fresh = now_s - view.state_received_s <= self.state_max_age_s
         return view.state if is_fresh else None
 
     def _penalties_s(
--- a/lentiltally/direct/agent_client.py
+++ b/lentiltally/direct/agent_client.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -34,6 +35,10 @@
         """Send a message; it may be lost."""
         ...
 
+    def send_all(self, addresses: Iterable[SocketAddress], message: Message) -> None:
+        """Send a message to several peers."""
+        ...
+
 
 @dataclass(frozen=True, slots=True)
 class AcquireResult:
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -173,7 +173,7 @@
     def _message_received(self, message: Message, sender: SocketAddress) -> None:
         now_s = self._clock.monotonic_s()
         if isinstance(message, StateSubscription):
-            if self._publisher.subscribe(sender, now_s):
+            if self._publisher.subscribe(sender, message.interval_ms / 1000, now_s):
                 self._wake.set()
         elif isinstance(message, AcquireAdapter):
             self._acquire_requested(message, sender, now_s)
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -28,7 +28,6 @@
     CrashSuspect,
     EngineState,
     Message,
-    StateSubscription,
 )
 from lentiltally.direct.model import CallerLimits
 from lentiltally.direct.pages import METRICS_PATH, PageServer
@@ -36,6 +35,7 @@
 from lentiltally.direct.platform_interfaces import HeaderCodec
 from lentiltally.direct.settings import HostSettings, SocketAddress
 from lentiltally.direct.settings_watch import SettingsWatch
+from lentiltally.direct.state_subscriber import StateSubscriber
 from lentiltally.direct.stop_signal import StopSignal
 from lentiltally.direct.target_pool import TargetPool
 
@@ -43,12 +43,8 @@
 
 _log = logging.getLogger(__name__)
 
-# The entry renews its subscriptions at this interval; agents drop them after five
-# seconds without a renewal.
-SUBSCRIBE_INTERVAL_S = 1.0
-# Interval at which the entry also subscribes to agents whose last engine state is older
-# than SUBSCRIBE_INTERVAL_S.
-RESUBSCRIBE_INTERVAL_S = 0.2
+# Interval at which the entry looks for subscriptions that are due.
+SUBSCRIBE_INTERVAL_S = 0.2
 TICK_INTERVAL_S = 0.25
 # Share of the bound on a new configuration for which a long poll waits at the store.
 # The answer may be lost: the read's timeout and a retry must fit into the rest.
@@ -99,11 +95,13 @@
         self._pool = TargetPool(clock)
         self._connections: set[CallerConnection] = set()
         self._stopping_since_s: float | None = None
-        self._last_subscribed_at_s = -SUBSCRIBE_INTERVAL_S
         self.is_listening = False
         self._forwarder: Forwarder
         self._peers = PeerSocket(self._message_received)
         self._agents = AgentClient(self._peers)
+        self._subscriber = StateSubscriber(
+            settings.name, self._state, self._peers, clock, random.Random()
+        )
         self._watch = (
             SettingsWatch(settings, load_settings, self._state.apply_bounds)
             if load_settings
@@ -197,7 +195,7 @@
             for work in (
                 self._configuration.run(),
                 self._targets.run(),
-                self._every(RESUBSCRIBE_INTERVAL_S, self._say_hello),
+                self._every(SUBSCRIBE_INTERVAL_S, self._subscriber.renew),
                 self._every(TICK_INTERVAL_S, self._tick),
                 self._every(SETTINGS_CHECK_INTERVAL_S, self.reload),
             )
@@ -273,21 +271,6 @@
     def _open_requests(self) -> int:
         return sum(not connection.is_idle for connection in self._connections)
 
-    def _say_hello(self) -> None:
-        """Subscribe to the states of all engines, more often where none arrives."""
-        subscription = StateSubscription(self._settings.name)
-        now_s = self._clock.monotonic_s()
-        is_due = now_s - self._last_subscribed_at_s >= SUBSCRIBE_INTERVAL_S
-        if is_due:
-            self._last_subscribed_at_s = now_s
-        for record in self._state.engine_targets():
-            view = self._state.choice.view(record.target_id)
-            if is_due or now_s - view.state_received_s > SUBSCRIBE_INTERVAL_S:
-                ip = record.address.rpartition(":")[0]
-                self._peers.send(
-                    SocketAddress(ip, self._settings.peer_port), subscription
-                )
-
     def _tick(self) -> None:
         self._target_feed.tick()
         self._pool.close_stale()
@@ -297,7 +280,7 @@
     def _target_changed(self, change: DirectoryChange) -> None:
         if change.kind == "appeared":
             self._announce_suspects(change.target_id, "started anew")
-            self._say_hello()
+            self._subscriber.renew()
         elif change.kind == "gone":
             self._announce_suspects(change.target_id, "gone")
             self._pool.drop(change.target_id)
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -45,9 +45,13 @@
 
 
 class StateSubscription(Struct, tag=1, array_like=True, frozen=True):
-    """Subscribes an entry to the engine states of an agent; sent every second."""
+    """Subscribes an entry to the engine states of an agent, and renews this.
+
+    ``interval_ms`` is the interval between two states of an engine whose load changes.
+    """
 
     entry: str
+    interval_ms: int = 100
 
 
 class EngineState(Struct, tag=2, array_like=True, frozen=True):
--- a/lentiltally/direct/peer_socket.py
+++ b/lentiltally/direct/peer_socket.py
@@ -8,7 +8,7 @@
 
 import asyncio
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from typing import cast
 
 import msgspec
@@ -40,8 +40,15 @@
 
     def send(self, address: SocketAddress, message: Message) -> None:
         """Send a message; it may be lost."""
-        if self._transport is not None:
-            self._transport.sendto(encode_message(message), (address.ip, address.port))
+        self.send_all((address,), message)
+
+    def send_all(self, addresses: Iterable[SocketAddress], message: Message) -> None:
+        """Send a message to several peers; it is encoded once."""
+        if self._transport is None:
+            return
+        data = encode_message(message)
+        for address in addresses:
+            self._transport.sendto(data, (address.ip, address.port))
 
     def close(self) -> None:
         """Close the socket; messages that are sent later are dropped."""
--- a/lentiltally/direct/state_publisher.py
+++ b/lentiltally/direct/state_publisher.py
@@ -2,62 +2,88 @@
 
 from __future__ import annotations
 
+import math
 from collections.abc import Iterable
+from dataclasses import dataclass
 
 from lentiltally.decisions.engine_orders import EngineReport
 from lentiltally.decisions.engine_slots import EngineSlots
+from lentiltally.decisions.state_pacing import (
+    MAX_INTERVAL_S,
+    MIN_INTERVAL_S,
+    StatePace,
+)
 from lentiltally.direct.agent_client import MessageSender
 from lentiltally.direct.messages import EngineState, Message, adapter_key_hash
 from lentiltally.direct.settings import SocketAddress
 
 __all__ = ["StatePublisher"]
 
-# Entries renew their subscription every second.
+# Entries renew their subscription every two seconds.
 SUBSCRIPTION_TIMEOUT_S = 5.0
-# A change of adapters is published at once, a change of the load alone at an interval.
-# An unchanged state is repeated after a third of the age at which entries
-# stop using it.
-LOAD_INTERVAL_S = 0.1
-REPEAT_INTERVAL_S = 0.5
 # Entries see which adapters are evicted and so know which of them reload fast. The
-# complete list at this interval makes up for lost datagrams.
+# complete list at this interval makes up for lost datagrams and for states that an
+# entry was not sent.
 CACHED_LIST_INTERVAL_S = 2.0
 
 
+@dataclass(slots=True)
+class _Subscriber:
+    """An entry, the pace that it asked for, and what it was sent last."""
+
+    pace: StatePace
+    renewed_at_s: float
+    sent_at_s: float = -math.inf
+    adapters: tuple[object, ...] | None = None
+    load: tuple[int, ...] = ()
+    cached_sent_at_s: float = -math.inf
+
+    def is_due(
+        self, adapters: tuple[object, ...], load: tuple[int, ...], now_s: float
+    ) -> bool:
+        """Return whether the entry is to be sent the present state."""
+        pause_s = self.pace.pause_s(
+            adapters_changed=adapters != self.adapters, load_changed=load != self.load
+        )
+        return now_s - self.sent_at_s >= pause_s
+
+    def is_list_due(self, now_s: float) -> bool:
+        """Return whether the state must have the list of cached adapters."""
+        return now_s - self.cached_sent_at_s >= CACHED_LIST_INTERVAL_S
+
+
 class StatePublisher:
-    """Sends states to all subscribed entries, no more often than changes require."""
+    """Sends states to subscribed entries, no more often than each of them asked for."""
 
     def __init__(self, slots: EngineSlots, peers: MessageSender) -> None:
         """Start without subscriptions."""
         self._slots = slots
         self._peers = peers
-        self._subscribed_at_s: dict[SocketAddress, float] = {}
+        self._subscribers: dict[SocketAddress, _Subscriber] = {}
         self._number = 0
-        self._sent_adapters: tuple[object, ...] | None = None
-        self._sent_load: tuple[int, ...] = ()
-        self._sent_at_s = 0.0
-        self._cached_sent_at_s: float | None = None
 
-    def subscribe(self, entry: SocketAddress, now_s: float) -> bool:
+    def subscribe(self, entry: SocketAddress, interval_s: float, now_s: float) -> bool:
         """Add or renew the subscription of an entry; return whether it is new.
 
-        A new one makes the next state complete and due at once.
+        A new one gets a complete state with the next call of ``publish``.
         """
-        is_new = entry not in self._subscribed_at_s
-        self._subscribed_at_s[entry] = now_s
-        if is_new:
-            self._sent_adapters = None
-            self._cached_sent_at_s = None
-        return is_new
+        pace = StatePace(min(MAX_INTERVAL_S, max(MIN_INTERVAL_S, interval_s)))
+        known = self._subscribers.get(entry)
+        if known is None:
+            self._subscribers[entry] = _Subscriber(pace, now_s)
+            return True
+        known.pace = pace
+        known.renewed_at_s = now_s
+        return False
 
     def forward(self, message: Message, sender: SocketAddress) -> None:
         """Forward a message of one entry to all other subscribed entries."""
-        for entry in self._subscribed_at_s:
-            if entry != sender:
-                self._peers.send(entry, message)
+        self._peers.send_all(
+            [entry for entry in self._subscribers if entry != sender], message
+        )
 
     def publish(self, now_s: float) -> None:
-        """Send the engine's state if it changed or is due to be repeated."""
+        """Send the engine's state to the entries to which it is due."""
         self._expire_subscriptions(now_s)
         report = self._slots.report
         if report is None:
@@ -65,19 +91,31 @@
         loaded = tuple(self._slots.usable_keys())
         adapters = (report.started_ms, loaded, report.loading)
         load = self._load_values(report)
-        if adapters == self._sent_adapters:
-            pause_s = REPEAT_INTERVAL_S if load == self._sent_load else LOAD_INTERVAL_S
-            if now_s - self._sent_at_s < pause_s:
-                return
-        self._sent_adapters, self._sent_load, self._sent_at_s = adapters, load, now_s
-        state = self._new_state(report, loaded, now_s)
-        for entry in self._subscribed_at_s:
-            self._peers.send(entry, state)
+        with_list: list[SocketAddress] = []
+        without_list: list[SocketAddress] = []
+        for entry, subscriber in self._subscribers.items():
+            if not subscriber.is_due(adapters, load, now_s):
+                continue
+            subscriber.adapters, subscriber.load = adapters, load
+            subscriber.sent_at_s = now_s
+            if subscriber.is_list_due(now_s):
+                subscriber.cached_sent_at_s = now_s
+                with_list.append(entry)
+            else:
+                without_list.append(entry)
+        if not with_list and not without_list:
+            return
+        self._number += 1
+        if with_list:
+            cached = _hashes(self._slots.cached_keys())
+            self._peers.send_all(with_list, self._new_state(report, loaded, cached))
+        if without_list:
+            self._peers.send_all(without_list, self._new_state(report, loaded, None))
 
     def _expire_subscriptions(self, now_s: float) -> None:
-        for entry, subscribed_s in list(self._subscribed_at_s.items()):
-            if now_s - subscribed_s > SUBSCRIPTION_TIMEOUT_S:
-                del self._subscribed_at_s[entry]
+        for entry, subscriber in list(self._subscribers.items()):
+            if now_s - subscriber.renewed_at_s > SUBSCRIPTION_TIMEOUT_S:
+                del self._subscribers[entry]
 
     def _load_values(self, report: EngineReport) -> tuple[int, ...]:
         slots = self._slots
@@ -90,9 +128,11 @@
         )
 
     def _new_state(
-        self, report: EngineReport, loaded: tuple[str, ...], now_s: float
+        self,
+        report: EngineReport,
+        loaded: tuple[str, ...],
+        cached: tuple[int, ...] | None,
     ) -> EngineState:
-        self._number += 1
         return EngineState(
             started_ms=report.started_ms,
             number=self._number,
@@ -102,20 +142,13 @@
             cache_total=report.cache_total_tokens,
             loaded=_hashes(loaded),
             loading=_hashes(report.loading),
-            cached=self._cached_list(now_s),
+            cached=cached,
             free_slots=self._slots.free_slots,
             waiting_keys=self._slots.waiting_keys,
-            entries=len(self._subscribed_at_s),
+            entries=len(self._subscribers),
             prefill_tokens=self._slots.prompt_tokens,
         )
 
-    def _cached_list(self, now_s: float) -> tuple[int, ...] | None:
-        at_s = self._cached_sent_at_s
-        if at_s is not None and now_s - at_s < CACHED_LIST_INTERVAL_S:
-            return None
-        self._cached_sent_at_s = now_s
-        return _hashes(self._slots.cached_keys())
-
 
 def _hashes(keys: Iterable[str]) -> tuple[int, ...]:
     return tuple(adapter_key_hash(key) for key in keys)
--- a/tests/direct/state_publisher.feature
+++ b/tests/direct/state_publisher.feature
@@ -28,3 +28,11 @@
     Given state publisher of an engine with "a" loaded and 2 subscribed entries
     When state publisher gets a third subscription after 4 s and is called after 6 s
     Then state publisher's last state went to the third entry only and counts 1 entry
+
+  # Load pattern: 68 entries of a large fleet subscribe, each for 59 engines.
+  Scenario: State publisher keeps to the interval that each entry asked for
+    # Guards against a rate of states that grows with the product of entries and engines.
+    Given state publisher of an engine with "a" loaded and 2 subscribed entries
+    And state publisher's entries ask for an interval of 0.4 s
+    When state publisher is called every 0.02 s for 2 s while the load changes
+    Then state publisher sent each entry 5 to 6 states, 1 with the list
--- a/tests/steps/direct_streams_steps.py
+++ b/tests/steps/direct_streams_steps.py
@@ -222,7 +222,7 @@
     system = context.direct
 
     def drop_states():
-        system.entry._say_hello = lambda: None
+        system.entry._subscriber.renew = lambda: None
         for name in system.engines:
             system.entry._state.choice.forget(name)
         system.entry._state.choice.state_received = lambda *state: None
--- a/tests/steps/state_publisher_steps.py
+++ b/tests/steps/state_publisher_steps.py
@@ -7,6 +7,7 @@
 from behave import given, then, when
 from steps.engine_slots_steps import new_slots, report
 
+from lentiltally.decisions.state_pacing import MIN_INTERVAL_S
 from lentiltally.direct.settings import SocketAddress
 from lentiltally.direct.state_publisher import StatePublisher
 
@@ -24,6 +25,10 @@
     def send(self, address, message):
         self.messages.append((address, message))
 
+    def send_all(self, addresses, message):
+        for address in addresses:
+            self.send(address, message)
+
     def to(self, entry):
         return [state for address, state in self.messages if address == entry]
 
@@ -35,7 +40,7 @@
     context.publisher = StatePublisher(context.slots, context.sent)
     context.now_s = START_S
     for entry in ENTRIES[:2]:
-        context.publisher.subscribe(entry, START_S)
+        context.publisher.subscribe(entry, MIN_INTERVAL_S, START_S)
 
 
 @when("state publisher is called every 0.02 s for {seconds:g} s while {change}")
@@ -52,13 +57,13 @@
 
 @when("state publisher gets the subscription of a third entry")
 def third_entry(context):
-    assert context.publisher.subscribe(ENTRIES[2], context.now_s)
+    assert context.publisher.subscribe(ENTRIES[2], MIN_INTERVAL_S, context.now_s)
     context.publisher.publish(context.now_s)
 
 
 @when("state publisher gets a third subscription after 4 s and is called after 6 s")
 def third_entry_later(context):
-    context.publisher.subscribe(ENTRIES[2], START_S + 4.0)
+    context.publisher.subscribe(ENTRIES[2], MIN_INTERVAL_S, START_S + 4.0)
     context.publisher.publish(START_S + 4.0)
     context.before = len(context.sent.messages)
     context.publisher.publish(START_S + 6.0)
@@ -85,3 +90,9 @@
 def sent_only_third(context):
     ((entry, state),) = context.sent.messages[context.before :]
     assert entry == ENTRIES[2] and state.entries == 1, (entry, state)
+
+
+@given("state publisher's entries ask for an interval of {interval_s:g} s")
+def entries_ask(context, interval_s):
+    for entry in ENTRIES[:2]:
+        context.publisher.subscribe(entry, interval_s, START_S)
