Share the reads of the store between hosts

Each state of a restarted engine also made every entry read the list up to four times a second.

Change: agents take turns (decisions/shared_reads.py) and tell in their states how recently they read, at which record the list changed, and whether an outage of the store ended. An entry reads when it lacks news or when no agent has read for 0.65 of the bound. Its long poll of the configuration lasts 20 s while agents cover it, and is given up when they know of a record that it was not sent. A feed that is far behind reads the newest records. The agent of a restarted engine reads the list until it has the new start. An answer with records beyond the end of the topic is refused: it is a late copy of an earlier one.

--- /dev/null
+++ b/lentiltally/decisions/shared_reads.py
@@ -0,0 +1,82 @@
+"""Reads of a store topic that the hosts of a fleet share.
+
+Every entry must learn of a change in the store within a bound. If each of them reads
+often enough on its own, the calls grow with the number of entries. Instead the agents
+take turns and report in their engine states how recently they have read, and up to
+where there was news. An entry reads if it lacks news, or if no agent has read lately.
+"""
+
+from __future__ import annotations
+
+import math
+
+__all__ = ["SharedReads", "turn_interval_s"]
+
+# Reads of one topic by all agents together within the shortest bound on a change.
+READS_PER_BOUND = 5.0
+MIN_TURN_INTERVAL_S = 1.0
+MAX_TURN_INTERVAL_S = 30.0
+# Pause before a read that is due to news, as a share of the usual pause.
+NEWS_PAUSE_SHARE = 0.5
+# Share of the bound after which an entry no longer relies on the last read of agents;
+# the rest is for a read of its own, and for another one if the first is not answered.
+MAX_COVERAGE_SHARE = 0.65
+
+
+def turn_interval_s(agents: int, bound_s: float) -> float:
+    """Return the interval between two reads of one of a number of agents."""
+    interval_s = agents * bound_s / READS_PER_BOUND
+    return min(MAX_TURN_INTERVAL_S, max(MIN_TURN_INTERVAL_S, interval_s))
+
+
+class SharedReads:
+    """What agents reported of their reads of one topic, as an entry knows it.
+
+    All times are seconds of the entry's monotonic clock.
+    """
+
+    __slots__ = ("_covered_until_s", "_max_coverage_s", "_newest_change", "_pause_s")
+
+    def __init__(self, bound_s: float, pause_s: float) -> None:
+        """Start without reports; ``pause_s`` is the pause between an entry's reads."""
+        self._max_coverage_s = MAX_COVERAGE_SHARE * bound_s
+        self._pause_s = pause_s
+        self._covered_until_s = -math.inf
+        self._newest_change = -1
+
+    def reported(self, changed_at: int, age_s: float, now_s: float) -> None:
+        """Note that an agent read the topic ``age_s`` ago.
+
+        ``changed_at`` is an offset up to which it has found news.
+        """
+        if age_s < 0.0:
+            return
+        self._covered_until_s = max(self._covered_until_s, now_s - age_s)
+        self._newest_change = max(self._newest_change, changed_at)
+
+    def has_news(self, next_offset: int) -> bool:
+        """Return whether there is news from an offset on."""
+        return self._newest_change >= next_offset
+
+    def distance(self, next_offset: int) -> int:
+        """Return the number of records from an offset to the end of the news."""
+        return max(0, self._newest_change + 1 - next_offset)
+
+    def caught_up(self) -> None:
+        """Note that all news has been read; a false report must not last."""
+        self._newest_change = -1
+
+    def is_covered(self, now_s: float) -> bool:
+        """Return whether an agent has read so lately that an entry need not."""
+        return now_s < self._covered_until_s + self._max_coverage_s
+
+    def next_read_s(self, last_read_s: float, next_offset: int) -> float:
+        """Return when an entry that has read up to an offset has to read again.
+
+        News does not make it read at once: while many targets start, for instance, each
+        of them is news.
+        """
+        if self.has_news(next_offset):
+            return last_read_s + NEWS_PAUSE_SHARE * self._pause_s
+        covered_s = self._covered_until_s + self._max_coverage_s
+        return max(last_read_s + self._pause_s, covered_s)
--- a/lentiltally/decisions/state_pacing.py
+++ b/lentiltally/decisions/state_pacing.py
@@ -51,13 +51,13 @@
         """Return the age at which an entry stops using a state."""
         return MISSING_REPEATS * self.repeat_interval_s
 
-    def pause_s(self, *, adapters_changed: bool, load_changed: bool) -> float:
+    def pause_s(self, *, is_urgent: bool, load_changed: bool) -> float:
         """Return the pause after the last state that the agent sent to the entry.
 
-        A change of adapters is urgent: in a small fleet it is sent at once, and in a
-        large one still before a change of the load.
+        A change of adapters is urgent, for instance: in a small fleet it is sent at
+        once, and in a large one still before a change of the load.
         """
-        if adapters_changed:
+        if is_urgent:
             return max(0.0, self.interval_s - MIN_INTERVAL_S)
         if load_changed:
             return self.interval_s
--- a/lentiltally/decisions/target_directory.py
+++ b/lentiltally/decisions/target_directory.py
@@ -100,7 +100,7 @@
 
     def store_returned(self, now_s: float) -> None:
         """Start the grace period, because the store answers again after an outage."""
-        self._store_returned_at_s = now_s
+        self._store_returned_at_s = max(now_s, self._store_returned_at_s or now_s)
 
     def updated(self, record: TargetRecord) -> DirectoryChange | None:
         """Apply a record of a target, unless it is older than the known one."""
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import random
 from collections.abc import Callable
 from dataclasses import dataclass
 
@@ -16,8 +17,12 @@
 )
 from lentiltally.decisions.engine_slots import EngineSlots
 from lentiltally.direct.agent_metrics import AgentMetrics
-from lentiltally.direct.entry_feeds import ConfigurationDecoder, ConfigurationFeed
-from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
+from lentiltally.direct.entry_feeds import (
+    ConfigurationDecoder,
+    ConfigurationFeed,
+    TargetDecoder,
+)
+from lentiltally.direct.keyed_feed import KeyedTopic
 from lentiltally.direct.messages import (
     AcquireAdapter,
     AdapterAnswer,
@@ -35,17 +40,13 @@
 from lentiltally.direct.settings import HostSettings, SocketAddress
 from lentiltally.direct.state_publisher import StatePublisher
 from lentiltally.direct.stop_signal import StopSignal
+from lentiltally.direct.store_reader import StoreReader, StoreTopics
 from lentiltally.errors import LentiltallyError
 
 __all__ = ["AgentPlatform", "AgentProcess"]
 
 _log = logging.getLogger(__name__)
 
-# How long a read of the configuration waits at the store (long poll). An agent may
-# learn of new adapter versions late, because adapter requests carry the newest version
-# that their entry knows.
-CONFIGURATION_WAIT_S = 20.0
-CONFIGURATION_PAUSE_S = 1.0
 # Intervals at which the engine's report is read: usually, and while requests wait or a
 # load is under way.
 REPORT_INTERVAL_S = 0.1
@@ -68,7 +69,9 @@
 
     engine: EngineControl
     configuration: KeyedTopic
+    targets: KeyedTopic
     decode_configuration: ConfigurationDecoder
+    decode_target: TargetDecoder
     service: str
 
 
@@ -92,17 +95,20 @@
         self._is_engine_unresponsive = False
         self._identified_start_ms: int | None = None
         self._health_path = ""
-        self._configuration = KeyedFeed(
-            "configuration",
-            platform.configuration,
+        # Adapter requests carry the newest version that their entry knows, so an agent
+        # may read of it late.
+        self._reader = StoreReader(
+            StoreTopics(platform.configuration, platform.targets),
             ConfigurationFeed(
                 platform.decode_configuration,
                 self._apply_desired_state,
                 self._version_announced,
             ),
-            clock,
-            pause_s=CONFIGURATION_PAUSE_S,
-            wait_s=CONFIGURATION_WAIT_S,
+            platform.decode_target,
+            settings,
+            platform.service,
+            clock=clock,
+            rng=random.Random(),
         )
 
     def track_dropped_lines(self, dropped: Callable[[], float]) -> None:
@@ -135,7 +141,8 @@
             },
         )
         tasks = [
-            asyncio.create_task(self._configuration.run()),
+            asyncio.create_task(self._reader.configuration.run()),
+            asyncio.create_task(self._reader.targets.run()),
             asyncio.create_task(self._run_engine()),
         ]
         await stop.wait()
@@ -150,6 +157,7 @@
         if state.version <= self._config_version:
             return
         self._config_version = state.version
+        self._reader.version_applied(state.version)
         service = state.services.get(self._platform.service)
         if service is None:
             engines = [s for s in state.services.values() if s.engine is not None]
@@ -175,6 +183,7 @@
         if isinstance(message, StateSubscription):
             if self._publisher.subscribe(sender, message.interval_ms / 1000, now_s):
                 self._wake.set()
+            self._reader.version_seen(message.config_version)
         elif isinstance(message, AcquireAdapter):
             self._acquire_requested(message, sender, now_s)
         elif isinstance(message, ReleaseAdapter):
@@ -255,7 +264,8 @@
                 self._engine_failed(error)
             except Exception:
                 _log.exception("engine step failed")
-            self._publisher.publish(self._clock.monotonic_s())
+            now_s = self._clock.monotonic_s()
+            self._publisher.publish(self._reader.report(now_s), now_s)
             pause_s = (
                 BUSY_REPORT_INTERVAL_S if self._slots.has_work else REPORT_INTERVAL_S
             )
@@ -295,6 +305,7 @@
         return self._identified_start_ms is not None
 
     def _apply_report(self, report: EngineReport) -> None:
+        self._reader.engine_started(report.started_ms)
         if self._slots.update_report(report):
             _log.info("engine restarted", extra={"started_ms": report.started_ms})
         self._answer_requests()
--- a/lentiltally/direct/entry_feeds.py
+++ b/lentiltally/direct/entry_feeds.py
@@ -6,8 +6,7 @@
 from collections.abc import Callable
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.target_directory import DirectoryChange
-from lentiltally.direct.entry_state import EntryState
+from lentiltally.decisions.target_directory import DirectoryChange, TargetDirectory
 from lentiltally.direct.keyed_feed import FeedRecord
 from lentiltally.direct.model import AdapterNotice, DesiredState, TargetRecord
 from lentiltally.errors import LentiltallyError
@@ -59,18 +58,18 @@
 
 
 class TargetFeed:
-    """Applies the list of targets to the entry's target directory."""
+    """Applies the list of targets to a target directory."""
 
     def __init__(
         self,
         decode: TargetDecoder,
-        state: EntryState,
+        directory: TargetDirectory,
         on_change: Callable[[DirectoryChange], None],
         clock: Clock,
     ) -> None:
         """Call ``on_change`` for each change of the directory."""
         self._decode = decode
-        self._state = state
+        self._directory = directory
         self._on_change = on_change
         self._clock = clock
         self._undecodable: set[str] = set()
@@ -78,7 +77,7 @@
     def on_record(self, record: FeedRecord) -> None:
         """Apply one record; a target with an undecodable record gets no requests."""
         now_s = self._clock.monotonic_s()
-        directory = self._state.directory
+        directory = self._directory
         if record.value is None:
             self._report(directory.removed(record.key, now_s))
             return
@@ -92,21 +91,21 @@
 
     def on_snapshot_keys(self, keys: set[str]) -> None:
         """Remove the targets that the complete list does not contain."""
-        for change in self._state.directory.listed(keys, self._clock.monotonic_s()):
+        for change in self._directory.listed(keys, self._clock.monotonic_s()):
             self._report(change)
 
     def on_store_recovered(self) -> None:
         """Start the grace period for records that vanished during an outage."""
-        self._state.directory.store_returned(self._clock.monotonic_s())
+        self._directory.store_returned(self._clock.monotonic_s())
 
     def tick(self) -> None:
         """Remove targets whose records did not return within the grace period."""
-        for change in self._state.directory.tick(self._clock.monotonic_s()):
+        for change in self._directory.tick(self._clock.monotonic_s()):
             self._report(change)
 
     def _mark_undecodable(self, record: FeedRecord, error: LentiltallyError) -> None:
         """Stop using the target for now; log its undecodable record once."""
-        self._state.directory.mark_unreadable(record.key)
+        self._directory.mark_unreadable(record.key)
         if record.key not in self._undecodable:
             self._undecodable.add(record.key)
             _log.warning(
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.decisions.target_directory import DirectoryChange
 from lentiltally.direct.agent_client import AgentClient
 from lentiltally.direct.caller_connection import CallerConnection, RawRequest
@@ -28,6 +29,7 @@
     CrashSuspect,
     EngineState,
     Message,
+    StoreReport,
 )
 from lentiltally.direct.model import CallerLimits
 from lentiltally.direct.pages import METRICS_PATH, PageServer
@@ -49,6 +51,11 @@
 # Share of the bound on a new configuration for which a long poll waits at the store.
 # The answer may be lost: the read's timeout and a retry must fit into the rest.
 CONFIGURATION_WAIT_SHARE = 0.5
+# Wait of a long poll while agents read the configuration too, so that a lost answer is
+# noticed by their news.
+COVERED_CONFIGURATION_WAIT_S = 20.0
+# An answer to a long poll that did not arrive this long after its wait is lost.
+CONFIGURATION_ANSWER_S = 0.5
 # The pause lets one read collect records that are written in quick succession.
 CONFIGURATION_PAUSE_S = 0.2
 # Reads of the list of targets within the bound on noticing a draining target.
@@ -108,9 +115,19 @@
             else None
         )
         self._target_feed = TargetFeed(
-            platform.decode_target, self._state, self._target_changed, clock
+            platform.decode_target,
+            self._state.directory,
+            self._target_changed,
+            clock,
         )
         bounds = settings.bounds
+        configuration_wait_s = CONFIGURATION_WAIT_SHARE * bounds.configuration_s
+        targets_pause_s = bounds.leaving_s / TARGET_READS_PER_BOUND
+        # Only long polls that agents cover can outlast this: others time out before.
+        self._shared_configuration = SharedReads(
+            bounds.configuration_s, configuration_wait_s + CONFIGURATION_ANSWER_S
+        )
+        self._shared_targets = SharedReads(bounds.leaving_s, targets_pause_s)
         self._configuration = KeyedFeed(
             "configuration",
             platform.configuration,
@@ -121,15 +138,18 @@
             ),
             clock,
             pause_s=CONFIGURATION_PAUSE_S,
-            wait_s=CONFIGURATION_WAIT_SHARE * settings.bounds.configuration_s,
+            wait_s=configuration_wait_s,
+            shared=self._shared_configuration,
+            covered_wait_s=COVERED_CONFIGURATION_WAIT_S,
         )
         self._targets = KeyedFeed(
             "targets",
             platform.targets,
             self._target_feed,
             clock,
-            pause_s=bounds.leaving_s / TARGET_READS_PER_BOUND,
+            pause_s=targets_pause_s,
             wait_s=0.0,
+            shared=self._shared_targets,
         )
         self._state.on_target_list_stale = self._targets.request_read
 
@@ -291,11 +311,28 @@
             self._agents.answer_received(message)
         elif isinstance(message, EngineState):
             self._state.engine_state_received(sender.ip, message)
+            if message.store is not None:
+                self._store_reported(message.store)
         elif isinstance(message, CrashSuspect):
             self._state.suspects.record_crash(
                 message.fingerprint, message.target_start, self._clock.monotonic_s()
             )
 
+    def _store_reported(self, report: StoreReport) -> None:
+        """Note what an agent has read; read the list of targets if it has news."""
+        now_s = self._clock.monotonic_s()
+        self._shared_configuration.reported(
+            report.config_changed_at, report.config_age_ms / 1000, now_s
+        )
+        self._shared_targets.reported(
+            report.targets_changed_at, report.targets_age_ms / 1000, now_s
+        )
+        if report.outage_ended_ms >= 0:
+            returned_at_s = now_s - report.outage_ended_ms / 1000
+            self._state.directory.store_returned(returned_at_s)
+        if self._shared_targets.has_news(self._targets.next_offset):
+            self._targets.news_reported()
+
     def _announce_suspects(self, target_id: str, reason: str) -> None:
         """Send new crash suspects to the other entries through the agents."""
         for fingerprint in self._state.target_stopped(target_id, reason):
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -120,7 +120,9 @@
             self.entry_count = state.entries
         target_id = self.directory.find_at_host(ip, state.started_ms)
         record = None if target_id is None else self.directory.get(target_id)
-        if record is None or record.started_ms != state.started_ms:
+        has_other_start = record is None or record.started_ms != state.started_ms
+        if has_other_start and state.store is None:
+            # An agent that reads the store itself reports the start once it is listed.
             self.on_target_list_stale()
         if target_id is None:
             return
--- a/lentiltally/direct/keyed_feed.py
+++ b/lentiltally/direct/keyed_feed.py
@@ -13,10 +13,10 @@
 import logging
 from collections.abc import Callable
 from dataclasses import dataclass
-from datetime import timedelta
 from typing import Protocol
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.errors import LentiltallyError
 
 __all__ = [
@@ -35,6 +35,13 @@
 MAX_RETRY_BACKOFF_S = 1.0
 # Minimum interval between reads that are requested before the regular pause is over.
 MIN_READ_INTERVAL_S = 0.25
+# While a read waits at the store, it is checked at this interval whether its answer may
+# be lost. The store answers all waiting reads at once, so the answer is lost if agents
+# have known of news for this long.
+CHECK_INTERVAL_S = 0.25
+LONG_POLL_MAX_S = 30.0
+# A feed that is behind by more reads the newest record of each key instead.
+MIN_DISTANCE_FOR_NEWEST = 100
 
 
 class FeedError(LentiltallyError):
@@ -103,10 +110,12 @@
 class KeyedFeed:
     """Follows one topic and passes its records to a listener.
 
-    ``pause_s`` is the pause between reads, ``wait_s`` how long a read waits at the
-    store for a record (a long poll). ``is_current`` says whether the newest records
-    have been read, ``is_down`` whether the last read failed. ``last_read_at_s`` is the
-    time of the last successful read.
+    ``pause_s`` returns the pause after a read, ``wait_s`` how long a read waits at the
+    store for a record (a long poll). With ``shared`` reads, the feed only reads if it
+    lacks news or agents have not read lately; a long poll then lasts
+    ``covered_wait_s``. ``is_current`` says whether the newest records have been read,
+    ``is_down`` whether the last read failed. ``last_read_at_s`` is when the last
+    successful read was sent, and for a long poll when it was answered.
     """
 
     def __init__(
@@ -116,9 +125,10 @@
         listener: FeedListener,
         clock: Clock,
         *,
-        pause_s: float,
+        pause_s: float | Callable[[], float],
         wait_s: float,
-        on_read: Callable[[], None] | None = None,
+        shared: SharedReads | None = None,
+        covered_wait_s: float = 0.0,
     ) -> None:
         """Start without a position, so the newest records are read first."""
         self.name = name
@@ -128,10 +138,13 @@
         self._topic = topic
         self._listener = listener
         self._clock = clock
-        self._pause = timedelta(seconds=pause_s)
-        self._read_requested = asyncio.Event()
+        self._pause_s = pause_s if callable(pause_s) else lambda: pause_s
+        self._is_requested = False
+        self._wake = asyncio.Event()
         self._wait_s = wait_s
-        self._on_read = on_read
+        self._shared = shared
+        self._covered_wait_s = covered_wait_s
+        self._must_confirm = False
         self._next_offset: int | None = None
         self._first_offset = 0
         self._newest_offsets: dict[str, int] = {}
@@ -141,9 +154,10 @@
         """Follow the topic until cancelled."""
         while True:
             try:
-                self._read_requested.clear()
-                await self.read_once()
-                await self._wait_for_next_read()
+                self._is_requested = False
+                is_behind = await self._read_unless_lost()
+                if not is_behind:
+                    await self._wait_for_next_read()
             except FeedTruncatedError as error:
                 _log.info(
                     "feed truncated, reading newest records again",
@@ -159,26 +173,96 @@
 
     def request_read(self) -> None:
         """End the pause early, because the records that are known seem stale."""
-        self._read_requested.set()
+        self._is_requested = True
+        self._wake.set()
+
+    @property
+    def next_offset(self) -> int:
+        """Return the offset of the first record that has not been read."""
+        return self._next_offset or 0
+
+    def news_reported(self) -> None:
+        """Check whether a read is due, because agents have reported what they read."""
+        self._wake.set()
 
     async def _wait_for_next_read(self) -> None:
-        """Wait for the regular pause, or less if a read is requested meanwhile."""
-        pause_s = self._pause.total_seconds()
+        """Wait until a read is due or requested."""
+        pause_s = self._pause_s()
         min_pause_s = min(MIN_READ_INTERVAL_S, pause_s)
         await asyncio.sleep(min_pause_s)
-        with contextlib.suppress(TimeoutError):
-            async with asyncio.timeout(pause_s - min_pause_s):
-                await self._read_requested.wait()
-
-    async def read_once(self) -> None:
-        """Read once and pass the records to the listener; raises FeedError."""
-        if self._next_offset is None:
-            await self._read_newest()
+        due_s = self._clock.monotonic_s() + pause_s - min_pause_s
+        # A long poll itself waits at the store.
+        shared = None if self._wait_s else self._shared
+        while not self._is_requested:
+            if shared is not None:
+                due_s = shared.next_read_s(self.last_read_at_s, self.next_offset)
+            left_s = due_s - self._clock.monotonic_s()
+            if left_s <= 0.0:
+                return
+            self._wake.clear()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    await self._wake.wait()
+
+    async def _read_unless_lost(self) -> bool:
+        """Read once; return whether there are more records to read at once.
+
+        Gives up a long poll if its answer seems to be lost, and reads without a wait
+        then. Raises FeedError.
+        """
+        shared = self._shared
+        if shared is None or not self._long_poll_s(self._clock.monotonic_s()):
+            return await self.read_once()
+        started_s = self._clock.monotonic_s()
+        stale_at_s = started_s + LONG_POLL_MAX_S
+        has_news = False
+        read = asyncio.create_task(self.read_once())
+        try:
+            while not read.done():
+                await asyncio.wait({read}, timeout=CHECK_INTERVAL_S)
+                had_news, has_news = has_news, shared.has_news(self.next_offset)
+                if not has_news:
+                    stale_at_s = shared.next_read_s(started_s, self.next_offset)
+                is_stale = self._clock.monotonic_s() > stale_at_s
+                if not read.done() and (is_stale or (had_news and has_news)):
+                    self._must_confirm = True
+                    return True
+            return read.result()
+        finally:
+            read.cancel()
+
+    async def read_once(self) -> bool:
+        """Read once and pass the records to the listener.
+
+        Returns whether the topic has further records. Raises FeedError.
+        """
+        started_s = self._clock.monotonic_s()
+        wait_s = self._long_poll_s(started_s)
+        if self._next_offset is None or self._is_far_behind(self._next_offset):
+            end = await self._read_newest()
         else:
-            await self._read_following(self._next_offset)
-        self.last_read_at_s = self._clock.monotonic_s()
-
-    async def _read_newest(self) -> None:
+            end = await self._read_following(self._next_offset, wait_s)
+        self._must_confirm = False
+        self.last_read_at_s = self._clock.monotonic_s() if wait_s else started_s
+        if self._shared is not None:
+            self._shared.caught_up()
+        return self.next_offset < end
+
+    def _long_poll_s(self, now_s: float) -> float:
+        """Return how long the next read waits at the store."""
+        if self.is_down or self._must_confirm or not self._wait_s:
+            return 0.0
+        is_covered = self._shared is not None and self._shared.is_covered(now_s)
+        return self._covered_wait_s if is_covered else self._wait_s
+
+    def _is_far_behind(self, offset: int) -> bool:
+        """Return whether the newest records are fewer than those from an offset on."""
+        return self._shared is not None and self._shared.distance(offset) > max(
+            MIN_DISTANCE_FOR_NEWEST, len(self._newest_offsets)
+        )
+
+    async def _read_newest(self) -> int:
+        """Read the newest record of each key; return the end of the topic."""
         page = await self._topic.newest()
         self._read_succeeded()
         for record in page.records:
@@ -189,14 +273,18 @@
         self._next_offset = max(page.next_offset, self._first_offset)
         self._newest_offsets = {record.key: record.offset for record in page.records}
         self.is_current = True
+        # A record that was appended meanwhile is read after the next pause.
+        return self._next_offset
 
-    async def _read_following(self, offset: int) -> None:
-        page = await self._topic.read(offset, 0.0 if self.is_down else self._wait_s)
+    async def _read_following(self, offset: int, wait_s: float) -> int:
+        """Read the records from an offset on; return the end of the topic."""
+        page = await self._topic.read(offset, wait_s)
         self._read_succeeded()
         for record in page.records:
             if record.offset > self._newest_offsets.get(record.key, -1):
                 self._listener.on_record(record)
         self._next_offset = max(offset, page.next_offset)
+        return page.end if page.records else self._next_offset
 
     def _reset_position(self, first_offset: int) -> bool:
         """Make the next read start with the newest records.
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -23,6 +23,7 @@
     "PrefillFinished",
     "ReleaseAdapter",
     "StateSubscription",
+    "StoreReport",
     "adapter_key_hash",
     "decode_message",
     "encode_message",
@@ -47,11 +48,28 @@
 class StateSubscription(Struct, tag=1, array_like=True, frozen=True):
     """Subscribes an entry to the engine states of an agent, and renews this.
 
-    ``interval_ms`` is the interval between two states of an engine whose load changes.
+    ``interval_ms`` is the interval between two states of an engine whose load changes,
+    ``config_version`` the version of the desired state that the entry knows.
     """
 
     entry: str
     interval_ms: int = 100
+    config_version: int = 0
+
+
+class StoreReport(Struct, array_like=True, frozen=True):
+    """What an agent has read from the store lately.
+
+    For the configuration and the list of targets: the offset up to which it has found
+    news, and the age of its last read. ``outage_ended_ms`` is how long ago the store
+    answered again after an outage. A time is -1 if there was no such event.
+    """
+
+    config_changed_at: int
+    config_age_ms: int
+    targets_changed_at: int
+    targets_age_ms: int
+    outage_ended_ms: int = -1
 
 
 class EngineState(Struct, tag=2, array_like=True, frozen=True):
@@ -66,7 +84,8 @@
     with the evictions that the entry has seen since. ``free_slots`` counts adapter
     slots that no request has pinned, ``waiting_keys`` the adapters for which requests
     wait, ``entries`` the subscribed entries. ``prefill_tokens`` are the tokens of
-    prompts in prefill or waiting for it.
+    prompts in prefill or waiting for it. ``store`` says what the agent has read from
+    the store, None if it has read nothing yet.
     """
 
     started_ms: int
@@ -82,6 +101,7 @@
     waiting_keys: int
     entries: int
     prefill_tokens: int
+    store: StoreReport | None = None
 
 
 class AcquireAdapter(Struct, tag=3, array_like=True, frozen=True):
--- a/lentiltally/direct/state_publisher.py
+++ b/lentiltally/direct/state_publisher.py
@@ -14,7 +14,12 @@
     StatePace,
 )
 from lentiltally.direct.agent_client import MessageSender
-from lentiltally.direct.messages import EngineState, Message, adapter_key_hash
+from lentiltally.direct.messages import (
+    EngineState,
+    Message,
+    StoreReport,
+    adapter_key_hash,
+)
 from lentiltally.direct.settings import SocketAddress
 
 __all__ = ["StatePublisher"]
@@ -34,16 +39,16 @@
     pace: StatePace
     renewed_at_s: float
     sent_at_s: float = -math.inf
-    adapters: tuple[object, ...] | None = None
+    urgent: tuple[object, ...] | None = None
     load: tuple[int, ...] = ()
     cached_sent_at_s: float = -math.inf
 
     def is_due(
-        self, adapters: tuple[object, ...], load: tuple[int, ...], now_s: float
+        self, urgent: tuple[object, ...], load: tuple[int, ...], now_s: float
     ) -> bool:
         """Return whether the entry is to be sent the present state."""
         pause_s = self.pace.pause_s(
-            adapters_changed=adapters != self.adapters, load_changed=load != self.load
+            is_urgent=urgent != self.urgent, load_changed=load != self.load
         )
         return now_s - self.sent_at_s >= pause_s
 
@@ -82,21 +87,25 @@
             [entry for entry in self._subscribers if entry != sender], message
         )
 
-    def publish(self, now_s: float) -> None:
-        """Send the engine's state to the entries to which it is due."""
+    def publish(self, store: StoreReport | None, now_s: float) -> None:
+        """Send the engine's state to the entries to which it is due.
+
+        ``store`` is sent along; news in it is as urgent as a change of adapters.
+        """
         self._expire_subscriptions(now_s)
         report = self._slots.report
         if report is None:
             return
         loaded = tuple(self._slots.usable_keys())
-        adapters = (report.started_ms, loaded, report.loading)
+        news = store and (store.config_changed_at, store.targets_changed_at)
+        urgent = (report.started_ms, loaded, report.loading, news)
         load = self._load_values(report)
         with_list: list[SocketAddress] = []
         without_list: list[SocketAddress] = []
         for entry, subscriber in self._subscribers.items():
-            if not subscriber.is_due(adapters, load, now_s):
+            if not subscriber.is_due(urgent, load, now_s):
                 continue
-            subscriber.adapters, subscriber.load = adapters, load
+            subscriber.urgent, subscriber.load = urgent, load
             subscriber.sent_at_s = now_s
             if subscriber.is_list_due(now_s):
                 subscriber.cached_sent_at_s = now_s
@@ -108,9 +117,11 @@
         self._number += 1
         if with_list:
             cached = _hashes(self._slots.cached_keys())
-            self._peers.send_all(with_list, self._new_state(report, loaded, cached))
+            state = self._new_state(report, loaded, cached, store)
+            self._peers.send_all(with_list, state)
         if without_list:
-            self._peers.send_all(without_list, self._new_state(report, loaded, None))
+            state = self._new_state(report, loaded, None, store)
+            self._peers.send_all(without_list, state)
 
     def _expire_subscriptions(self, now_s: float) -> None:
         for entry, subscriber in list(self._subscribers.items()):
@@ -132,6 +143,7 @@
         report: EngineReport,
         loaded: tuple[str, ...],
         cached: tuple[int, ...] | None,
+        store: StoreReport | None,
     ) -> EngineState:
         return EngineState(
             started_ms=report.started_ms,
@@ -147,6 +159,7 @@
             waiting_keys=self._slots.waiting_keys,
             entries=len(self._subscribers),
             prefill_tokens=self._slots.prompt_tokens,
+            store=store,
         )
 
 
--- a/lentiltally/direct/state_subscriber.py
+++ b/lentiltally/direct/state_subscriber.py
@@ -48,7 +48,12 @@
         pace = StatePace(state_interval_s(len(engines)))
         self._state.choice.state_max_age_s = pace.max_age_s
         overdue_s = OVERDUE_REPEATS * pace.repeat_interval_s
-        subscription = StateSubscription(self._name, int(pace.interval_s * 1000))
+        table = self._state.table
+        subscription = StateSubscription(
+            self._name,
+            int(pace.interval_s * 1000),
+            0 if table is None else table.state.version,
+        )
         due = [
             record
             for record in engines
--- /dev/null
+++ b/lentiltally/direct/store_reader.py
@@ -0,0 +1,191 @@
+"""Reads the store for an agent, in turn with the agents of the other engines."""
+
+from __future__ import annotations
+
+import random
+from dataclasses import dataclass
+
+from lentiltally.clock import Clock
+from lentiltally.decisions.shared_reads import turn_interval_s
+from lentiltally.decisions.target_directory import DirectoryChange, TargetDirectory
+from lentiltally.direct.entry_feeds import (
+    ConfigurationFeed,
+    TargetDecoder,
+    TargetFeed,
+)
+from lentiltally.direct.keyed_feed import FeedRecord, KeyedFeed, KeyedTopic
+from lentiltally.direct.messages import StoreReport
+from lentiltally.direct.settings import HostSettings
+
+__all__ = ["StoreReader", "StoreTopics"]
+
+# An agent without a desired state reads the configuration at this interval.
+FIRST_READ_INTERVAL_S = 1.0
+# While the start of the agent's engine is not in the list, it is read at this interval.
+UNLISTED_INTERVAL_S = 0.5
+# The turns of different agents must not fall together.
+TURN_JITTER = 0.25
+OUTAGE_REPORT_S = 2.0
+
+
+class _TargetNews:
+    """Applies records of the list of targets, and notes where they change it.
+
+    Agents read the same records at different times. News is therefore told by the
+    offset of the record that brings it: it is no news to an entry that has read it.
+    """
+
+    def __init__(
+        self, decode: TargetDecoder, directory: TargetDirectory, clock: Clock
+    ) -> None:
+        """Apply the records to ``directory``."""
+        self._directory = directory
+        self._clock = clock
+        self._feed = TargetFeed(decode, directory, self._changed, clock)
+        self._has_changed = False
+        self._has_list = False
+        self.changed_at = -1
+        self.outage_ended_at_s: float | None = None
+
+    def on_record(self, record: FeedRecord) -> None:
+        """Apply one record. A target that ends its slow start is news, too."""
+        before = self._directory.get(record.key)
+        was_usable = self._directory.is_usable(record.key)
+        self._has_changed = False
+        self._feed.on_record(record)
+        after = self._directory.get(record.key)
+        if before is not None and after is not None:
+            has_warmed_up = before.slow_start_left_s > 0.0 == after.slow_start_left_s
+            self._has_changed |= has_warmed_up
+        self._has_changed |= self._directory.is_usable(record.key) != was_usable
+        if self._has_list and self._has_changed:
+            self.changed_at = max(self.changed_at, record.offset)
+
+    def on_snapshot_keys(self, keys: set[str]) -> None:
+        """Remove the targets that the complete list does not contain."""
+        self._feed.on_snapshot_keys(keys)
+        self._has_list = True
+
+    def on_store_recovered(self) -> None:
+        """Note the end of an outage, in which records may have vanished."""
+        self.outage_ended_at_s = self._clock.monotonic_s()
+        self._feed.on_store_recovered()
+
+    def tick(self) -> None:
+        """Remove targets whose records did not return within the grace period."""
+        self._feed.tick()
+
+    def _changed(self, change: DirectoryChange) -> None:
+        del change
+        self._has_changed = True
+
+
+@dataclass(frozen=True, slots=True)
+class StoreTopics:
+    """The topics that an agent reads."""
+
+    configuration: KeyedTopic
+    targets: KeyedTopic
+
+
+class StoreReader:
+    """Follows the configuration and the list of targets on behalf of all entries."""
+
+    def __init__(
+        self,
+        topics: StoreTopics,
+        listener: ConfigurationFeed,
+        decode_target: TargetDecoder,
+        settings: HostSettings,
+        service: str,
+        *,
+        clock: Clock,
+        rng: random.Random,
+    ) -> None:
+        """Pass the configuration to ``listener``.
+
+        ``service`` is the service of the agent's engine.
+        """
+        self._clock = clock
+        self._rng = rng
+        bounds = settings.bounds
+        self._bound_s = min(bounds.configuration_s, bounds.leaving_s)
+        self._ip = settings.ip
+        self._service = service
+        self._directory = TargetDirectory()
+        self._news = _TargetNews(decode_target, self._directory, clock)
+        self._known_version = 0
+        self._started_ms: int | None = None
+        self.configuration = KeyedFeed(
+            "configuration",
+            topics.configuration,
+            listener,
+            clock,
+            pause_s=self._configuration_pause_s,
+            wait_s=0.0,
+        )
+        self.targets = KeyedFeed(
+            "targets",
+            topics.targets,
+            self._news,
+            clock,
+            pause_s=self._targets_pause_s,
+            wait_s=0.0,
+        )
+
+    def version_applied(self, version: int) -> None:
+        """Note the version of the desired state that the agent has applied."""
+        self._known_version = version
+
+    def version_seen(self, version: int) -> None:
+        """Read the configuration if an entry knows a newer version."""
+        if version > self._known_version:
+            self.configuration.request_read()
+
+    def engine_started(self, started_ms: int) -> None:
+        """Read the list until it contains the engine's present start."""
+        if started_ms != self._started_ms:
+            self._started_ms = started_ms
+            self.targets.request_read()
+
+    def report(self, now_s: float) -> StoreReport | None:
+        """Return what was read, None before the first read."""
+        if not self.configuration.is_current or not self.targets.is_current:
+            return None
+        self._news.tick()
+        return StoreReport(
+            self.configuration.next_offset - 1,
+            _age_ms(self.configuration.last_read_at_s, now_s),
+            self._news.changed_at,
+            _age_ms(self.targets.last_read_at_s, now_s),
+            self._outage_ended_ms(now_s),
+        )
+
+    def _outage_ended_ms(self, now_s: float) -> int:
+        at_s = self._news.outage_ended_at_s
+        if at_s is None or now_s - at_s > OUTAGE_REPORT_S:
+            return -1
+        return _age_ms(at_s, now_s)
+
+    def _turn_s(self) -> float:
+        """Return the pause to the agent's next turn; each engine has an agent."""
+        engines = self._directory.usable(self._service) or self._directory.all()
+        jitter = 1.0 + TURN_JITTER * (2.0 * self._rng.random() - 1.0)
+        return turn_interval_s(len(engines), self._bound_s) * jitter
+
+    def _configuration_pause_s(self) -> float:
+        return self._turn_s() if self._known_version else FIRST_READ_INTERVAL_S
+
+    def _targets_pause_s(self) -> float:
+        return self._turn_s() if self._is_engine_listed() else UNLISTED_INTERVAL_S
+
+    def _is_engine_listed(self) -> bool:
+        if self._started_ms is None:
+            return True
+        target_id = self._directory.find_at_host(self._ip, self._started_ms)
+        record = None if target_id is None else self._directory.get(target_id)
+        return record is not None and record.started_ms == self._started_ms
+
+
+def _age_ms(at_s: float, now_s: float) -> int:
+    return max(0, int((now_s - at_s) * 1000))
--- a/lentiltally/platform/roles.py
+++ b/lentiltally/platform/roles.py
@@ -76,7 +76,9 @@
     platform = AgentPlatform(
         engine=EngineControlClient(settings.engine, settings.name),
         configuration=StoreTopic.from_address(CONFIGURATION_TOPIC, settings.store),
+        targets=StoreTopic.from_address(TARGET_TOPIC, settings.store),
         decode_configuration=decode_configuration,
+        decode_target=decode_target_record,
         service=str(tomllib.loads(Path(path).read_text()).get("service", "")),
     )
     return _run(AgentProcess(settings, platform, SystemClock()), settings)
--- a/lentiltally/platform/store_client.py
+++ b/lentiltally/platform/store_client.py
@@ -171,6 +171,9 @@
                 raise self._error("record truncated")
             records.append(_decode_record(content, offset + len(records)))
             position += size
+        if records and offset + len(records) > end:
+            # An answer to an earlier read may arrive once more on a kept connection.
+            raise self._error("records beyond the end of the topic")
         return FeedPage(end, tuple(records), offset + len(records))
 
     def _error(self, detail: str) -> FeedError:
--- a/tests/fakes/direct.py
+++ b/tests/fakes/direct.py
@@ -229,7 +229,9 @@
             platform = AgentPlatform(
                 engine=EngineControlClient(address, settings.name),
                 configuration=StoreTopic.from_address("keyed.op", settings.store),
+                targets=StoreTopic.from_address("keyed.servers", settings.store),
                 decode_configuration=decode_configuration,
+                decode_target=decode_target_record,
                 service="llm",
             )
             agent = AgentProcess(settings, platform, SystemClock())
--- a/tests/steps/state_pacing_steps.py
+++ b/tests/steps/state_pacing_steps.py
@@ -16,14 +16,14 @@
     "states a second"
 )
 def states_a_second(context, engines, least, most):
-    pause_s = pace_of(engines).pause_s(adapters_changed=False, load_changed=True)
+    pause_s = pace_of(engines).pause_s(is_urgent=False, load_changed=True)
     assert least <= engines / pause_s <= most + 1e-6, engines / pause_s
 
 
 @then("state pacing of {engines:d} engines uses a state for at least 3 of its repeats")
 def max_age(context, engines):
     pace = pace_of(engines)
-    repeat_s = pace.pause_s(adapters_changed=False, load_changed=False)
+    repeat_s = pace.pause_s(is_urgent=False, load_changed=False)
     assert pace.max_age_s >= 3 * repeat_s, (pace.max_age_s, repeat_s)
 
 
@@ -33,6 +33,6 @@
 )
 def adapters_first(context, engines, seconds):
     pace = pace_of(engines)
-    pause_s = pace.pause_s(adapters_changed=True, load_changed=True)
+    pause_s = pace.pause_s(is_urgent=True, load_changed=True)
     assert pause_s <= seconds, pause_s
-    assert pause_s < pace.pause_s(adapters_changed=False, load_changed=True)
+    assert pause_s < pace.pause_s(is_urgent=False, load_changed=True)
--- a/tests/steps/state_publisher_steps.py
+++ b/tests/steps/state_publisher_steps.py
@@ -52,21 +52,21 @@
             context.slots.update_report(running)
         elif change.startswith("the loaded adapter") and step:
             context.slots.update_report(report(["ab"[step // 10 % 2]]))
-        context.publisher.publish(context.now_s)
+        context.publisher.publish(None, context.now_s)
 
 
 @when("state publisher gets the subscription of a third entry")
 def third_entry(context):
     assert context.publisher.subscribe(ENTRIES[2], MIN_INTERVAL_S, context.now_s)
-    context.publisher.publish(context.now_s)
+    context.publisher.publish(None, context.now_s)
 
 
 @when("state publisher gets a third subscription after 4 s and is called after 6 s")
 def third_entry_later(context):
     context.publisher.subscribe(ENTRIES[2], MIN_INTERVAL_S, START_S + 4.0)
-    context.publisher.publish(START_S + 4.0)
+    context.publisher.publish(None, START_S + 4.0)
     context.before = len(context.sent.messages)
-    context.publisher.publish(START_S + 6.0)
+    context.publisher.publish(None, START_S + 6.0)
 
 
 @then(
