Announce a crash suspect through three agents, not all

Cause: an entry sent each suspect to every agent, and every agent forwarded it to every entry: 59 x 67 datagrams on the large fleet, from each entry that had a request on the engine that ended. From reading; not measured.

Change: suspect_relays chooses three agents by the request's fingerprint.

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -10,10 +10,14 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Iterable
+from heapq import nlargest
 
 import xxhash
 
-__all__ = ["CrashSuspects", "request_fingerprint"]
+from lentiltally.decisions._ring import rendezvous_weight
+
+__all__ = ["CrashSuspects", "request_fingerprint", "suspect_relays"]
 
 # Operators accept the loss of up to three targets to one request.
 CRASHES_BEFORE_REFUSAL = 2
@@ -21,6 +25,9 @@
 MAX_SUSPECTS = 2_000
 # About 1 MB, and far more requests than an entry answers while a target restarts.
 MAX_FINISHED = 8_000
+# Agents that forward a suspect to all entries: one may be down, and another datagram
+# may be lost.
+RELAYS_PER_SUSPECT = 3
 
 
 def request_fingerprint(host: str, path: bytes, adapter: str, body: bytes) -> int:
@@ -34,6 +41,18 @@
     return digest.intdigest()
 
 
+def suspect_relays(agents: Iterable[str], fingerprint: int) -> list[str]:
+    """Return the agents through which a suspect is announced to the other entries.
+
+    All entries choose the same ones, and each suspect has others.
+    """
+    return nlargest(
+        RELAYS_PER_SUSPECT,
+        agents,
+        key=lambda agent: rendezvous_weight(fingerprint, agent),
+    )
+
+
 class CrashSuspects:
     """Fingerprints of requests, with the target starts that they may have crashed.
 
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.crash_suspects import suspect_relays
 from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.decisions.target_directory import DirectoryChange
 from lentiltally.direct.agent_client import AgentClient
@@ -334,12 +335,18 @@
             self._targets.news_reported()
 
     def _announce_suspects(self, target_id: str, reason: str) -> None:
-        """Send new crash suspects to the other entries through the agents."""
+        """Send new crash suspects to the other entries through some agents."""
         for fingerprint in self._state.target_stopped(target_id, reason):
-            suspect = CrashSuspect(fingerprint, target_id)
-            for record in self._state.engine_targets():
-                ip = record.address.rpartition(":")[0]
-                self._peers.send(SocketAddress(ip, self._settings.peer_port), suspect)
+            hosts = {
+                record.address.rpartition(":")[0]
+                for record in self._state.engine_targets()
+                if record.target_id != target_id
+            }
+            relays = suspect_relays(hosts, fingerprint)
+            self._peers.send_all(
+                [SocketAddress(ip, self._settings.peer_port) for ip in relays],
+                CrashSuspect(fingerprint, target_id),
+            )
 
     async def _every(self, period_s: float, act: Callable[[], None]) -> None:
         """Call ``act`` regularly; failures are logged with its name as the step."""
--- a/tests/decisions/direct_limits.feature
+++ b/tests/decisions/direct_limits.feature
@@ -91,3 +91,9 @@
       | 1   | accept |
       | 59  | accept |
       | 61  | refuse |
+
+  # Load pattern: an engine of a large fleet terminates while it runs streams of many
+  # entries, each of which announces a suspect.
+  Scenario: Crash suspects are announced through few agents
+    # Guards against datagrams that grow with the product of entries, agents and entries.
+    Then crash suspects of 40 requests go through 3 of 59 agents each and over 20 in total
--- a/tests/steps/direct_limits_steps.py
+++ b/tests/steps/direct_limits_steps.py
@@ -6,7 +6,11 @@
 
 from behave import given, then, when
 
-from lentiltally.decisions.crash_suspects import CrashSuspects, request_fingerprint
+from lentiltally.decisions.crash_suspects import (
+    CrashSuspects,
+    request_fingerprint,
+    suspect_relays,
+)
 from lentiltally.decisions.route_table import RouteTable
 from lentiltally.decisions.service_retry_budget import ServiceRetryBudget
 from lentiltally.decisions.target_directory import TargetDirectory
@@ -185,3 +189,16 @@
 def refuses_equal_request(context, verb):
     is_refused = context.suspects.is_refused(example_fingerprint(), NOW_S)
     assert is_refused == (verb == "refuse")
+
+
+@then(
+    "crash suspects of {count:d} requests go through {relays:d} of {agents:d} agents "
+    "each and over {total:d} in total"
+)
+def relayed(context, count, relays, agents, total):
+    names = [f"10.0.0.{n}" for n in range(agents)]
+    chosen = [suspect_relays(names, fingerprint) for fingerprint in range(count)]
+    again = [suspect_relays(reversed(names), n) for n in range(count)]
+    assert chosen == again
+    assert all(len(set(agents_of_one)) == relays for agents_of_one in chosen)
+    assert len({name for names in chosen for name in names}) > total
