Revert "Read an engine's report less often while a load takes long"

At the crest the loads of an engine follow one another, and each was noticed some 10 to 40 ms later.

--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -16,7 +16,6 @@
     EngineReport,
 )
 from lentiltally.decisions.engine_slots import EngineSlots
-from lentiltally.decisions.report_pacing import ReportPacing
 from lentiltally.direct.agent_metrics import AgentMetrics
 from lentiltally.direct.entry_feeds import (
     ConfigurationDecoder,
@@ -48,10 +47,10 @@
 
 _log = logging.getLogger(__name__)
 
-# Intervals between two steps: usually, and while requests wait or a load is under way.
-# A step sends states, and grants requests whose time for prefill has come.
-IDLE_STEP_INTERVAL_S = 0.1
-BUSY_STEP_INTERVAL_S = 0.015
+# Intervals at which the engine's report is read: usually, and while requests wait or a
+# load is under way.
+REPORT_INTERVAL_S = 0.1
+BUSY_REPORT_INTERVAL_S = 0.015
 
 
 _DECISIONS = {
@@ -98,7 +97,6 @@
         self._health_path = ""
         # Adapter requests carry the newest version that their entry knows, so an agent
         # may read of it late.
-        self._report_pacing = ReportPacing()
         self._reader = StoreReader(
             StoreTopics(platform.configuration, platform.targets),
             ConfigurationFeed(
@@ -258,42 +256,25 @@
 
     async def _run_engine(self) -> None:
         """Read reports, send orders and publish states until cancelled."""
-        is_due = True
         while True:
-            if is_due:
-                await self._follow_engine()
-            else:
-                self._answer_requests()
+            try:
+                await self._step()
+                self._engine_responded()
+            except LentiltallyError as error:
+                self._engine_failed(error)
+            except Exception:
+                _log.exception("engine step failed")
             now_s = self._clock.monotonic_s()
             self._publisher.publish(self._reader.report(now_s), now_s)
-            is_woken = await self._pause()
-            is_due = is_woken or self._report_pacing.is_due(
-                self._clock.monotonic_s(), has_work=self._slots.has_work
+            pause_s = (
+                BUSY_REPORT_INTERVAL_S if self._slots.has_work else REPORT_INTERVAL_S
             )
-
-    async def _follow_engine(self) -> None:
-        """Read a report and send the orders that it allows."""
-        try:
-            await self._step()
-            self._engine_responded()
-        except LentiltallyError as error:
-            self._engine_failed(error)
-        except Exception:
-            _log.exception("engine step failed")
-        report = self._slots.report
-        seen = report and (report.sequence, report.models, report.loading)
-        self._report_pacing.was_read(seen, self._clock.monotonic_s())
-
-    async def _pause(self) -> bool:
-        """Wait for the next step; return whether a message asked for it."""
-        pause_s = BUSY_STEP_INTERVAL_S if self._slots.has_work else IDLE_STEP_INTERVAL_S
-        self._wake.clear()
-        try:
-            async with asyncio.timeout(pause_s):
-                await self._wake.wait()
-        except TimeoutError:
-            return False
-        return True
+            self._wake.clear()
+            try:
+                async with asyncio.timeout(pause_s):
+                    await self._wake.wait()
+            except TimeoutError:
+                continue
 
     async def _step(self) -> None:
         report = await self._platform.engine.report()
