End streams of the own interface that get bytes but no event

Cause: each byte counted as progress of an engine's stream at the agent, so a stalled engine that sends one now and then held its stream and batch slot for ever; and an event without end filled the agent's memory.

Change: the silence timeout starts anew with each event, not with each read, and an event may have 1 MB.

tests/agent/streams.feature: both new scenarios fail on the code before.

--- a/lentiltally/agent/engine_client.py
+++ b/lentiltally/agent/engine_client.py
@@ -25,6 +25,8 @@
 ORDER_TIMEOUT_S = 10.0
 REPORT_TIMEOUT_S = 2.0
 MAX_READ_BYTES = 65_536
+# An event is kept until it is complete; a faulty engine may send bytes without end.
+MAX_UNREAD_BYTES = 1024 * 1024
 EVENT_END = b"\n\n"
 LINE_END = b"\r\n"
 HTTP_CONFLICT = 409
@@ -327,6 +329,8 @@
             data = self._read_chunk()
             is_at_end = not data
             self._buffer += data
+            if len(self._buffer) > MAX_UNREAD_BYTES:
+                raise self.wrap_error(ValueError("an event without end"))
             has_more_data = not is_at_end and self.has_buffered_data()
             end = self._buffer.rfind(EVENT_END)
             if end >= 0 and not (has_more_data and len(self._buffer) < MAX_READ_BYTES):
--- a/lentiltally/agent/stream_reader.py
+++ b/lentiltally/agent/stream_reader.py
@@ -37,7 +37,7 @@
     stream: EngineStream
     on_block: BlockHandler
     silence_timeout_s: float
-    last_read_s: float
+    last_event_s: float
     error: Exception | None = None
     ended: threading.Event = field(default_factory=threading.Event)
 
@@ -72,7 +72,7 @@
         """Read a stream and return when ``on_block`` returns True or the body ends.
 
         ``on_block`` is called on the reader's thread. Raises TargetError if the
-        connection breaks or no data arrives for ``silence_timeout_s``, and whatever
+        connection breaks or no event arrives for ``silence_timeout_s``, and whatever
         ``on_block`` raises.
         """
         followed = _FollowedStream(
@@ -119,9 +119,10 @@
             self._read(followed)
 
     def _read(self, followed: _FollowedStream) -> None:
-        followed.last_read_s = self._clock.monotonic_s()
         try:
             for block in followed.stream.read_events():
+                # Single bytes that complete no event are no progress.
+                followed.last_event_s = self._clock.monotonic_s()
                 if block is None or followed.on_block(block):
                     self._end_stream(followed, None)
                     return
@@ -132,8 +133,8 @@
 
     def _check_timeouts(self, now_s: float) -> None:
         for followed in list(self._followed.values()):
-            if now_s - followed.last_read_s > followed.silence_timeout_s:
-                error = TimeoutError(f"no data for {followed.silence_timeout_s} s")
+            if now_s - followed.last_event_s > followed.silence_timeout_s:
+                error = TimeoutError(f"no event for {followed.silence_timeout_s} s")
                 self._end_stream(followed, followed.stream.wrap_error(error))
 
     def _end_stream(self, followed: _FollowedStream, error: Exception | None) -> None:
--- a/tests/agent/streams.feature
+++ b/tests/agent/streams.feature
@@ -12,3 +12,13 @@
     # the reader pauses between reads and passes on several events together.
     Given stream reader reads 12 streams of 40 tokens at the same time
     Then stream reader passed on events 1 to 42 of each stream in order
+
+  Scenario: Stream reader ends a stream that gets single bytes but no event
+    # Guards against stalled streams that never end because a byte arrives now and then.
+    Given stream reader reads a stream that gets a byte every 0.05 s
+    Then stream reader reports an error after which the request may have run
+
+  Scenario: Engine stream gives up on an event without end
+    # Guards against memory that a faulty engine fills with one event.
+    Given stream reader reads a stream of one event without end
+    Then stream reader reports an error after which the request may have run
--- a/tests/steps/streams_steps.py
+++ b/tests/steps/streams_steps.py
@@ -4,14 +4,16 @@
 
 import json
 import re
+import socket
 import threading
+import time
 from concurrent.futures import ThreadPoolExecutor
 
 import urllib3
 from behave import given, then
 
 from lentiltally.agent._http import TargetError
-from lentiltally.agent.engine_client import EngineClient
+from lentiltally.agent.engine_client import EngineClient, EngineStream
 from lentiltally.agent.stream_reader import StreamReader
 from lentiltally.clock import SystemClock
 from standins.engine import EngineStandIn
@@ -94,3 +96,48 @@
     for data in context.streams:
         ids = [int(number) for number in re.findall(rb"id: (\d+)\n", data)]
         assert ids == list(range(first, last + 1)), ids
+
+
+class SocketResponse:
+    """The part of a urllib3 response that a stream uses, over a socket pair."""
+
+    status = 200
+    headers: dict[str, str] = {}
+    connection = None
+
+    def __init__(self, receiver):
+        self._receiver = receiver
+
+    def fileno(self):
+        return self._receiver.fileno()
+
+    def read1(self, size):
+        return self._receiver.recv(size)
+
+
+def follow_socket(context, data, pause_s):
+    """Follow a stream that gets the same bytes again and again until it ends."""
+    receiver, sender = socket.socketpair()
+    reader = StreamReader(SystemClock())
+    reader.start()
+    context.add_cleanup(reader.stop)
+    stream = EngineStream(SocketResponse(receiver), "engine")
+    with ThreadPoolExecutor(1) as pool:
+        result = pool.submit(reader.follow, stream, lambda block: False, 0.3)
+        deadline_s = time.monotonic() + 10.0
+        while not result.done() and time.monotonic() < deadline_s:
+            sender.sendall(data)
+            time.sleep(pause_s)
+        sender.close()
+        context.error = result.exception(10.0)
+    receiver.close()
+
+
+@given("stream reader reads a stream that gets a byte every {pause_s:g} s")
+def read_single_bytes(context, pause_s):
+    follow_socket(context, b"d", pause_s)
+
+
+@given("stream reader reads a stream of one event without end")
+def read_endless_event(context):
+    follow_socket(context, b"d" * 16_384, 0.0001)
