Keep following a topic after a malformed record or page

Cause: the decoders let RecursionError through, which msgspec raises for deeply nested JSON, pages let binascii.Error through, and any error of a listener ended the task that follows the topic. The process went on, looked healthy, and never learned of another configuration or target.

Change: platform/_json.py turns RecursionError into a DecodeError; a record that a listener can't process is logged and passed over; an unexpected error of a read counts as a failed read.

--- a/lentiltally/direct/keyed_feed.py
+++ b/lentiltally/direct/keyed_feed.py
@@ -167,9 +167,14 @@
                     await asyncio.sleep(RETRY_BACKOFF_S)
             except FeedError as error:
                 self._read_failed(error)
-                await asyncio.sleep(
-                    min(MAX_RETRY_BACKOFF_S, RETRY_BACKOFF_S * self._failures)
-                )
+                await self._back_off()
+            except Exception as error:
+                _log.exception("unexpected error", extra={"step": f"read {self.name}"})
+                self._read_failed(FeedError(repr(error), step="read"))
+                await self._back_off()
+
+    async def _back_off(self) -> None:
+        await asyncio.sleep(min(MAX_RETRY_BACKOFF_S, RETRY_BACKOFF_S * self._failures))
 
     def request_read(self) -> None:
         """End the pause early, because the records that are known seem stale."""
@@ -266,7 +271,7 @@
         page = await self._topic.newest()
         self._read_succeeded()
         for record in page.records:
-            self._listener.on_record(record)
+            self._pass_on(record)
         self._listener.on_snapshot_keys({record.key for record in page.records})
         # Skip deleted records: those that are still the newest of their key are part
         # of this read.
@@ -282,10 +287,20 @@
         self._read_succeeded()
         for record in page.records:
             if record.offset > self._newest_offsets.get(record.key, -1):
-                self._listener.on_record(record)
+                self._pass_on(record)
         self._next_offset = max(offset, page.next_offset)
         return page.end if page.records else self._next_offset
 
+    def _pass_on(self, record: FeedRecord) -> None:
+        """Pass on one record; a listener that fails must not stop the feed."""
+        try:
+            self._listener.on_record(record)
+        except Exception:
+            _log.exception(
+                "record not processed",
+                extra={"topic": self.name, "key": record.key, "offset": record.offset},
+            )
+
     def _reset_position(self, first_offset: int) -> bool:
         """Make the next read start with the newest records.
 
--- a/lentiltally/platform/desired_state.py
+++ b/lentiltally/platform/desired_state.py
@@ -19,6 +19,7 @@
     WeightedService,
 )
 from lentiltally.errors import LentiltallyError
+from lentiltally.platform._json import decode_json
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -110,7 +111,7 @@
 def decode_desired_state(value: bytes) -> DesiredState:
     """Decode the complete configuration; raises StoreValueError if it is malformed."""
     try:
-        config = msgspec.json.decode(value, type=_Config)
+        config = decode_json(value, _Config)
         routes = tuple(_to_route(route) for route in config.routes)
     except (msgspec.MsgspecError, KeyError) as error:
         raise StoreValueError(
@@ -138,7 +139,7 @@
 def decode_adapter_notice(value: bytes) -> AdapterNotice:
     """Decode the newest version of an adapter; raises StoreValueError if malformed."""
     try:
-        notice = msgspec.json.decode(value, type=_AdapterNotice)
+        notice = decode_json(value, _AdapterNotice)
     except msgspec.MsgspecError as error:
         raise StoreValueError(
             f"malformed version notice: {error}", step="decode version notice"
--- a/lentiltally/platform/engine_control.py
+++ b/lentiltally/platform/engine_control.py
@@ -15,6 +15,7 @@
 from lentiltally.direct.http_client import HttpClient
 from lentiltally.direct.http_connection import PeerError
 from lentiltally.direct.settings import SocketAddress
+from lentiltally.platform._json import decode_json
 from lentiltally.platform.desired_state import StoreValueError
 
 __all__ = ["EngineControlClient", "decode_report", "encode_order"]
@@ -125,7 +126,7 @@
     ``instance`` is the instance id of the engine, None if it is unknown.
     """
     try:
-        report = msgspec.json.decode(body, type=_Report)
+        report = decode_json(body, _Report)
     except msgspec.MsgspecError as error:
         raise StoreValueError(
             f"malformed engine report: {error}", step="decode report"
--- a/lentiltally/platform/store_client.py
+++ b/lentiltally/platform/store_client.py
@@ -25,6 +25,7 @@
     FeedTruncatedError,
 )
 from lentiltally.direct.settings import SocketAddress
+from lentiltally.platform._json import decode_json
 
 __all__ = ["StoreTopic"]
 
@@ -97,10 +98,7 @@
             if end is None:
                 end = page.end
                 next_offset = _next_offset(page)
-            records += [
-                FeedRecord(item.key, b64decode(item.value), item.offset)
-                for item in page.items
-            ]
+            records += [self._decode_item(item) for item in page.items]
             if not page.more or not page.items:
                 return FeedPage(end, tuple(records), next_offset)
             after_key = page.items[-1].key
@@ -142,7 +140,7 @@
             "records were deleted", step="read", peer=str(self.client.address)
         )
         try:
-            truncation = msgspec.json.decode(answer.body, type=_Truncation)
+            truncation = decode_json(answer.body, _Truncation)
             error.first_offset = truncation.first
         except msgspec.MsgspecError as problem:
             _log.warning(
@@ -153,10 +151,16 @@
 
     def _decode_newest_page(self, answer: HttpResponse) -> _NewestPage:
         try:
-            return msgspec.json.decode(answer.body, type=_NewestPage)
+            return decode_json(answer.body, _NewestPage)
         except msgspec.MsgspecError as error:
             raise self._error(f"malformed page: {error}") from error
 
+    def _decode_item(self, item: _NewestItem) -> FeedRecord:
+        try:
+            return FeedRecord(item.key, b64decode(item.value), item.offset)
+        except ValueError as error:
+            raise self._error(f"malformed value of {item.key}: {error}") from error
+
     def _decode_log_page(self, body: bytes, offset: int) -> FeedPage:
         if len(body) < _PAGE_HEADER.size:
             raise self._error("answer shorter than its header")
--- a/lentiltally/platform/target_list.py
+++ b/lentiltally/platform/target_list.py
@@ -7,6 +7,7 @@
 
 from lentiltally.direct.model import TargetRecord, TargetStage
 from lentiltally.direct.settings import SocketAddress
+from lentiltally.platform._json import decode_json
 from lentiltally.platform.desired_state import StoreValueError
 
 __all__ = ["TARGET_TOPIC", "decode_target_record"]
@@ -32,7 +33,7 @@
 def decode_target_record(target_id: str, value: bytes) -> TargetRecord:
     """Decode one record; raises StoreValueError if it describes no usable target."""
     try:
-        record = msgspec.json.decode(value, type=_Record)
+        record = decode_json(value, _Record)
         stage = _STAGES[record.state]
         SocketAddress.from_text(record.address)
     except (msgspec.MsgspecError, KeyError, ValueError) as error:
