--- a/tests/steps/direct_stop_steps.py
+++ b/tests/steps/direct_stop_steps.py
@@ -5,8 +5,9 @@
 import asyncio
 
 import h11
-from behave import then, when
+from behave import given, then, when
 
+from lentiltally.direct import entry_process
 from tests.fakes.direct import HOST
 
 CALLERS = 24
@@ -127,3 +128,44 @@
 def cut_none(context, least):
     assert context.answered + len(context.cut) >= least, context.answered
     assert not context.cut, (len(context.cut), context.cut[:5])
+
+
+@given("direct path keeps new connections for {quiet_s:g} s during a stop")
+def keeps_new_connections(context, quiet_s):
+    before = entry_process.QUIET_BEFORE_CLOSE_S
+    entry_process.QUIET_BEFORE_CLOSE_S = quiet_s
+    context.add_cleanup(setattr, entry_process, "QUIET_BEFORE_CLOSE_S", before)
+
+
+@when(
+    "direct path is asked to stop and gets connections {first_s:g} s and "
+    "{second_s:g} s later"
+)
+def late_connections(context, first_s, second_s):
+    system = context.direct
+    request = (
+        f"GET /safe/x HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r1\r\n\r\n".encode()
+    )
+
+    async def act():
+        address = system.entry_address
+        system._started[0][0].request()
+        await asyncio.sleep(first_s)
+        first = await asyncio.open_connection(address.ip, address.port)
+        await asyncio.sleep(second_s - first_s)
+        second = await asyncio.open_connection(address.ip, address.port)
+        answers = []
+        for reader, writer in (first, second):
+            writer.write(request)
+            answers.append(await asyncio.wait_for(reader.read(65_536), 5.0))
+            writer.transport.abort()
+        return answers
+
+    context.received = system.run(act())
+
+
+@then("direct path refused the request on each of them as not executed")
+def refused_each(context):
+    for data in context.received:
+        assert data.startswith(b"HTTP/1.1 503"), context.received
+        assert b'"executed":"no"' in data, data
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -451,12 +451,20 @@
         "decisions/direct_limits",
         "announced through few agents",
     ),
+    Mutation(
+        "new connections during a stop",
+        "direct/entry_process.py",
+        "if connection.idle_s(now_s) > QUIET_BEFORE_CLOSE_S:",
+        "if connection.is_idle:",
+        "direct/stop",
+        "still answers on connections that are new",
+    ),
     Mutation(
         "listener open during a stop",
         "direct/entry_process.py",
         "        self._forwarder.stop_accepting()\n",
         "        self._forwarder.stop_accepting()\n        server.close()\n",
         "direct/stop",
-        "answers every request",
+        "still answers on connections that are new",
     ),
 )
