--- a/lentiltally/decisions/target_choice.py
+++ b/lentiltally/decisions/target_choice.py
@@ -72,7 +72,6 @@
     max_penalized_positions: int = 4
     no_free_slot_penalty_s: float = 0.8
     wait_per_queued_load_s: float = 0.15
-    version_update_s: float = 0.3
     remote_domain_penalty_s: float = 0.003
     failure_penalty_s: float = 1.0
     avoided_penalty_s: float = 5.0
--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -24,7 +24,6 @@
 _log = logging.getLogger(__name__)
 
 RawHeaders = list[tuple[bytes, bytes]]
-CHECK_TIMEOUTS_S = 0.25
 # Writing pauses while a slow caller has left this much of an answer unread.
 MAX_WRITE_BUFFER_BYTES = 256 * 1024
 
@@ -119,11 +118,6 @@
         """Return how long no request has been read or answered, 0 if one is."""
         return now_s - self._waiting_since_s if self.is_idle else 0.0
 
-    @property
-    def has_started_answer(self) -> bool:
-        """Return whether the head of the answer was written."""
-        return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
-
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
--- a/lentiltally/direct/http_connection.py
+++ b/lentiltally/direct/http_connection.py
@@ -57,7 +57,6 @@
         self.used_at_s = 0.0
         self.keep_alive_s: float | None = None
         self.requests = 0
-        self.has_sent_all = True
         self._transport: asyncio.Transport | None = None
         self._http = h11.Connection(
             h11.CLIENT, max_incomplete_event_size=MAX_HEAD_BYTES
