--- a/lentiltally/direct/keyed_feed.py
+++ b/lentiltally/direct/keyed_feed.py
@@ -39,6 +39,7 @@
 # be lost. The store answers all waiting reads at once, so the answer is lost if agents
 # have known of news for this long.
 CHECK_INTERVAL_S = 0.25
+# No long poll is waited for any longer, whatever agents report.
 LONG_POLL_MAX_S = 30.0
 # A feed that is behind by more reads the newest record of each key instead.
 MIN_DISTANCE_FOR_NEWEST = 100
