Stop entries in the test after a number of requests, not after a time

The number that callers get through before the stop depends on the machine; the check on it could fail on a slow one. It now waits for that number, so it checks as much.

--- a/tests/steps/direct_stop_steps.py
+++ b/tests/steps/direct_stop_steps.py
@@ -11,7 +11,6 @@
 from tests.fakes.direct import HOST
 
 CALLERS = 24
-LOAD_BEFORE_STOP_S = 0.3
 REQUESTS_PER_CONNECTION = 4
 
 
@@ -113,13 +112,13 @@
 
         async def act(callers=callers, stop_signal=stop_signal, task=task):
             load = asyncio.create_task(callers.run())
-            await asyncio.sleep(LOAD_BEFORE_STOP_S)
+            while callers.answered < least:
+                await asyncio.sleep(0.01)
             stop_signal.request()
             await task
             await load
 
         system.run(act())
-        assert callers.answered >= least, callers.answered
         context.answered += callers.answered
         context.cut += callers.cut
 
