Tell requests that the end of an entry cuts from callers that left

"request ended" now has the outcome "stopped" if the caller's connection is still open, and "idle connection closed" names the caller's address, the reason (stop or idle limit), how long the connection was idle and how many requests it carried.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -97,6 +97,8 @@
             h11.SERVER, max_incomplete_event_size=limits.header_bytes
         )
         self._transport: asyncio.Transport | None = None
+        self._peer = ""
+        self._requests = 0
         self._task: asyncio.Task[None] | None = None
         self._head: h11.Request | None = None
         self._head_at_s = 0.0
@@ -122,6 +124,9 @@
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
+        # None if the caller has closed already.
+        peer = transport.get_extra_info("peername")
+        self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
         set_socket_options(transport.get_extra_info("socket"))
         transport.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
         self._handler.opened(self)
@@ -171,7 +176,7 @@
             if waited_s > limits.header_timeout_s:
                 self._reject(408, "request-timeout", "the request came too slowly")
         elif waited_s > limits.idle_timeout_s:
-            self.close()
+            self.close_idle("idle limit")
 
     async def drain(self) -> None:
         """Wait until the write buffer has room; raises CallerDisconnectedError."""
@@ -216,6 +221,23 @@
         if self._transport is not None:
             self._transport.close()
 
+    def close_idle(self, reason: str) -> None:
+        """Close between two requests, and log it.
+
+        A request that is on its way then is never read, so no other line names it.
+        """
+        idle_s = self.idle_s(self._clock.monotonic_s())
+        _log.info(
+            "idle connection closed",
+            extra={
+                "peer": self._peer,
+                "reason": reason,
+                "idle_s": round(idle_s, 3),
+                "requests": self._requests,
+            },
+        )
+        self.close()
+
     def abort(self) -> None:
         """Close at once, so that the caller sees that an answer is incomplete."""
         if self._transport is not None:
@@ -290,6 +312,7 @@
             self._head_at_s,
         )
         self._body.clear()
+        self._requests += 1
         self._task = asyncio.get_running_loop().create_task(self._serve(request))
 
     async def _serve(self, request: RawRequest) -> None:
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -295,7 +295,7 @@
                 server.close()
             for connection in list(self._connections):
                 if connection.idle_s(now_s) > QUIET_BEFORE_CLOSE_S:
-                    connection.close()
+                    connection.close_idle("stop")
             await asyncio.sleep(0.05)
         server.close()
 
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -103,7 +103,9 @@
             self._detail = self._detail or "the deadline passed"
             self._give_up(504)
         except (asyncio.CancelledError, CallerDisconnectedError):
-            self._record_end("caller gone")
+            # The end of the process cancels a request whose caller still waits.
+            is_gone = self._connection.is_disconnected
+            self._record_end("caller gone" if is_gone else "stopped")
             raise
         self._record_end("broken off" if self._answer.is_aborted else "answered")
 
