Give a silent target up only once another one is ready

Cause: an attempt that was silent beyond its timeouts (1.3 s between events, 0.4 of the time left before the first byte) was ended first, and another target was looked for then. With all adapter slots in use none took the request, and a stream that had begun was aborted. Class of fault: giving up what works before its replacement is certain.

Change: while an attempt is silent, AttemptPreparation acquires everything that the next one needs (target, adapter, connection, retry budget). Only then is the silent one ended. If the target goes on first, the search ends and its pins are released; if no target takes the request, all are asked again every 0.3 s until the deadline. RequestHandling keeps the results, AttemptPreparation has what it did to prepare an attempt.

Ruled out: a longer gap timeout alone, because a stream whose engine really hangs would wait in vain although others are free.

--- /dev/null
+++ b/lentiltally/direct/attempt_preparation.py
@@ -0,0 +1,258 @@
+"""Prepares the next attempt of a request: target, adapter, connection, retry budget.
+
+Everything that another target needs before it can take a request is acquired here, so
+that an attempt that is under way has to be given up only once the next one is ready.
+"""
+
+from __future__ import annotations
+
+from dataclasses import dataclass, field, replace
+
+from lentiltally.clock import Clock
+from lentiltally.decisions.target_choice import Candidate
+from lentiltally.direct.adapter_pin import AdapterPin
+from lentiltally.direct.agent_client import AcquireResult
+from lentiltally.direct.forwarding import ForwardingContext
+from lentiltally.direct.handling_log import HandlingLog
+from lentiltally.direct.http_connection import ConnectError, HttpConnection
+from lentiltally.direct.model import Route, Service, TargetRecord
+from lentiltally.direct.request import CallerRequest
+from lentiltally.direct.target_sender import TargetSender
+
+__all__ = ["AttemptPreparation", "PreparedAttempt"]
+
+
+@dataclass(frozen=True, slots=True)
+class PreparedAttempt:
+    """A target that is ready for a request, with the adapter pinned and a connection.
+
+    ``grant`` is the answer of the target's agent, None if none was needed.
+    """
+
+    candidate: Candidate
+    grant: AcquireResult | None
+    connection: HttpConnection
+
+    @property
+    def record(self) -> TargetRecord:
+        """Return the target's record."""
+        return self.candidate.record
+
+
+@dataclass(slots=True)
+class _Tries:
+    """Which targets are excluded for a request, and why the last one failed.
+
+    ``rejections`` and ``declines`` count the targets that rejected the request and the
+    agents that did not pin its adapter.
+    """
+
+    excluded: set[str] = field(default_factory=set)
+    rejections: int = 0
+    declines: int = 0
+    detail: str = ""
+    peer: str = ""
+
+
+class AttemptPreparation:
+    """Chooses targets for one request and prepares attempts at them."""
+
+    def __init__(
+        self,
+        context: ForwardingContext,
+        request: CallerRequest,
+        route: Route,
+        service: Service,
+        deadline_s: float,
+        *,
+        sender: TargetSender,
+        pin: AdapterPin,
+        log: HandlingLog,
+    ) -> None:
+        """Prepare attempts at the targets of a service until the deadline."""
+        self._context = context
+        self._state = context.state
+        self._settings = context.settings
+        self._clock: Clock = context.clock
+        self._request = request
+        self._route = route
+        self._service = service
+        self._deadline_s = deadline_s
+        self._sender = sender
+        self._pin = pin
+        self._log = log
+        self._tries = _Tries()
+
+    @property
+    def last_failure(self) -> tuple[str, str]:
+        """Return the reason and the target of the last failure, empty if none."""
+        return self._tries.detail, self._tries.peer
+
+    async def next(self, attempts: int) -> PreparedAttempt | None:
+        """Return an attempt that is ready to be sent, None if no target is left.
+
+        ``attempts`` is the number of attempts before it: another one needs the retry
+        budget.
+        """
+        while (candidate := self._choose()) is not None and self._is_allowed(attempts):
+            prepared = await self._prepare(candidate, attempts)
+            if prepared is not None:
+                return prepared
+        return None
+
+    async def replacement(self, attempts: int) -> PreparedAttempt | None:
+        """Return an attempt that may replace the one under way, like ``next``.
+
+        Targets that don't take the request now may be tried again later.
+        """
+        before = self._tries
+        self._tries = replace(before, excluded=set(before.excluded))
+        try:
+            return await self.next(attempts)
+        finally:
+            self._tries = before
+
+    def sent(self, record: TargetRecord) -> None:
+        """Exclude a target that the request was sent to."""
+        self._tries.excluded.add(record.target_id)
+
+    def failed(self, record: TargetRecord, detail: str) -> None:
+        """Note why the last attempt failed."""
+        self._tries.detail, self._tries.peer = detail, record.target_id
+
+    def rejected(self, record: TargetRecord) -> None:
+        """Count a rejection without execution, and avoid the target for a while."""
+        self._tries.rejections += 1
+        until_s = self._clock.monotonic_s() + self._settings.rejection_cooldown_s
+        self._state.choice.avoid(record.target_id, until_s)
+
+    def release(self, record: TargetRecord) -> None:
+        """Release the adapter of an attempt that has ended or was not made."""
+        if self._service.engine is not None:
+            self._pin.release(record)
+
+    def dismiss(self, prepared: PreparedAttempt) -> None:
+        """Give up a prepared attempt that was not made."""
+        prepared.connection.close()
+        self.release(prepared.record)
+
+    @property
+    def _left_s(self) -> float:
+        return self._deadline_s - self._clock.monotonic_s()
+
+    @property
+    def _objective_left_s(self) -> float:
+        since_s = self._clock.monotonic_s() - self._request.arrived_s
+        return self._route.objective_s - since_s
+
+    def _choose(self) -> Candidate | None:
+        """Return the best target that is not excluded."""
+        now_s = self._clock.monotonic_s()
+        records = self._state.directory.usable(self._service.name)
+        choice = self._state.choice
+        excluded = self._tries.excluded
+        if self._service.engine is None:
+            candidates = choice.rank_service_targets(records, excluded, now_s)
+        else:
+            adapter = self._request.adapter
+            candidates = choice.rank_engines(
+                records,
+                adapter.key if adapter else "",
+                self._request.prompt_tokens,
+                excluded,
+                now_s,
+                needs_adapter=adapter is not None and bool(adapter.adapter),
+            )
+        return candidates[0] if candidates else None
+
+    def _is_allowed(self, attempts: int) -> bool:
+        """Return whether the limits and the retry budget allow another attempt."""
+        settings = self._settings
+        if self._tries.rejections >= settings.max_rejections:
+            return False
+        if self._tries.declines >= settings.max_declines:
+            return False
+        if attempts == 0:
+            return True
+        budget = self._state.budget(self._service.name)
+        return (
+            budget.remaining(self._state.entry_count, self._clock.monotonic_s()) >= 1.0
+        )
+
+    async def _prepare(
+        self, candidate: Candidate, attempts: int
+    ) -> PreparedAttempt | None:
+        """Acquire all that an attempt needs; return None if the target lacks some."""
+        prepared: PreparedAttempt | None = None
+        try:
+            prepared = await self._acquire(candidate, attempts)
+            return prepared
+        finally:
+            if prepared is None:
+                # Also after a cancellation: the agent may have granted the adapter.
+                self.release(candidate.record)
+
+    async def _acquire(
+        self, candidate: Candidate, attempts: int
+    ) -> PreparedAttempt | None:
+        record = candidate.record
+        grant: AcquireResult | None = None
+        if self._service.engine is not None:
+            grant = await self._pin.acquire(
+                candidate, self._left_s, self._objective_left_s
+            )
+            if grant is not None and not grant.is_granted:
+                self._declined(record, grant)
+                return None
+            if not self._state.directory.is_usable(record.target_id):
+                self._drained_meanwhile(record)
+                return None
+        connection = await self._connect(record)
+        if connection is None:
+            return None
+        if attempts > 0 and not self._spend_retry():
+            connection.close()
+            # No other target may be tried either.
+            self._tries.rejections = self._settings.max_rejections
+            return None
+        return PreparedAttempt(candidate, grant, connection)
+
+    def _declined(self, record: TargetRecord, grant: AcquireResult) -> None:
+        """Exclude a target whose agent did not grant the adapter."""
+        self._tries.declines += 1
+        detail = f"adapter not held: {grant.reason}"
+        is_unreachable = grant.is_timed_out or grant.is_engine_unresponsive
+        self._exclude(record, detail, is_unreachable=is_unreachable)
+        self._log.step("adapter declined", record.target_id, reason=grant.reason)
+
+    def _drained_meanwhile(self, record: TargetRecord) -> None:
+        """Exclude a target that began to drain while its agent loaded the adapter."""
+        self._exclude(record, "the target leaves", is_unreachable=False)
+        self._log.step(
+            "target draining or removed", record.target_id, reason="leaves or is gone"
+        )
+
+    def _exclude(
+        self, record: TargetRecord, detail: str, *, is_unreachable: bool
+    ) -> None:
+        """Exclude a target for this request.
+
+        All requests avoid an unreachable target for ``unreachable_cooldown_s``.
+        """
+        self._tries.excluded.add(record.target_id)
+        self.failed(record, detail)
+        if is_unreachable:
+            until_s = self._clock.monotonic_s() + self._settings.unreachable_cooldown_s
+            self._state.mark_unreachable(record.target_id, until_s)
+
+    async def _connect(self, record: TargetRecord) -> HttpConnection | None:
+        try:
+            return await self._sender.connect(record, self._left_s)
+        except ConnectError as error:
+            self._exclude(record, str(error), is_unreachable=True)
+            self._log.step("target unreachable", record.target_id, reason=str(error))
+            return None
+
+    def _spend_retry(self) -> bool:
+        budget = self._state.budget(self._service.name)
+        return budget.spend(self._state.entry_count, self._clock.monotonic_s())
--- a/lentiltally/direct/forwarding.py
+++ b/lentiltally/direct/forwarding.py
@@ -26,12 +26,14 @@
     One agent may keep a request waiting for ``acquire_wait_share`` of the time to its
     deadline, at most ``max_acquire_wait_s``; ``connect_timeout_share`` and
     ``max_connect_timeout_s`` limit the time to open a connection likewise.
-    ``attempt_timeouts`` apply where another target may take over. Targets are told to
-    check for a new adapter version once it has been known for ``version_check_share``
-    of the bound within which it must be in use. ``rejection_cooldown_s`` and
-    ``unreachable_cooldown_s`` are how long a target is avoided after it rejected a
-    request or could not be reached. A refused caller is told to retry after a random
-    time between ``min_retry_after_s`` and ``max_retry_after_s``.
+    ``attempt_timeouts`` apply where another target may take over. While none takes over
+    from a silent target, all are asked again every ``replacement_interval_s``. Targets
+    are told to check for a new adapter version once it has been known for
+    ``version_check_share`` of the bound within which it must be in use.
+    ``rejection_cooldown_s`` and ``unreachable_cooldown_s`` are how long a target is
+    avoided after it rejected a request or could not be reached. A refused caller is
+    told to retry after a random time between ``min_retry_after_s`` and
+    ``max_retry_after_s``.
     """
 
     deadline_margin_s: float = 0.03
@@ -40,6 +42,7 @@
     acquire_wait_share: float = 0.3
     max_acquire_wait_s: float = 1.5
     attempt_timeouts: TargetTimeoutSettings = TargetTimeoutSettings()
+    replacement_interval_s: float = 0.3
     version_check_share: float = 0.5
     connect_timeout_share: float = 0.3
     max_connect_timeout_s: float = 0.5
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -1,14 +1,14 @@
-"""Handles one request: choose a target, acquire the adapter, send and read."""
+"""Handles one request: sends it to prepared targets until it is answered."""
 
 from __future__ import annotations
 
 import asyncio
 
 from lentiltally.decisions.crash_suspects import request_fingerprint
-from lentiltally.decisions.target_choice import Candidate
 from lentiltally.decisions.target_timeouts import TargetTimeouts
 from lentiltally.direct.adapter_pin import AdapterPin
 from lentiltally.direct.agent_client import AcquireResult
+from lentiltally.direct.attempt_preparation import AttemptPreparation, PreparedAttempt
 from lentiltally.direct.caller_answer import CallerAnswer
 from lentiltally.direct.caller_connection import (
     CallerConnection,
@@ -16,7 +16,6 @@
 )
 from lentiltally.direct.forwarding import ForwardingContext
 from lentiltally.direct.handling_log import HandlingLog
-from lentiltally.direct.http_connection import ConnectError, HttpConnection
 from lentiltally.direct.model import Route, RouteKind, Service, TargetRecord
 from lentiltally.direct.request import CallerRequest, TargetAttempt
 from lentiltally.direct.target_exchange import (
@@ -24,7 +23,7 @@
     ExchangeResult,
 )
 from lentiltally.direct.target_sender import TargetSender
-from lentiltally.problems import Executed, Refusal
+from lentiltally.problems import Refusal
 
 __all__ = ["RequestHandling"]
 
@@ -60,28 +59,28 @@
         self._log = HandlingLog(request, route.name, context.clock)
         timeout_s = request.timeout_s or route.timeout_s
         self._deadline_s = request.arrived_s + min(timeout_s, route.timeout_s)
+        self._preparation = AttemptPreparation(
+            context,
+            request,
+            route,
+            service,
+            self._deadline_s,
+            sender=self._sender,
+            pin=self._pin,
+            log=self._log,
+        )
+        self._replacement: PreparedAttempt | None = None
         self._fingerprint = _fingerprint_of(request)
-        self._excluded: set[str] = set()
         # Requests sent to targets, and those of them that may have been executed.
         self._attempts = 0
         self._executions = 0
         self._is_in_flight = False
-        self._rejections = 0
-        self._declines = 0
         self._failed_answer: ExchangeResult | None = None
-        # Reason and target of the last failure, for a refusal.
-        self._detail = ""
-        self._peer = ""
 
     @property
     def _left_s(self) -> float:
         return self._deadline_s - self._clock.monotonic_s()
 
-    @property
-    def _objective_left_s(self) -> float:
-        since_s = self._clock.monotonic_s() - self._request.arrived_s
-        return self._route.objective_s - since_s
-
     async def run(self) -> None:
         """Answer the request.
 
@@ -100,8 +99,7 @@
             async with asyncio.timeout(limit_s):
                 await self._send_until_answered()
         except TimeoutError:
-            self._detail = self._detail or "the deadline passed"
-            self._give_up(504)
+            self._give_up(504, "the deadline passed")
         except (asyncio.CancelledError, CallerDisconnectedError):
             # The end of the process cancels a request whose caller still waits.
             is_gone = self._connection.is_disconnected
@@ -122,125 +120,52 @@
             )
 
     async def _send_until_answered(self) -> None:
-        while True:
-            candidate = self._choose()
-            if candidate is None or not self._may_attempt():
-                self._give_up(502)
-                return
-            result = await self._attempt(candidate)
-            if result is not None and self._process_result(candidate.record, result):
-                return
-
-    def _choose(self) -> Candidate | None:
-        """Return the best target that has not been tried yet."""
-        now_s = self._clock.monotonic_s()
-        records = self._state.directory.usable(self._service.name)
-        choice = self._state.choice
-        if self._service.engine is None:
-            candidates = choice.rank_service_targets(records, self._excluded, now_s)
-        else:
-            adapter = self._request.adapter
-            candidates = choice.rank_engines(
-                records,
-                adapter.key if adapter else "",
-                self._request.prompt_tokens,
-                self._excluded,
-                now_s,
-                needs_adapter=adapter is not None and bool(adapter.adapter),
-            )
-        return candidates[0] if candidates else None
-
-    def _may_attempt(self) -> bool:
-        """Return whether the limits and the retry budget allow another attempt."""
-        settings = self._settings
-        if self._rejections >= settings.max_rejections:
-            return False
-        if self._declines >= settings.max_declines:
-            return False
-        if self._attempts == 0:
-            return True
-        budget = self._state.budget(self._service.name)
-        return (
-            budget.remaining(self._state.entry_count, self._clock.monotonic_s()) >= 1.0
-        )
-
-    async def _attempt(self, candidate: Candidate) -> ExchangeResult | None:
-        """Acquire the adapter and send; return None if nothing was sent."""
-        if self._service.engine is None:
-            return await self._send(candidate, None)
         try:
-            grant = await self._pin.acquire(
-                candidate, self._left_s, self._objective_left_s
-            )
-            if grant is not None and not grant.is_granted:
-                self._declined(candidate.record, grant)
-                return None
-            if not self._state.directory.is_usable(candidate.record.target_id):
-                self._drained_meanwhile(candidate.record)
-                return None
-            return await self._send(candidate, grant)
+            while (prepared := await self._next_attempt()) is not None:
+                result = await self._send(prepared)
+                if self._process_result(prepared.record, result):
+                    return
+            self._give_up(502)
         finally:
-            # Also after a cancellation, because the agent may have granted the adapter.
-            self._pin.release(candidate.record)
-
-    def _declined(self, record: TargetRecord, grant: AcquireResult) -> None:
-        """Exclude a target whose agent did not grant the adapter."""
-        self._declines += 1
-        detail = f"adapter not held: {grant.reason}"
-        is_unreachable = grant.is_timed_out or grant.is_engine_unresponsive
-        self._exclude(record, detail, is_unreachable=is_unreachable)
-        self._log.step("adapter declined", record.target_id, reason=grant.reason)
+            self.dismiss_replacement()
 
-    def _drained_meanwhile(self, record: TargetRecord) -> None:
-        """Exclude a target that began to drain while its agent loaded the adapter."""
-        self._exclude(record, "the target leaves", is_unreachable=False)
-        self._log.step(
-            "target draining or removed", record.target_id, reason="leaves or is gone"
-        )
+    async def _next_attempt(self) -> PreparedAttempt | None:
+        prepared, self._replacement = self._replacement, None
+        return prepared or await self._preparation.next(self._attempts)
 
-    def _exclude(
-        self, record: TargetRecord, detail: str, *, is_unreachable: bool
-    ) -> None:
-        """Exclude a target for this request.
+    async def find_replacement(self) -> None:
+        """Prepare an attempt that replaces a stalled one; return once there is one.
 
-        All requests avoid an unreachable target for ``unreachable_cooldown_s``.
+        The stalled target may go on meanwhile, so it is not given up before.
         """
-        self._excluded.add(record.target_id)
-        self._detail, self._peer = detail, record.target_id
-        if is_unreachable:
-            until_s = self._clock.monotonic_s() + self._settings.unreachable_cooldown_s
-            self._state.mark_unreachable(record.target_id, until_s)
+        self._log.stalled(self._attempts)
+        while True:
+            prepared = await self._preparation.replacement(self._attempts)
+            if prepared is not None:
+                self._replacement = prepared
+                return
+            await asyncio.sleep(self._settings.replacement_interval_s)
 
-    async def _send(
-        self, candidate: Candidate, grant: AcquireResult | None
-    ) -> ExchangeResult | None:
-        """Send to a target; return None if it is unreachable or no retry is left."""
-        record = candidate.record
-        connection = await self._connect(record)
-        if connection is None:
-            return None
-        if self._attempts > 0 and not self._spend_retry():
-            connection.close()
-            # Makes ``_may_attempt`` end the attempts.
-            self._rejections = self._settings.max_rejections
-            return None
+    def dismiss_replacement(self) -> None:
+        """Give up a replacement that is not needed any more."""
+        prepared, self._replacement = self._replacement, None
+        if prepared is not None:
+            self._preparation.dismiss(prepared)
+
+    async def _send(self, prepared: PreparedAttempt) -> ExchangeResult:
+        """Send to a prepared target and read its answer."""
+        record = prepared.record
         self._attempts += 1
         self._is_in_flight = True
-        self._log.sent(candidate, self._left_s, self._attempts)
-        attempt = self._target_attempt(record, grant)
-        return await self._sender.send(record, connection, attempt, self._timeouts())
-
-    async def _connect(self, record: TargetRecord) -> HttpConnection | None:
+        self._preparation.sent(record)
+        self._log.sent(prepared.candidate, self._left_s, self._attempts)
+        attempt = self._target_attempt(record, prepared.grant)
         try:
-            return await self._sender.connect(record, self._left_s)
-        except ConnectError as error:
-            self._exclude(record, str(error), is_unreachable=True)
-            self._log.step("target unreachable", record.target_id, reason=str(error))
-            return None
-
-    def _spend_retry(self) -> bool:
-        budget = self._state.budget(self._service.name)
-        return budget.spend(self._state.entry_count, self._clock.monotonic_s())
+            return await self._sender.send(
+                record, prepared.connection, attempt, self._timeouts(), self
+            )
+        finally:
+            self._preparation.release(record)
 
     def _target_attempt(
         self, record: TargetRecord, grant: AcquireResult | None
@@ -274,12 +199,11 @@
         """Process the result of an attempt; return whether the request is answered."""
         outcome = result.outcome
         self._is_in_flight = False
-        self._excluded.add(record.target_id)
         if outcome is ExchangeOutcome.DELIVERED:
             now_s = self._clock.monotonic_s()
             self._state.suspects.finished(self._fingerprint, now_s)
             return True
-        self._detail, self._peer = result.detail, record.target_id
+        self._preparation.failed(record, result.detail)
         self._log.step(
             "attempt failed",
             record.target_id,
@@ -287,16 +211,10 @@
             outcome=outcome.value,
         )
         if outcome is ExchangeOutcome.NOT_RUN:
-            self._record_rejection(record)
+            self._preparation.rejected(record)
             return False
         return self._finish_unless_retryable(record, result)
 
-    def _record_rejection(self, record: TargetRecord) -> None:
-        """Count a rejection without execution, and avoid the target for a while."""
-        self._rejections += 1
-        until_s = self._clock.monotonic_s() + self._settings.rejection_cooldown_s
-        self._state.choice.avoid(record.target_id, until_s)
-
     def _finish_unless_retryable(
         self, record: TargetRecord, result: ExchangeResult
     ) -> bool:
@@ -315,29 +233,36 @@
         self._give_up(502)
         return True
 
-    def _give_up(self, status: int) -> None:
-        """Give the request its final answer without a retry; may raise Refusal."""
+    def _give_up(self, status: int, detail: str = "") -> None:
+        """Give the request its final answer without a retry; may raise Refusal.
+
+        ``detail`` is the reason unless an attempt has failed before.
+        """
+        failure, peer = self._preparation.last_failure
+        detail = failure or detail or "no target can run the request now"
         if self._answer.is_started:
-            self._log.step("stream aborted", self._peer, reason=self._detail)
+            self._log.step("stream aborted", peer, reason=detail)
             self._answer.abort()
         elif self._failed_answer is not None and self._failed_answer.head is not None:
             self._answer.send_whole(self._failed_answer.head, self._failed_answer.body)
         elif self._executions > 0 or self._is_in_flight:
-            raise self._refusal(status, "target-failed", "unknown")
+            raise Refusal(
+                status,
+                "target-failed",
+                detail,
+                step="send",
+                peer=peer,
+                executed="unknown",
+            )
         else:
-            raise self._refusal(503, "no-target", "no")
-
-    def _refusal(self, status: int, reason: str, executed: Executed) -> Refusal:
-        is_retryable = executed == "no"
-        return Refusal(
-            status,
-            reason,
-            self._detail or "no target can run the request now",
-            step="send",
-            peer=self._peer,
-            executed=executed,
-            retry_after_s=self._context.retry_after_s() if is_retryable else None,
-        )
+            raise Refusal(
+                503,
+                "no-target",
+                detail,
+                step="send",
+                peer=peer,
+                retry_after_s=self._context.retry_after_s(),
+            )
 
     def _record_end(self, outcome: str) -> None:
         took_s = self._log.ended(
--- a/lentiltally/direct/handling_log.py
+++ b/lentiltally/direct/handling_log.py
@@ -42,6 +42,11 @@
             },
         )
 
+    def stalled(self, attempt: int) -> None:
+        """Log that the target of an attempt is silent and a replacement is sought."""
+        extra = {"request": self._request.request_id, "arrival": attempt}
+        _log.info("target silent", extra=extra)
+
     def step(self, message: str, target: str, **fields: object) -> None:
         """Log the result of one step of handling the request."""
         extra = {"request": self._request.request_id, "target": target, **fields}
--- a/lentiltally/direct/target_exchange.py
+++ b/lentiltally/direct/target_exchange.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+import contextlib
 import enum
 from dataclasses import dataclass
-from typing import Protocol
+from typing import Any, Protocol, TypeVar
 
 import h11
 
@@ -18,7 +19,13 @@
 from lentiltally.direct.platform_interfaces import HeaderCodec
 from lentiltally.direct.request import AnswerHead, CallerRequest, TargetAttempt
 
-__all__ = ["ExchangeListener", "ExchangeOutcome", "ExchangeResult", "TargetExchange"]
+__all__ = [
+    "ExchangeListener",
+    "ExchangeOutcome",
+    "ExchangeResult",
+    "ReplacementSearch",
+    "TargetExchange",
+]
 
 # Answers to other requests that may arrive on the connection before the right one, and
 # the body that each of them may have.
@@ -26,6 +33,8 @@
 MAX_UNRELATED_BODY_BYTES = 256 * 1024
 MAX_ANSWER_BODY_BYTES = 16 * 1024 * 1024
 
+_T = TypeVar("_T")
+
 
 class ExchangeListener(Protocol):
     """Is notified of an answer while it is being received."""
@@ -42,6 +51,18 @@
         ...
 
 
+class ReplacementSearch(Protocol):
+    """Looks for a target that can take over from a silent one."""
+
+    async def find_replacement(self) -> None:
+        """Return once another target is ready; it is cancelled if none is needed."""
+        ...
+
+    def dismiss_replacement(self) -> None:
+        """Give up a target that was found, because the silent one goes on."""
+        ...
+
+
 class ExchangeOutcome(enum.Enum):
     """What is known after an attempt.
 
@@ -87,6 +108,7 @@
         timeouts: TargetTimeouts,
         *,
         listener: ExchangeListener,
+        replacements: ReplacementSearch,
     ) -> None:
         """Prepare an attempt on a connection that nothing else uses."""
         self._header_codec = header_codec
@@ -95,6 +117,7 @@
         self._request = request
         self._timeouts = timeouts
         self._listener = listener
+        self._silence = _Silence(replacements)
         self._has_begun = False
         self.head: AnswerHead | None = None
         self.sent_at_s = 0.0
@@ -103,6 +126,14 @@
         self, attempt: TargetAttempt, answer: CallerAnswer, *, is_stream: bool
     ) -> ExchangeResult:
         """Send the request and read its answer; a failure is returned, not raised."""
+        try:
+            return await self._exchange(attempt, answer, is_stream)
+        finally:
+            self._silence.end()
+
+    async def _exchange(
+        self, attempt: TargetAttempt, answer: CallerAnswer, is_stream: bool
+    ) -> ExchangeResult:
         request = self._request
         self.sent_at_s = self._clock.monotonic_s()
         try:
@@ -112,8 +143,7 @@
                 self._header_codec.encode_headers(request, attempt),
                 request.body,
             )
-            async with asyncio.timeout(self._timeouts.first_byte_s):
-                head = await self._own_head()
+            head = await self._timely_head()
         except PeerError as error:
             return self._failed(ExchangeOutcome.UNKNOWN, str(error), was_reset=True)
         except TimeoutError:
@@ -127,6 +157,14 @@
         except TimeoutError:
             return self._failed(ExchangeOutcome.SLOW, "the answer stopped")
 
+    async def _timely_head(self) -> AnswerHead:
+        """Return the head; raises TimeoutError if it is late and there is a target."""
+        first_byte_s = self._timeouts.first_byte_s
+        if first_byte_s is None:
+            return await self._own_head()
+        head = asyncio.ensure_future(self._own_head())
+        return await self._silence.outlast(head, first_byte_s)
+
     async def _own_head(self) -> AnswerHead:
         """Return the head of this request's answer; skip answers to other requests.
 
@@ -209,12 +247,22 @@
                 raise self._protocol_error("unrelated answer too large")
 
     async def _next_event(self, progress: AnswerProgress) -> Event:
-        """Return the next event; raises TimeoutError once the answer has stalled."""
+        """Return the next event.
+
+        Raises TimeoutError if the answer has stalled and another target is ready.
+        """
         stalled_at_s = progress.stalled_at_s
         if stalled_at_s is None:
             return await self._connection.next_event()
-        async with asyncio.timeout(stalled_at_s - self._clock.monotonic_s()):
-            return await self._connection.next_event()
+        left_s = stalled_at_s - self._clock.monotonic_s()
+        if left_s > 0:
+            self._silence.broken()
+            with contextlib.suppress(TimeoutError):
+                async with asyncio.timeout(left_s):
+                    return await self._connection.next_event()
+        return await self._silence.outlast(
+            asyncio.ensure_future(self._connection.next_event())
+        )
 
     def _record_begin(self) -> None:
         if not self._has_begun:
@@ -231,5 +279,53 @@
         return PeerError(detail, step="answer", peer=str(self._connection.address))
 
 
+class _Silence:
+    """The time in which an answer has stalled, while a replacement is sought.
+
+    The target is given up only for another one that is ready: a sound target may be
+    silent for a moment, and nothing would be left if the others are full.
+    """
+
+    def __init__(self, replacements: ReplacementSearch) -> None:
+        """Start while the target is not silent."""
+        self._replacements = replacements
+        self._search: asyncio.Task[None] | None = None
+
+    async def outlast(self, work: asyncio.Future[_T], normal_s: float = 0.0) -> _T:
+        """Return the result of ``work`` unless a replacement is ready before.
+
+        No replacement is sought in the first ``normal_s``. Raises TimeoutError if there
+        is one; ``work`` is cancelled then.
+        """
+        try:
+            await asyncio.wait({work}, timeout=normal_s)
+            if not work.done():
+                await self._wait(work)
+            return await work
+        finally:
+            work.cancel()
+
+    def broken(self) -> None:
+        """End the search, because the target goes on."""
+        if self._search is not None:
+            self.end()
+            self._search = None
+            self._replacements.dismiss_replacement()
+
+    def end(self) -> None:
+        """Stop searching; a target that was found is kept."""
+        if self._search is not None:
+            self._search.cancel()
+
+    async def _wait(self, work: asyncio.Future[_T]) -> None:
+        if self._search is None:
+            self._search = asyncio.ensure_future(self._replacements.find_replacement())
+        pending: set[asyncio.Future[Any]] = {work, self._search}
+        await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
+        if not work.done():
+            self._search.result()
+            raise TimeoutError
+
+
 def _is_signed_and_unencoded(head: AnswerHead) -> bool:
     return head.signature is not None and not head.is_encoded
--- a/lentiltally/direct/target_sender.py
+++ b/lentiltally/direct/target_sender.py
@@ -14,6 +14,7 @@
 from lentiltally.direct.target_exchange import (
     ExchangeOutcome,
     ExchangeResult,
+    ReplacementSearch,
     TargetExchange,
 )
 
@@ -103,8 +104,13 @@
         connection: HttpConnection,
         attempt: TargetAttempt,
         timeouts: TargetTimeouts,
+        replacements: ReplacementSearch,
     ) -> ExchangeResult:
-        """Send to a target and read its answer."""
+        """Send to a target and read its answer.
+
+        A target that is silent for longer than ``timeouts`` is given up once
+        ``replacements`` has found another one.
+        """
         observer = _AnswerObserver(
             self._choice, self._clock, self._pin, self._request, record
         )
@@ -115,6 +121,7 @@
             self._request,
             timeouts,
             listener=observer,
+            replacements=replacements,
         )
         self._choice.sent(record.target_id, self._request.prompt_tokens)
         is_stream = self._route.kind is RouteKind.STREAM
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -63,6 +63,7 @@
     - ``cut``: resets the connection in the middle of the third event of a stream
     - ``skip``: leaves the third event of a stream out
     - ``stall``: sends two events of a stream and then nothing more
+    - ``pause``: sends two events of a stream, nothing for ``pause_s``, then the rest
     - ``drip``: sends two events of a stream, or a part of a body, and then a byte every
       0.1 s
     - ``stale-refusal``: executes, but first repeats the refusal of an earlier request
@@ -97,6 +98,7 @@
     load_s: float = 0.02
     event_s: float = 0.002
     answer_after_s: float = 0.0
+    pause_s: float = 2.0
     ip: str = ""
     service: str = ""
     script: deque[str] = field(default_factory=deque)
@@ -265,6 +267,8 @@
                 return False
             if step == "stall" and number == first_id + 1:
                 await asyncio.sleep(3600)
+            if step == "pause" and number == first_id + 1:
+                await asyncio.sleep(self.pause_s)
             if step == "drip" and number == first_id + 1:
                 await _drip(writer, b"1\r\n:\r\n")
             await asyncio.sleep(self.event_s)
--- /dev/null
+++ b/tests/steps/direct_silence_steps.py
@@ -0,0 +1,75 @@
+"""Steps for targets that fall silent for a moment."""
+
+from __future__ import annotations
+
+import asyncio
+
+from behave import given, then
+
+from lentiltally.direct.messages import adapter_key_hash
+from tests.steps.direct_streams_steps import headers
+
+
+@given('direct path has "{adapter}" loaded on "{name}" only')
+def loaded_on_one(context, adapter, name):
+    load(context.direct, name, adapter)
+
+
+@given('direct path engine "{name}" handles the next request as "{step}"')
+def script_engine(context, name, step):
+    context.direct.engines[name].script.append(step)
+
+
+@given('direct path engine "{name}" has left')
+def engine_left(context, name):
+    system = context.direct
+    system.withdraw(name)
+    engines = system.entry._state.directory
+    assert system.wait(lambda: not engines.is_usable(name))
+
+
+@given('direct path engine "{name}" has no slot free')
+def engine_full(context, name):
+    """Occupy all slots of the engine with streams that don't end."""
+    system = context.direct
+    engine = system.engines[name]
+    for number in range(engine.slots):
+        adapter = f"busy{number}"
+        load(system, name, adapter)
+        engine.script.append("stall")
+        asyncio.run_coroutine_threadsafe(
+            system.request("/stream-once/x", adapter, headers=headers(adapter)),
+            system.loop,
+        )
+    assert system.wait(lambda: len(engine.runs) == engine.slots)
+
+
+@given('direct path engine "{name}" loads for {load_s:g} s')
+def engine_loads(context, name, load_s):
+    context.direct.engines[name].load_s = load_s
+
+
+@given("direct path has one plain target left, which answers after {after_s:g} s")
+def one_slow_target(context, after_s):
+    system = context.direct
+    kept, gone = system.engines
+    system.engines[kept].answer_after_s = after_s
+    system.withdraw(gone)
+    targets = system.entry._state.directory
+    assert system.wait(lambda: not targets.is_usable(gone))
+
+
+@then('direct path ran request "{request_id}" {times:d} time')
+def ran_times(context, request_id, times):
+    engines = context.direct.engines.values()
+    runs = [run for e in engines for run in e.runs if run.request_id == request_id]
+    assert len(runs) == times, runs
+
+
+def load(system, name, adapter):
+    system.call(lambda: system.engines[name].adapters.update({adapter: 1}))
+    choice = system.entry._state.choice
+    key_hash = adapter_key_hash(f"m/{adapter}")
+    assert system.wait(
+        lambda: (state := choice.view(name).state) and key_hash in state.loaded
+    )
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -269,8 +269,8 @@
     ),
     Mutation(
         "draining during a load",
-        "direct/handling.py",
-        "if not self._state.directory.is_usable(candidate.record.target_id):",
+        "direct/attempt_preparation.py",
+        "if not self._state.directory.is_usable(record.target_id):",
         "if False:",
         "direct/streams",
         "began to drain during a load",
@@ -294,8 +294,8 @@
     Mutation(
         "retry delay",
         "direct/handling.py",
-        "retry_after_s=self._context.retry_after_s() if is_retryable else None,",
-        "retry_after_s=None,",
+        "peer=peer,\n                retry_after_s=self._context.retry_after_s(),",
+        "peer=peer,\n                retry_after_s=None,",
         "direct/path",
         "refuses at once when every target is full",
     ),
@@ -467,4 +467,20 @@
         "direct/stop",
         "still answers on connections that are new",
     ),
+    Mutation(
+        "silent target kept until another is ready",
+        "direct/target_exchange.py",
+        "asyncio.ensure_future(self._replacements.find_replacement())",
+        "asyncio.ensure_future(asyncio.sleep(0))",
+        "direct/silence",
+        "keeps a stream whose engine falls silent",
+    ),
+    Mutation(
+        "silent target replaced",
+        "direct/target_exchange.py",
+        "            self._search.result()\n            raise TimeoutError",
+        "            await work",
+        "direct/silence",
+        "moves a stream whose engine stays silent",
+    ),
 )
