Answer the requests that are open when the time of a stop is over

Cause: the drain waited for open requests, but had nothing to say to those that were left. Class of fault: an end of a process that is no outcome for the work in it.

Change: when the time is over, each open request is ended by its handler. One that was not sent is refused as not executed (503 "stopping", retry at once at another entry), one that may have run is answered 502 with executed "unknown", a stream that has begun is broken off as before. All three are logged with the outcome "stopped".

Evidence: two scenarios of tests/direct/stop.feature failed before ("no answer when the process ended") and pass now.

Mutation "requests that are open when a stop ends" is red.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -238,6 +238,11 @@
         )
         self.close()
 
+    def end_request(self) -> None:
+        """Cancel the request that is being handled; its handler still answers it."""
+        if self._task is not None:
+            self._task.cancel()
+
     def abort(self) -> None:
         """Close at once, so that the caller sees that an answer is incomplete."""
         if self._transport is not None:
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -278,7 +278,11 @@
         return 200, self._metrics.page()
 
     async def _drain(self, server: asyncio.Server) -> None:
-        """Serve open requests until all are answered or the grace period ends."""
+        """Serve open requests until all are answered or the grace period ends.
+
+        Requests that are still open then are refused, or broken off if their answer has
+        begun.
+        """
         started_s = self._clock.monotonic_s()
         self._stopping_since_s = started_s
         _log.info("entry stopping", extra={"open_requests": self._open_requests()})
@@ -298,6 +302,10 @@
                     connection.close_idle("stop")
             await asyncio.sleep(0.05)
         server.close()
+        # A task that is cancelled before its first step could not answer its request.
+        await asyncio.sleep(0)
+        for connection in list(self._connections):
+            connection.end_request()
 
     def _open_requests(self) -> int:
         return sum(not connection.is_idle for connection in self._connections)
--- a/lentiltally/direct/forwarder.py
+++ b/lentiltally/direct/forwarder.py
@@ -76,10 +76,7 @@
 
     def _check_open(self) -> None:
         if self._is_closed:
-            # The caller's next connection goes to another entry: it may retry at once.
-            raise Refusal(
-                503, "stopping", "the entry stops", step="accept", retry_after_s=0.0
-            )
+            raise self._context.stopping_refusal("accept")
 
     def _route(self, request: CallerRequest) -> tuple[Route, Service]:
         table = self._state.table
--- a/lentiltally/direct/forwarding.py
+++ b/lentiltally/direct/forwarding.py
@@ -12,6 +12,7 @@
 from lentiltally.direct.entry_state import EntryState
 from lentiltally.direct.platform_interfaces import HeaderCodec
 from lentiltally.direct.target_pool import TargetPool
+from lentiltally.problems import Refusal
 
 __all__ = ["ForwarderSettings", "ForwardingContext"]
 
@@ -65,6 +66,12 @@
     rng: random.Random
     settings: ForwarderSettings
 
+    @staticmethod
+    def stopping_refusal(step: str) -> Refusal:
+        """Return the refusal of a request that has not run because the entry stops."""
+        # The caller's next connection goes to another entry: it may retry at once.
+        return Refusal(503, "stopping", "the entry stops", step=step, retry_after_s=0.0)
+
     def retry_after_s(self) -> float:
         """Return a random delay that spreads the retries of refused callers."""
         settings = self.settings
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -81,6 +81,10 @@
     def _left_s(self) -> float:
         return self._deadline_s - self._clock.monotonic_s()
 
+    @property
+    def _may_have_run(self) -> bool:
+        return self._executions > 0 or self._is_in_flight
+
     async def run(self) -> None:
         """Answer the request.
 
@@ -101,10 +105,12 @@
         except TimeoutError:
             self._give_up(504, "the deadline passed")
         except (asyncio.CancelledError, CallerDisconnectedError):
-            # The end of the process cancels a request whose caller still waits.
-            is_gone = self._connection.is_disconnected
-            self._record_end("caller gone" if is_gone else "stopped")
-            raise
+            if self._connection.is_disconnected:
+                self._record_end("caller gone")
+                raise
+            self._record_end("stopped")
+            self._end_stopped()
+            return
         self._record_end("broken off" if self._answer.is_aborted else "answered")
 
     def _check_suspect(self) -> None:
@@ -233,6 +239,23 @@
         self._give_up(502)
         return True
 
+    def _end_stopped(self) -> None:
+        """Answer a request that the end of the process cuts; may raise Refusal."""
+        if self._answer.is_started:
+            self._answer.abort()
+        elif self._may_have_run:
+            _, peer = self._preparation.last_failure
+            raise Refusal(
+                502,
+                "stopping",
+                "the entry stopped before the target answered",
+                step="send",
+                peer=peer,
+                executed="unknown",
+            )
+        else:
+            raise self._context.stopping_refusal("send")
+
     def _give_up(self, status: int, detail: str = "") -> None:
         """Give the request its final answer without a retry; may raise Refusal.
 
@@ -245,7 +268,7 @@
             self._answer.abort()
         elif self._failed_answer is not None and self._failed_answer.head is not None:
             self._answer.send_whole(self._failed_answer.head, self._failed_answer.body)
-        elif self._executions > 0 or self._is_in_flight:
+        elif self._may_have_run:
             raise Refusal(
                 status,
                 "target-failed",
--- a/tests/direct/stop.feature
+++ b/tests/direct/stop.feature
@@ -15,3 +15,19 @@
     And direct path keeps new connections for 2.0 s during a stop
     When direct path is asked to stop and gets connections 2.2 s and 2.8 s later
     Then direct path refused the request on each of them as not executed
+
+  # Pattern: at a crest requests still wait for an adapter or for their target when the time
+  # of a stop is over.
+  Scenario: Direct path refuses requests that were not sent when the time of a stop is over
+    # Guards against requests that end with the process, without an answer or a refusal.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path engines take 9.0 s to load an adapter
+    When direct path gets a stream for adapter "a1" 2.0 s after it was asked to stop
+    Then direct path had answered 503 "stopping" with executed "no" when it ended
+
+  Scenario: Direct path answers requests that may have run when the time of a stop is over
+    # Guards against requests that end with the process although their outcome is unknown.
+    Given direct path with a store, a configuration and two plain targets
+    And direct path targets handle the next request as "hang"
+    When direct path gets a request to "/once/x" 0.1 s before it is asked to stop
+    Then direct path had answered 502 "stopping" with executed "unknown" when it ended
--- a/tests/steps/direct_stop_steps.py
+++ b/tests/steps/direct_stop_steps.py
@@ -3,12 +3,14 @@
 from __future__ import annotations
 
 import asyncio
+import json
 
 import h11
 from behave import given, then, when
 
 from lentiltally.direct import entry_process
-from tests.fakes.direct import HOST
+from tests.fakes.direct import HOST, configuration, route
+from tests.steps.direct_streams_steps import headers
 
 CALLERS = 24
 REQUESTS_PER_CONNECTION = 4
@@ -168,3 +170,58 @@
     for data in context.received:
         assert data.startswith(b"HTTP/1.1 503"), context.received
         assert b'"executed":"no"' in data, data
+
+
+@when(
+    'direct path gets a stream for adapter "{adapter}" {after_s:g} s after it was '
+    "asked to stop"
+)
+def stream_during_stop(context, adapter, after_s):
+    stop_beside_request(context, after_s, "/stream/x", headers=headers(adapter))
+
+
+@when(
+    'direct path gets a request to "{path}" {before_s:g} s before it is asked to stop'
+)
+def request_before_stop(context, path, before_s):
+    stop_beside_request(context, -before_s, path, body=b"b")
+
+
+def stop_beside_request(context, after_s, path, **request):
+    """Stop the entry and send a request that is still open when the stop ends.
+
+    Keeps the answer that the caller has when the process ends, None without one.
+    """
+    system = context.direct
+    routes = [
+        route("stream", "streaming", "llm", timeoutMs=9000, resumable=True),
+        route("once", "unsafe", "plain", attempts=1, timeoutMs=9000),
+    ]
+    system.configure(configuration(4, routes))
+    assert system.wait(lambda: system.entry._state.table.state.version == 4)
+
+    async def act():
+        loop = asyncio.get_running_loop()
+        stop_signal, process = system._started[0]
+        loop.call_later(max(0.0, -after_s), stop_signal.request)
+        await asyncio.sleep(max(0.0, after_s))
+        call = asyncio.ensure_future(system.request(path, read_s=8.0, **request))
+        await process
+        # A real process ends here and cuts what is still open.
+        await asyncio.sleep(0.05)
+        return call.result() if call.done() else None
+
+    context.answer = system.run(act())
+
+
+@then(
+    'direct path had answered {status:d} "{reason}" with executed "{executed}" when it '
+    "ended"
+)
+def answered_before_end(context, status, reason, executed):
+    answer = context.answer
+    assert answer is not None, "no answer when the process ended"
+    problem = json.loads(answer.body)
+    assert answer.status == status, problem
+    assert problem["type"].endswith(f":{reason}"), problem
+    assert problem["executed"] == executed, problem
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -36,8 +36,8 @@
     Mutation(
         "execution status of refusals",
         "direct/handling.py",
-        "elif self._executions > 0 or self._is_in_flight:",
-        "elif False:",
+        "return self._executions > 0 or self._is_in_flight",
+        "return False",
         "direct/path",
         "never retries a non-idempotent request",
     ),
@@ -483,4 +483,12 @@
         "direct/silence",
         "moves a stream whose engine stays silent",
     ),
+    Mutation(
+        "requests that are open when a stop ends",
+        "direct/entry_process.py",
+        "            connection.end_request()\n",
+        "            continue\n",
+        "direct/stop",
+        "time of a stop is over",
+    ),
 )
