Keep idle connections open while a stop waits for other requests

Cause: 2.5 s after SIGTERM the entry closed all connections that had been idle for 0.3 s, about 50 at once, though it went on for almost five seconds with other requests. Requests that were on their way, or in the kernel while the loop closed the others, met the close. No line named them, because no process had read them. Class of fault: an early close that gains nothing.

Change: connections are only closed when no request is open. Until then a request on one of them is refused as not executed, and its answer closes the connection.

The new scenario of tests/direct/stop.feature failed before (the late request got b'').

What remains: when a stop ends with nothing open, connections that are idle are closed as before; a request can still cross that close. It was not read, and callers may repeat it.

Mutation "idle connections during a stop" is red.

--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -297,9 +297,10 @@
                 if not self._connections:
                     break
                 server.close()
-            for connection in list(self._connections):
-                if connection.idle_s(now_s) > QUIET_BEFORE_CLOSE_S:
-                    connection.close_idle("stop")
+            # A request may be on its way on an idle connection, so all stay open while
+            # the process has other work.
+            if self._open_requests() == 0:
+                self._close_idle(now_s)
             await asyncio.sleep(0.05)
         server.close()
         # A task that is cancelled before its first step could not answer its request.
@@ -307,6 +308,11 @@
         for connection in list(self._connections):
             connection.end_request()
 
+    def _close_idle(self, now_s: float) -> None:
+        for connection in list(self._connections):
+            if connection.idle_s(now_s) > QUIET_BEFORE_CLOSE_S:
+                connection.close_idle("stop")
+
     def _open_requests(self) -> int:
         return sum(not connection.is_idle for connection in self._connections)
 
--- a/tests/direct/stop.feature
+++ b/tests/direct/stop.feature
@@ -31,3 +31,10 @@
     And direct path targets handle the next request as "hang"
     When direct path gets a request to "/once/x" 0.1 s before it is asked to stop
     Then direct path had answered 502 "stopping" with executed "unknown" when it ended
+
+  Scenario: Direct path answers on idle connections while other requests hold up a stop
+    # Guards against requests that meet the close of an idle connection, and so get neither an
+    # answer nor a refusal, although the process has work for seconds to come.
+    Given direct path with a store, a configuration and two plain targets
+    When direct path is asked to stop during a request of 3.1 s, and a kept connection sends another 2.8 s later
+    Then direct path answered the long request and refused the late one as not executed
--- a/tests/steps/direct_stop_steps.py
+++ b/tests/steps/direct_stop_steps.py
@@ -197,8 +197,7 @@
         route("stream", "streaming", "llm", timeoutMs=9000, resumable=True),
         route("once", "unsafe", "plain", attempts=1, timeoutMs=9000),
     ]
-    system.configure(configuration(4, routes))
-    assert system.wait(lambda: system.entry._state.table.state.version == 4)
+    apply_configuration(system, routes)
 
     async def act():
         loop = asyncio.get_running_loop()
@@ -225,3 +224,50 @@
     assert answer.status == status, problem
     assert problem["type"].endswith(f":{reason}"), problem
     assert problem["executed"] == executed, problem
+
+
+@when(
+    "direct path is asked to stop during a request of {run_s:g} s, and a kept "
+    "connection sends another {after_s:g} s later"
+)
+def late_request_on_kept_connection(context, run_s, after_s):
+    system = context.direct
+    address = system.entry_address
+    routes = [
+        route("safe", "safe", "plain"),
+        route("once", "unsafe", "plain", attempts=1, timeoutMs=9000),
+    ]
+    apply_configuration(system, routes)
+
+    def request(request_id):
+        fields = f"Host: {HOST}\r\nX-Request-Id: {request_id}"
+        return f"GET /safe/x HTTP/1.1\r\n{fields}\r\n\r\n".encode()
+
+    async def act():
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
+        writer.write(request("kept"))
+        await reader.readuntil(b"body of kept")
+        for engine in system.engines.values():
+            engine.answer_after_s = run_s
+        long = asyncio.ensure_future(system.request("/once/x", "long", body=b"b"))
+        await asyncio.sleep(0.1)
+        system._started[0][0].request()
+        await asyncio.sleep(after_s)
+        writer.write(request("late"))
+        late = await asyncio.wait_for(reader.read(65_536), 5.0)
+        writer.transport.abort()
+        return await long, late
+
+    context.answer, context.received = system.run(act())
+
+
+@then("direct path answered the long request and refused the late one as not executed")
+def answered_long_refused_late(context):
+    assert context.received.startswith(b"HTTP/1.1 503"), context.received
+    assert b'"executed":"no"' in context.received, context.received
+    assert context.answer.status == 200, context.answer.body
+
+
+def apply_configuration(system, routes):
+    system.configure(configuration(4, routes))
+    assert system.wait(lambda: system.entry._state.table.state.version == 4)
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -491,4 +491,12 @@
         "direct/stop",
         "time of a stop is over",
     ),
+    Mutation(
+        "idle connections during a stop",
+        "direct/entry_process.py",
+        "if self._open_requests() == 0:",
+        "if True:",
+        "direct/stop",
+        "answers on idle connections while",
+    ),
 )
