Show in the lines what requests of a crash have in common

Callers lost requests of one kind while engine after engine ended, and the lines could not tell suspects that are never the same from suspects that never reach the other entries. The shared parts of a prompt are decoded once, `request sent` names their fingerprints, and the lines about a crash name the suspects. Nothing else changes.

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -17,7 +17,13 @@
 
 from lentiltally.decisions._ring import rendezvous_weight
 
-__all__ = ["CrashSuspects", "request_fingerprint", "suspect_relays"]
+__all__ = [
+    "CrashSuspects",
+    "fingerprint_texts",
+    "part_fingerprint",
+    "request_fingerprint",
+    "suspect_relays",
+]
 
 # Operators accept the loss of up to three targets to one request.
 CRASHES_BEFORE_REFUSAL = 2
@@ -41,6 +47,16 @@
     return digest.intdigest()
 
 
+def part_fingerprint(part_id: str) -> int:
+    """Return the fingerprint of a part of a prompt, the same in all requests."""
+    return xxhash.xxh3_64_intdigest(b"part:" + part_id.encode())
+
+
+def fingerprint_texts(fingerprints: Iterable[int]) -> list[str]:
+    """Return fingerprints as log lines show them."""
+    return [f"{fingerprint:016x}" for fingerprint in fingerprints]
+
+
 def suspect_relays(agents: Iterable[str], fingerprint: int) -> list[str]:
     """Return the agents through which a suspect is announced to the other entries.
 
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.crash_suspects import suspect_relays
+from lentiltally.decisions.crash_suspects import fingerprint_texts, suspect_relays
 from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.decisions.target_directory import DirectoryChange
 from lentiltally.direct.agent_client import AgentClient
@@ -325,8 +325,18 @@
             if message.store is not None:
                 self._store_reported(message.store)
         elif isinstance(message, CrashSuspect):
-            self._state.suspects.record_crash(
-                message.fingerprint, message.target_start, self._clock.monotonic_s()
+            self._suspect_announced(message)
+
+    def _suspect_announced(self, message: CrashSuspect) -> None:
+        now_s = self._clock.monotonic_s()
+        start = message.target_start
+        if self._state.suspects.record_crash(message.fingerprint, start, now_s):
+            _log.info(
+                "crash suspect announced",
+                extra={
+                    "target": start,
+                    "suspects": fingerprint_texts((message.fingerprint,)),
+                },
             )
 
     def _store_reported(self, report: StoreReport) -> None:
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -6,7 +6,7 @@
 from collections.abc import Callable
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.crash_suspects import CrashSuspects
+from lentiltally.decisions.crash_suspects import CrashSuspects, fingerprint_texts
 from lentiltally.decisions.route_table import RouteTable
 from lentiltally.decisions.service_retry_budget import ServiceRetryBudget
 from lentiltally.decisions.target_choice import TargetChoice
@@ -158,7 +158,11 @@
         ]
         _log.info(
             "target removed or restarted",
-            extra={"target": target_id, "reason": reason, "suspects": len(new)},
+            extra={
+                "target": target_id,
+                "reason": reason,
+                "suspects": fingerprint_texts(new),
+            },
         )
         return new
 
--- a/lentiltally/direct/handling_log.py
+++ b/lentiltally/direct/handling_log.py
@@ -5,6 +5,7 @@
 import logging
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.crash_suspects import fingerprint_texts, part_fingerprint
 from lentiltally.decisions.target_choice import Candidate
 from lentiltally.direct.caller_answer import CallerAnswer
 from lentiltally.direct.request import CallerRequest
@@ -22,6 +23,9 @@
         self._request = request
         self._route = route
         self._clock = clock
+        self._shared_parts = fingerprint_texts(
+            part_fingerprint(part) for part in request.shared_parts
+        )
 
     def sent(self, candidate: Candidate, left_s: float, attempt: int) -> None:
         """Log an attempt, with the target's cost and the age of its engine state."""
@@ -39,6 +43,7 @@
                 "state_age_s": None if age_s is None else round(age_s, 2),
                 "left_s": round(left_s, 3),
                 "arrival": attempt,
+                "shared_parts": self._shared_parts,
             },
         )
 
--- a/lentiltally/direct/request.py
+++ b/lentiltally/direct/request.py
@@ -30,7 +30,8 @@
     how long the caller waits, None if it did not say. ``adapter`` is None if the
     request names no model, ``prompt_tokens`` 0 if it names no number of tokens.
     ``last_event_id`` is the event after which the caller resumes a stream, None for a
-    new stream.
+    new stream. ``shared_parts`` are the ids of the prompt's parts that other requests
+    may have too, empty if the request names none.
     """
 
     request_id: str
@@ -44,6 +45,7 @@
     adapter: AdapterRef | None
     prompt_tokens: int
     last_event_id: int | None
+    shared_parts: tuple[str, ...] = ()
 
     @property
     def route_path(self) -> str:
--- a/lentiltally/platform/http_headers.py
+++ b/lentiltally/platform/http_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import re
 from collections.abc import Iterable
 
 from lentiltally.direct.request import (
@@ -23,6 +24,12 @@
 _LAST_EVENT_ID = b"last-event-id"
 _MODEL = b"x-model"
 _TOKEN_COUNTS = b"x-token-counts"
+_PROMPT_PARTS = b"x-prompt-prefix"
+
+# Prompts have a few parts with short ids. The limit bounds the memory and the datagrams
+# that one request takes as a crash suspect.
+MAX_SHARED_PARTS = 8
+_PROMPT_PART = re.compile(rb"\s*([0-9a-fA-F]{1,32}):[0-9]{1,9}\s*")
 
 # Hop-by-hop headers concern one connection only (RFC 9110, section 7.6.1).
 # ``Content-Length`` and ``Expect`` are removed as well: a new length is set for each
@@ -92,6 +99,7 @@
         adapter=_adapter(fields.get(_MODEL, b"")),
         prompt_tokens=int(prompt_tokens) if prompt_tokens.strip().isdigit() else 0,
         last_event_id=None if last_event_id is None else int(last_event_id),
+        shared_parts=_shared_parts(fields.get(_PROMPT_PARTS, b"")),
     )
 
 
@@ -175,6 +183,18 @@
     return AdapterRef(model, adapter)
 
 
+def _shared_parts(value: bytes) -> tuple[str, ...]:
+    """Return the ids of all parts of a prompt but the last, which no others share.
+
+    Returns an empty tuple if a part is malformed, and at most ``MAX_SHARED_PARTS``.
+    """
+    shared = [_PROMPT_PART.fullmatch(part) for part in value.split(b",")]
+    ids = [part[1].decode().lower() for part in shared if part is not None]
+    if len(ids) < len(shared):
+        return ()
+    return tuple(dict.fromkeys(ids[:-1]))[:MAX_SHARED_PARTS]
+
+
 def _number(value: bytes | None, name: str) -> float | None:
     if value is None:
         return None
