Stop the agents in the test that says that they are down

The step cancelled each agent's process while it waited for its stop, so its tasks and its socket went on, and "Direct path serves loaded adapters while agents are down" was tested with agents that answered.

--- a/tests/steps/direct_streams_steps.py
+++ b/tests/steps/direct_streams_steps.py
@@ -64,11 +64,11 @@
     system = context.direct
 
     def stop():
-        for stop_signal, task in system._started[1:]:
+        for stop_signal, _ in system._started[1:]:
             stop_signal.request()
-            task.cancel()
 
     system.call(stop)
+    assert system.wait(lambda: all(task.done() for _, task in system._started[1:]))
     system.run(asyncio.sleep(1.7))
 
 
