Tell entries at once that the start of an engine has ended

The agent beside the engine sees refused connections within milliseconds and now tells all entries (EngineEnded, three times because datagrams get lost); a timeout is no end. Without agents an entry concludes it from a lost and then a refused connection. A crash is named by the target's id and start, so that all entries mean the same one. Targets that drain may end their connections and make no suspects.

The scenarios failed on the code before: "no-target ... adapter not held: engine lost" instead of crash-suspect.

--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -22,12 +22,14 @@
     ConfigurationFeed,
     TargetDecoder,
 )
+from lentiltally.direct.http_connection import ConnectError
 from lentiltally.direct.keyed_feed import KeyedTopic
 from lentiltally.direct.messages import (
     AcquireAdapter,
     AdapterAnswer,
     AdapterDecision,
     CrashSuspect,
+    EngineEnded,
     Message,
     PrefillFinished,
     ReleaseAdapter,
@@ -51,6 +53,8 @@
 # load is under way.
 REPORT_INTERVAL_S = 0.1
 BUSY_REPORT_INTERVAL_S = 0.015
+# Times that entries are told of the end of an engine's start: a datagram may be lost.
+END_ANNOUNCEMENTS = 3
 
 
 _DECISIONS = {
@@ -94,6 +98,8 @@
         self._config_version = 0
         self._is_engine_unresponsive = False
         self._identified_start_ms: int | None = None
+        self._last_start_ms: int | None = None
+        self._end_announcements_left = 0
         self._health_path = ""
         # Adapter requests carry the newest version that their entry knows, so an agent
         # may read of it late.
@@ -306,6 +312,8 @@
 
     def _apply_report(self, report: EngineReport) -> None:
         self._reader.engine_started(report.started_ms)
+        self._last_start_ms = report.started_ms
+        self._end_announcements_left = END_ANNOUNCEMENTS
         if self._slots.update_report(report):
             _log.info("engine restarted", extra={"started_ms": report.started_ms})
         self._answer_requests()
@@ -351,3 +359,14 @@
             self._is_engine_unresponsive = True
             self._metrics.engine_unresponsive.set(1)
             _log.warning("engine unresponsive", extra={"error": str(error)})
+        if isinstance(error, ConnectError) and error.is_refused:
+            self._announce_end()
+
+    def _announce_end(self) -> None:
+        """Tell the entries that the engine's last known start has ended."""
+        if self._last_start_ms is None or self._end_announcements_left == 0:
+            return
+        if self._end_announcements_left == END_ANNOUNCEMENTS:
+            _log.warning("engine ended", extra={"started_ms": self._last_start_ms})
+        self._end_announcements_left -= 1
+        self._publisher.announce(EngineEnded(self._last_start_ms))
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -28,11 +28,12 @@
 from lentiltally.direct.messages import (
     AdapterAnswer,
     CrashSuspect,
+    EngineEnded,
     EngineState,
     Message,
     StoreReport,
 )
-from lentiltally.direct.model import CallerLimits
+from lentiltally.direct.model import CallerLimits, TargetStage
 from lentiltally.direct.pages import METRICS_PATH, PageServer
 from lentiltally.direct.peer_socket import PeerSocket
 from lentiltally.direct.platform_interfaces import HeaderCodec
@@ -157,6 +158,7 @@
             shared=self._shared_targets,
         )
         self._state.on_target_list_stale = self._targets.request_read
+        self._state.on_suspect = self._announce_suspect
 
     @property
     def limits(self) -> CallerLimits:
@@ -309,11 +311,19 @@
             connection.check_timeouts()
 
     def _target_changed(self, change: DirectoryChange) -> None:
+        record = change.record
         if change.kind == "appeared":
-            self._announce_suspects(change.target_id, "started anew")
+            self._state.target_ended(
+                change.target_id, record.started_ms - 1, "started anew"
+            )
             self._subscriber.renew()
         elif change.kind == "gone":
-            self._announce_suspects(change.target_id, "gone")
+            self._state.target_ended(
+                change.target_id,
+                record.started_ms,
+                "gone",
+                was_draining=record.stage is TargetStage.DRAINING,
+            )
             self._pool.drop(change.target_id)
             self._state.choice.forget(change.target_id)
 
@@ -324,6 +334,8 @@
             self._state.engine_state_received(sender.ip, message)
             if message.store is not None:
                 self._store_reported(message.store)
+        elif isinstance(message, EngineEnded):
+            self._state.engine_ended(sender.ip, message.started_ms)
         elif isinstance(message, CrashSuspect):
             self._suspect_announced(message)
 
@@ -354,19 +366,16 @@
         if self._shared_targets.has_news(self._targets.next_offset):
             self._targets.news_reported()
 
-    def _announce_suspects(self, target_id: str, reason: str) -> None:
-        """Send new crash suspects to the other entries through some agents."""
-        for fingerprint in self._state.target_stopped(target_id, reason):
-            hosts = {
-                record.address.rpartition(":")[0]
-                for record in self._state.engine_targets()
-                if record.target_id != target_id
-            }
-            relays = suspect_relays(hosts, fingerprint)
-            self._peers.send_all(
-                [SocketAddress(ip, self._settings.peer_port) for ip in relays],
-                CrashSuspect(fingerprint, target_id),
-            )
+    def _announce_suspect(self, target_start: str, fingerprint: int) -> None:
+        """Send a new crash suspect to the other entries through some agents."""
+        hosts = {
+            record.address.rpartition(":")[0] for record in self._state.engine_targets()
+        }
+        relays = suspect_relays(hosts, fingerprint)
+        self._peers.send_all(
+            [SocketAddress(ip, self._settings.peer_port) for ip in relays],
+            CrashSuspect(fingerprint, target_start),
+        )
 
     async def _every(self, period_s: float, act: Callable[[], None]) -> None:
         """Call ``act`` regularly; failures are logged with its name as the step."""
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -10,6 +10,7 @@
 from lentiltally.decisions.route_table import RouteTable
 from lentiltally.decisions.service_retry_budget import ServiceRetryBudget
 from lentiltally.decisions.target_choice import TargetChoice
+from lentiltally.decisions.target_crashes import TargetCrashes, start_name
 from lentiltally.decisions.target_directory import TargetDirectory
 from lentiltally.direct.messages import EngineState
 from lentiltally.direct.model import (
@@ -18,6 +19,7 @@
     DesiredState,
     Service,
     TargetRecord,
+    TargetStage,
 )
 from lentiltally.direct.settings import HostBounds, HostSettings
 
@@ -27,8 +29,8 @@
 
 # Number of entries that share the retry budget, until an agent reports it.
 ASSUMED_ENTRIES = 8
-# A reset connection is a sign of a crash if its target stops within this time.
-RESET_RETENTION_S = 5.0
+# How long a target is avoided whose agent says that it has ended.
+ENDED_COOLDOWN_S = 1.0
 
 
 class EntryState:
@@ -48,10 +50,11 @@
         self.suspects = CrashSuspects()
         self.entry_count = ASSUMED_ENTRIES
         self.on_target_list_stale: Callable[[], None] = _do_nothing
+        self.on_suspect: Callable[[str, int], None] = _do_nothing
         self._clock = clock
         self._budgets: dict[str, ServiceRetryBudget] = {}
         self._newest_versions: dict[str, tuple[int, float]] = {}
-        self._resets: dict[str, list[tuple[int, float]]] = {}
+        self._crashes: TargetCrashes[int] = TargetCrashes()
 
     @property
     def limits(self) -> CallerLimits:
@@ -127,8 +130,8 @@
         if target_id is None:
             return
         known = self.choice.view(target_id).state
-        if known is not None and known.started_ms != state.started_ms:
-            self.target_stopped(target_id, "engine started anew")
+        if known is not None and known.started_ms < state.started_ms:
+            self.target_ended(target_id, known.started_ms, "engine started anew")
         self.choice.state_received(target_id, state, self._clock.monotonic_s())
 
     def mark_unreachable(self, target_id: str, until_s: float) -> None:
@@ -136,36 +139,78 @@
         self.choice.avoid(target_id, until_s)
         self.on_target_list_stale()
 
-    def connection_reset(self, target_id: str, fingerprint: int) -> None:
-        """Note a request whose connection was reset; its target may have crashed."""
-        resets = self._resets.setdefault(target_id, [])
-        resets.append((fingerprint, self._clock.monotonic_s()))
+    def engine_ended(self, ip: str, started_ms: int) -> None:
+        """Apply an agent's message that a start of its engine has ended."""
+        target_id = self.directory.find_at_host(ip, started_ms)
+        record = None if target_id is None else self.directory.get(target_id)
+        if record is None or record.started_ms != started_ms:
+            return
+        if not self._crashes.has_ended(record.target_id, started_ms):
+            self.target_ended(record.target_id, started_ms, "engine ended")
+        until_s = self._clock.monotonic_s() + ENDED_COOLDOWN_S
+        self.mark_unreachable(record.target_id, until_s)
 
-    def target_stopped(self, target_id: str, reason: str) -> list[int]:
-        """Note that a target was removed or restarted; return new crash suspects.
+    def connection_refused(self, record: TargetRecord) -> None:
+        """Note that nothing listens at a target's address.
 
-        These are the fingerprints of requests whose connections to the target were
-        reset shortly before.
+        If connections to it were lost before, it has ended.
         """
+        if self._crashes.has_losses(record.target_id):
+            self.target_ended(record.target_id, record.started_ms, "refuses")
+
+    def connection_lost(self, record: TargetRecord, fingerprint: int) -> None:
+        """Note a request whose connection was lost; its target may have crashed."""
+        if self._is_draining(record.target_id):
+            return
         now_s = self._clock.monotonic_s()
-        new = [
-            fingerprint
-            for fingerprint, at_s in self._resets.pop(target_id, ())
-            if now_s - at_s < RESET_RETENTION_S
-            and self.suspects.record_crash(
-                fingerprint, f"{target_id}@{at_s:.0f}", now_s
-            )
-        ]
+        if self._crashes.connection_lost(
+            record.target_id, record.started_ms, fingerprint, now_s
+        ):
+            start = start_name(record.target_id, record.started_ms)
+            self._record_suspects([(start, fingerprint)])
+
+    def target_ended(
+        self,
+        target_id: str,
+        started_ms: int,
+        reason: str,
+        *,
+        was_draining: bool = False,
+    ) -> None:
+        """Note that the starts of a target up to ``started_ms`` have ended.
+
+        Requests whose connections to it were lost shortly before become crash suspects,
+        unless it was draining: such a target may end its connections.
+        """
+        now_s = self._clock.monotonic_s()
+        lost = self._crashes.ended(target_id, started_ms, now_s)
+        if was_draining or self._is_draining(target_id):
+            lost = []
+        new = self._record_suspects(lost)
         _log.info(
             "target removed or restarted",
             extra={
                 "target": target_id,
+                "started_ms": started_ms,
                 "reason": reason,
                 "suspects": fingerprint_texts(new),
             },
         )
+
+    def _record_suspects(self, lost: list[tuple[str, int]]) -> list[int]:
+        """Record suspects by start, and return those that were not known."""
+        now_s = self._clock.monotonic_s()
+        new = []
+        for start, fingerprint in lost:
+            if self.suspects.record_crash(fingerprint, start, now_s):
+                new.append(fingerprint)
+                self.on_suspect(start, fingerprint)
         return new
 
+    def _is_draining(self, target_id: str) -> bool:
+        record = self.directory.get(target_id)
+        return record is not None and record.stage is TargetStage.DRAINING
+
 
-def _do_nothing() -> None:
+def _do_nothing(*_: object) -> None:
     """Do nothing: the default callback until an entry's process sets one."""
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -233,6 +233,8 @@
             return await self._sender.connect(record, self._left_s)
         except ConnectError as error:
             self._exclude(record, str(error), is_unreachable=True)
+            if error.is_refused:
+                self._state.connection_refused(record)
             self._log.step("target unreachable", record.target_id, reason=str(error))
             return None
 
@@ -304,7 +306,7 @@
         """
         self._executions += 1
         if result.was_reset:
-            self._state.connection_reset(record.target_id, self._fingerprint)
+            self._state.connection_lost(record, self._fingerprint)
         if result.outcome is ExchangeOutcome.ANSWERED:
             self._failed_answer = result
         is_idempotent = self._route.is_idempotent
--- a/lentiltally/direct/http_connection.py
+++ b/lentiltally/direct/http_connection.py
@@ -37,7 +37,17 @@
 
 
 class ConnectError(LentiltallyError):
-    """No connection could be opened, so nothing was sent."""
+    """No connection could be opened, so nothing was sent.
+
+    ``is_refused`` says that nothing listens at the address, unlike a timeout.
+    """
+
+    def __init__(
+        self, message: str, *, step: str, peer: str = "", is_refused: bool = False
+    ) -> None:
+        """Store the message, its origin and whether the connection was refused."""
+        super().__init__(message, step=step, peer=peer)
+        self.is_refused = is_refused
 
 
 class PeerError(LentiltallyError):
@@ -251,6 +261,9 @@
             await loop.create_connection(lambda: connection, address.ip, address.port)
     except (OSError, TimeoutError) as error:
         raise ConnectError(
-            f"no connection: {error or 'timeout'}", step="connect", peer=str(address)
+            f"no connection: {error or 'timeout'}",
+            step="connect",
+            peer=str(address),
+            is_refused=isinstance(error, ConnectionRefusedError),
         ) from error
     return connection
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -18,6 +18,7 @@
     "AdapterAnswer",
     "AdapterDecision",
     "CrashSuspect",
+    "EngineEnded",
     "EngineState",
     "Message",
     "PrefillFinished",
@@ -162,14 +163,24 @@
 class CrashSuspect(Struct, tag=6, array_like=True, frozen=True):
     """A target stopped while it ran a request with this fingerprint.
 
-    Agents forward it to all entries. ``target_start`` identifies the run of the target
-    that crashed, so that one crash is counted once.
+    Agents forward it to all entries. ``target_start`` names the start of the target
+    that crashed, the same at all entries, so that one crash is counted once.
     """
 
     fingerprint: int
     target_start: str
 
 
+class EngineEnded(Struct, tag=8, array_like=True, frozen=True):
+    """The start of an agent's engine that began at ``started_ms`` has ended.
+
+    The engine's port refuses connections, so it has terminated. A target whose process
+    stands still does not refuse them.
+    """
+
+    started_ms: int
+
+
 Message = (
     StateSubscription
     | EngineState
@@ -177,6 +188,7 @@
     | AdapterAnswer
     | ReleaseAdapter
     | CrashSuspect
+    | EngineEnded
     | PrefillFinished
 )
 
--- a/lentiltally/direct/state_publisher.py
+++ b/lentiltally/direct/state_publisher.py
@@ -87,6 +87,10 @@
             [entry for entry in self._subscribers if entry != sender], message
         )
 
+    def announce(self, message: Message) -> None:
+        """Send a message of this agent to all subscribed entries."""
+        self._peers.send_all(self._subscribers, message)
+
     def publish(self, store: StoreReport | None, now_s: float) -> None:
         """Send the engine's state to the entries to which it is due.
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -87,6 +87,9 @@
     ``order_instances`` holds, for each order, the instance that it expects and the one
     that received it. ``sequence`` counts the orders executed since the last start,
     ``born`` the starts.
+    ``deadly_part`` crashes the engine when it begins the answer to a request whose
+    prompt has this part: the head is sent, then the engine is down until ``recover``,
+    and ``crashes`` counts this. While ``is_frozen``, it answers no report.
     ``has_crashed`` is set when an order would load more adapters than there are slots.
     """
 
@@ -112,6 +115,9 @@
     sequence: int = 0
     born: int = 1
     has_crashed: bool = False
+    deadly_part: str = ""
+    crashes: int = 0
+    is_frozen: bool = False
 
     def __post_init__(self) -> None:
         """Prepare the HTTP server."""
@@ -125,6 +131,19 @@
         self.loading.clear()
         self.reset_all()
 
+    def crash(self) -> None:
+        """End without a farewell: connections are reset, new ones are refused."""
+        self.crashes += 1
+        self.stop()
+
+    async def recover(self) -> None:
+        """Start anew at the same address, without adapters."""
+        self.born += 1
+        self.sequence = 0
+        self.adapters.clear()
+        self.loading.clear()
+        await self.start(self.ip, self.port)
+
     def on_disconnect(self, request: RawRequest) -> None:
         """Record the id of a request whose caller disconnected."""
         self.abandoned_requests.append(request.headers.get("x-request-id", ""))
@@ -132,6 +151,8 @@
     async def handle(self, request: RawRequest) -> bytes | None:
         """Answer a request for a report or an order; these never use the script."""
         if request.path == "/-/report":
+            if self.is_frozen:
+                await asyncio.sleep(3600)
             return answer(200, json.dumps(self._report()).encode())
         if request.path == "/-/order":
             expected = request.headers.get("x-expected-instance", "")
@@ -251,6 +272,13 @@
             "Transfer-Encoding: chunked\r\n\r\n"
         )
         writer.write(head.encode())
+        if self.deadly_part and self.deadly_part in request.headers.get(
+            "x-prompt-prefix", ""
+        ):
+            await writer.drain()
+            await asyncio.sleep(0.02)
+            self.crash()
+            return False
         for number in range(first_id, self.events + 1):
             event = f"id: {number}\ndata: {request_id}\n\n".encode()
             if step == "cut" and number == first_id + 2:
--- /dev/null
+++ b/tests/direct/crashes.feature
@@ -0,0 +1,30 @@
+Feature: Requests that crash engines on the direct path
+
+  Background:
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path engines have "a1" loaded
+
+  # Guards against engine after engine that ends while entries wait for the list of
+  # targets, which still has an engine seconds after it has crashed.
+  Scenario: Direct path learns from agents at once that their engines have ended
+    Given direct path engines crash on the prompt part "dead"
+    When direct path gets a stream with the prompt parts "f0,dead,1"
+    Then direct path entry knows within 0.5 s that both engines have ended
+
+  # Guards against the same while the agents are down, too.
+  Scenario: Direct path refuses a request that crashed two engines before the list shows it
+    Given direct path engines crash on the prompt part "dead"
+    And direct path agents are down
+    When direct path gets a stream with the prompt parts "f0,dead,1"
+    And direct path gets a stream with the prompt parts "f0,dead,1" within 1.0 s of refusals
+    Then direct path engines crashed 2 times
+    And direct path refused the last request for "crash-suspect"
+
+  # Guards against the refusal of sound requests because connections were reset or an
+  # engine stood still, though it did not end.
+  Scenario: Direct path takes a silent engine that resets connections for no crash
+    Given direct path targets handle the next 2 requests as "lost"
+    And direct path engines answer no reports for 1.3 s
+    When direct path gets 2 streams with the prompt parts "f0,5a,1"
+    Then direct path serves a stream with the prompt parts "f0,5a,1" within 3 s
+    And direct path entry has no ended start of a target
--- /dev/null
+++ b/tests/steps/direct_crashes_steps.py
@@ -0,0 +1,113 @@
+"""Steps for requests that crash engines on the direct path."""
+
+from __future__ import annotations
+
+import asyncio
+import time
+
+from behave import given, then, when
+
+PAUSE_S = 0.05
+
+
+def engines(context):
+    return list(context.direct.engines.values())
+
+
+@given('direct path engines crash on the prompt part "{part}"')
+def engines_crash(context, part):
+    for engine in engines(context):
+        engine.deadly_part = part
+
+
+@given("direct path engines answer no reports for {silent_s:g} s")
+def engines_silent(context, silent_s):
+    system = context.direct
+
+    async def act():
+        for engine in engines(context):
+            engine.is_frozen = True
+        await asyncio.sleep(silent_s)
+        for engine in engines(context):
+            engine.is_frozen = False
+
+    context.silence = asyncio.run_coroutine_threadsafe(act(), system.loop)
+
+
+@when('direct path gets a stream with the prompt parts "{parts}"')
+def gets_parts(context, parts):
+    context.answer = send(context, parts)
+
+
+@when('direct path gets {count:d} streams with the prompt parts "{parts}"')
+def gets_parts_often(context, count, parts):
+    context.answers = [send(context, parts) for _ in range(count)]
+
+
+@when(
+    'direct path gets a stream with the prompt parts "{parts}" within {within_s:g} s '
+    "of refusals"
+)
+def gets_until_refused(context, parts, within_s):
+    """Repeat the request until it is refused as a suspect; no engine may run it."""
+    until_s = time.monotonic() + within_s
+    context.answer = send(context, parts)
+    while b"suspect" not in context.answer.body and time.monotonic() < until_s:
+        time.sleep(PAUSE_S)
+        context.answer = send(context, parts)
+
+
+def send(context, parts, request_id="r1"):
+    prompt = ",".join(f"{part}:100" for part in parts.split(","))
+    headers = {
+        "X-Model": "m/a1",
+        "X-Token-Counts": "300,5",
+        "X-Prompt-Prefix": prompt,
+    }
+    return context.direct.send("/stream/x", request_id=request_id, headers=headers)
+
+
+@then(
+    'direct path serves a stream with the prompt parts "{parts}" within {within_s:g} s'
+)
+def serves_soon(context, parts, within_s):
+    until_s = time.monotonic() + within_s
+    answer = send(context, parts)
+    while answer.status != 200 and time.monotonic() < until_s:
+        assert b"suspect" not in answer.body, answer.body
+        time.sleep(PAUSE_S)
+        answer = send(context, parts)
+    assert answer.status == 200 and answer.is_complete, (answer.status, answer.body)
+
+
+@then("direct path entry has no ended start of a target")
+def no_ended_start(context):
+    context.silence.result(5.0)
+    assert not any(has_ended(context, engine) for engine in engines(context))
+
+
+@then("direct path entry knows within {within_s:g} s that both engines have ended")
+def knows_ends(context, within_s):
+    assert context.direct.wait(
+        lambda: all(has_ended(context, engine) for engine in engines(context)),
+        within_s,
+    )
+
+
+def has_ended(context, engine):
+    crashes = context.direct.entry._state._crashes
+    return crashes.has_ended(engine.name, engine.born)
+
+
+@then("direct path engines crashed {times:d} times")
+def crashed(context, times):
+    assert sum(engine.crashes for engine in engines(context)) == times, [
+        engine.crashes for engine in engines(context)
+    ]
+
+
+@then('direct path refused the last request for "{reason}"')
+def refused_for(context, reason):
+    answer = context.answer
+    assert answer.status == 503, (answer.status, answer.body)
+    assert f"problem:{reason}".encode() in answer.body, answer.body
