Refuse a part of a prompt that crashes engine after engine

Callers lost requests of a whole route: one part of a prompt crashes each engine that begins an answer on it, in requests that have nothing else in common, and entries sent them to engine after engine.

Cause: a suspect was the content of a whole request only, so that none collected two crashes. Fix: the shared parts of a prompt are suspects too, as long as the answer has not begun. A part is refused after three crashes of at least two contents since an answer with it last began. The fewest parts that explain the crashes are refused, first those that were in no answer lately; crashes that a refused part explains don't count against other parts or contents. Targets that end at one moment count once, and a part that was in an answer within the last minute needs five crashes a second apart, so that a failure domain or all engines may end without a popular part being refused. A refused part comes back by trials: one request after a minute, and after one to two seconds a request that lacks another part of the same crashes. It is checked before each attempt, before and after its adapter is acquired; "not run" is said only if no attempt has run. Entries share suspects (one report per crash), cleared parts and trials.

Ruled out: refusing a part because it was at many crashes (the first part of the route is at all of them), and an exemption for good of parts that were ever answered (a part may become deadly).

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -5,12 +5,20 @@
 is the suspect of several targets, it is refused for some time, unless a request with
 the same fingerprint has finished recently: if many callers send the same request, it is
 running whenever a target terminates, whatever the cause.
+
+A part of a prompt may crash targets too, in requests that have nothing else in common.
+So the parts that requests share are suspects as well, as long as the answer has not
+begun: a target that has begun an answer has survived all parts of its prompt. An answer
+that begins therefore clears its parts. A part is refused after several crashes, and
+crashes that one refused part explains do not count against other parts or contents.
 """
 
 from __future__ import annotations
 
+import math
 from collections import OrderedDict
-from collections.abc import Iterable
+from collections.abc import Collection, Iterable
+from dataclasses import dataclass, field
 from heapq import nlargest
 
 import xxhash
@@ -19,6 +27,8 @@
 
 __all__ = [
     "CrashSuspects",
+    "PartChanges",
+    "RequestTraits",
     "fingerprint_texts",
     "part_fingerprint",
     "request_fingerprint",
@@ -27,10 +37,30 @@
 
 # Operators accept the loss of up to three targets to one request.
 CRASHES_BEFORE_REFUSAL = 2
+# Many requests have the same part, so it takes more evidence than one content, and of
+# different requests: each of them could crash targets by something else.
+PART_CRASHES_BEFORE_REFUSAL = 3
+CONTENTS_BEFORE_REFUSAL = 2
+# A failure of hosts or of their power ends many targets at one moment, which counts
+# once. Agents tell of an end within this time.
+MOMENT_S = 0.1
+# A part that was in an answer lately is hardly the cause. It is refused only if no
+# answer with it has begun during crashes that are far apart.
+ANSWERED_PART_CRASHES = 5
+ANSWERED_PART_MOMENT_S = 1.0
+ANSWERED_PART_REFUSAL_S = 5.0
 REFUSAL_S = 60.0
+MAX_REFUSAL_S = 600.0
+# Time for the answer to a request that is let through after a refusal.
+TRIAL_S = 10.0
+# Of parts that were in the same crashes only one is the cause. A request that lacks one
+# of them is let through soon, because its answer or its crash tells them apart.
+TIED_TRIAL_S = 1.0
 MAX_SUSPECTS = 2_000
 # About 1 MB, and far more requests than an entry answers while a target restarts.
 MAX_FINISHED = 8_000
+MAX_CRASHES_OF_PART = 64
+MAX_CONTENTS_OF_PART = 16
 # Agents that forward a suspect to all entries: one may be down, and another datagram
 # may be lost.
 RELAYS_PER_SUSPECT = 3
@@ -69,6 +99,50 @@
     )
 
 
+@dataclass(frozen=True, slots=True)
+class RequestTraits:
+    """Fingerprints by which a request may be the cause of a crash.
+
+    ``content`` is that of the whole request, ``parts`` are those of the shared parts of
+    its prompt.
+    """
+
+    content: int
+    parts: tuple[int, ...] = ()
+
+
+@dataclass(frozen=True, slots=True)
+class PartChanges:
+    """Parts that are refused from now on, and parts that no longer are."""
+
+    refused: tuple[int, ...] = ()
+    released: tuple[int, ...] = ()
+
+
+@dataclass(slots=True)
+class _PartEvidence:
+    """Crashes by target start, and their requests' contents, since the last answer."""
+
+    crashes: OrderedDict[str, float] = field(default_factory=OrderedDict)
+    contents: set[int] = field(default_factory=set)
+
+
+@dataclass(slots=True)
+class _PartRefusal:
+    """A refused part; one request is let through after ``until_s``.
+
+    ``is_on_trial`` says that this has happened since the last crash. ``tied`` are the
+    parts that were in the same crashes, with this one; a request that lacks one of them
+    is let through after ``tied_until_s``.
+    """
+
+    until_s: float
+    wait_s: float
+    tied_until_s: float
+    tied: frozenset[int] = frozenset()
+    is_on_trial: bool = False
+
+
 class CrashSuspects:
     """Fingerprints of requests, with the target starts that they may have crashed.
 
@@ -76,40 +150,252 @@
     again.
     """
 
-    def __init__(self) -> None:
-        """Start without suspects."""
+    def __init__(self, stagger: float = 0.0) -> None:
+        """Start without suspects.
+
+        ``stagger`` from 0 to 1 differs between entries, so that they don't all let a
+        refused part through at the same time.
+        """
+        self._stagger = stagger
         self._crashes: OrderedDict[int, dict[str, float]] = OrderedDict()
         self._finished_at_s: OrderedDict[int, float] = OrderedDict()
+        self._parts: OrderedDict[int, _PartEvidence] = OrderedDict()
+        self._answered_at_s: OrderedDict[int, float] = OrderedDict()
+        self._refused: OrderedDict[int, _PartRefusal] = OrderedDict()
+
+    @property
+    def refused_parts(self) -> int:
+        """Return how many parts are refused at present."""
+        return len(self._refused)
 
-    def record_crash(self, fingerprint: int, target_start: str, now_s: float) -> bool:
+    def record_crash(
+        self, traits: RequestTraits, target_start: str, now_s: float
+    ) -> bool:
         """Note that a target terminated while it ran the request.
 
-        Return True if that was not known for this target start. Return False also if a
-        request with the fingerprint has finished recently, so that it is no suspect.
+        Return True if that was not known for this target start. A content that has
+        finished recently is no suspect.
         """
-        if now_s - self._finished_at_s.get(fingerprint, -REFUSAL_S) < REFUSAL_S:
-            return False
-        crash_times = self._crashes.setdefault(fingerprint, {})
-        is_new = target_start not in crash_times
-        if is_new:
-            crash_times[target_start] = now_s
-        self._crashes.move_to_end(fingerprint)
-        while len(self._crashes) > MAX_SUSPECTS:
-            self._crashes.popitem(last=False)
+        is_new = self._record_content(traits.content, target_start, now_s)
+        for part in traits.parts:
+            is_new |= self._record_part(part, traits.content, target_start, now_s)
         return is_new
 
+    def judge_parts(self, now_s: float) -> PartChanges:
+        """Refuse the parts that best explain the crashes, and release the others."""
+        starts = {
+            part: self._recent_starts(evidence, now_s)
+            for part, evidence in self._parts.items()
+        }
+        causes, explained = self._causes(starts, now_s)
+        refused = [part for part in causes if part not in self._refused]
+        for part in refused:
+            was_answered = self._was_answered(part, now_s)
+            wait_s = ANSWERED_PART_REFUSAL_S if was_answered else REFUSAL_S
+            until_s = now_s + self._staggered(wait_s)
+            tied_until_s = now_s + self._staggered(TIED_TRIAL_S)
+            self._refused[part] = _PartRefusal(until_s, wait_s, tied_until_s)
+        for part, tied in causes.items():
+            self._refused[part].tied = tied
+        while len(self._refused) > MAX_SUSPECTS:
+            self._refused.popitem(last=False)
+        released = [
+            part
+            for part in self._refused
+            if part not in causes and starts.get(part) and starts[part] <= explained
+        ]
+        for part in released:
+            del self._refused[part]
+        return PartChanges(tuple(refused), tuple(released))
+
+    def parts_answered(self, parts: Iterable[int], now_s: float) -> list[int]:
+        """Clear the parts of an answer that has begun; return those suspected before.
+
+        If other entries suspect them too, they must be told.
+        """
+        cleared = []
+        for part in parts:
+            self._answered_at_s[part] = now_s
+            self._answered_at_s.move_to_end(part)
+            was_suspect = self._parts.pop(part, None) is not None
+            was_refused = self._refused.pop(part, None) is not None
+            if was_suspect or was_refused:
+                cleared.append(part)
+        while len(self._answered_at_s) > MAX_FINISHED:
+            self._answered_at_s.popitem(last=False)
+        return cleared
+
+    def are_any_refused(self, parts: Iterable[int]) -> bool:
+        """Return whether one of the parts is refused, also if its trial is due."""
+        return not self._refused.keys().isdisjoint(parts)
+
     def finished(self, fingerprint: int, now_s: float) -> None:
-        """Clear the fingerprint of a request that has finished."""
+        """Clear the content of a request that has finished."""
         self._crashes.pop(fingerprint, None)
         self._finished_at_s[fingerprint] = now_s
         self._finished_at_s.move_to_end(fingerprint)
         while len(self._finished_at_s) > MAX_FINISHED:
             self._finished_at_s.popitem(last=False)
 
-    def is_refused(self, fingerprint: int, now_s: float) -> bool:
-        """Return whether the request has crashed too many targets recently."""
+    def is_content_refused(self, fingerprint: int, now_s: float) -> bool:
+        """Return whether the content has crashed too many targets recently."""
         crash_times = self._crashes.get(fingerprint)
         if crash_times is None:
             return False
-        recent = [at_s for at_s in crash_times.values() if now_s - at_s < REFUSAL_S]
-        return len(recent) >= CRASHES_BEFORE_REFUSAL
+        recent = {s for s, at_s in crash_times.items() if now_s - at_s < REFUSAL_S}
+        if len(recent) < CRASHES_BEFORE_REFUSAL:
+            return False
+        return len(recent - self._explained_starts()) >= CRASHES_BEFORE_REFUSAL
+
+    def refused_part(
+        self, parts: Iterable[int], now_s: float, on_trial: Collection[int] = ()
+    ) -> tuple[int, float] | None:
+        """Return a refused part and the time until it is tried again, None if none is.
+
+        Parts ``on_trial`` are let through.
+        """
+        for part in parts:
+            refusal = self._refused.get(part)
+            if refusal is not None and part not in on_trial and now_s < refusal.until_s:
+                return part, refusal.until_s - now_s
+        return None
+
+    def begin_trials(self, parts: Iterable[int], now_s: float) -> list[int]:
+        """Return the refused parts that one request may try now, all or none.
+
+        Others are refused until the trial has had time for an answer.
+        """
+        refused = [part for part in parts if part in self._refused]
+        if not all(self._is_trial_due(part, refused, now_s) for part in refused):
+            return []
+        self.trials_begun(refused, now_s)
+        return refused
+
+    def trials_begun(self, parts: Iterable[int], now_s: float) -> None:
+        """Note that an entry lets a request with refused parts through."""
+        for part in parts:
+            refusal = self._refused.get(part)
+            if refusal is not None:
+                refusal.is_on_trial = True
+                until_s = now_s + self._staggered(TRIAL_S)
+                refusal.until_s = max(refusal.until_s, until_s)
+                refusal.tied_until_s = now_s + self._staggered(TIED_TRIAL_S)
+
+    def _is_trial_due(self, part: int, refused: Collection[int], now_s: float) -> bool:
+        """Return whether a request with the ``refused`` parts may try this one."""
+        refusal = self._refused[part]
+        if now_s >= refusal.until_s:
+            return True
+        others = refusal.tied.difference(refused)
+        is_cause_open = not others.isdisjoint(self._refused)
+        return is_cause_open and now_s >= refusal.tied_until_s
+
+    def _record_content(
+        self, fingerprint: int, target_start: str, now_s: float
+    ) -> bool:
+        if now_s - self._finished_at_s.get(fingerprint, -math.inf) < REFUSAL_S:
+            return False
+        crash_times = self._crashes.setdefault(fingerprint, {})
+        is_new = target_start not in crash_times
+        if is_new:
+            crash_times[target_start] = now_s
+        self._crashes.move_to_end(fingerprint)
+        while len(self._crashes) > MAX_SUSPECTS:
+            self._crashes.popitem(last=False)
+        return is_new
+
+    def _record_part(
+        self, part: int, content: int, target_start: str, now_s: float
+    ) -> bool:
+        evidence = self._parts.setdefault(part, _PartEvidence())
+        self._parts.move_to_end(part)
+        while len(self._parts) > MAX_SUSPECTS:
+            self._parts.popitem(last=False)
+        is_new = target_start not in evidence.crashes or (
+            content not in evidence.contents
+            and len(evidence.contents) < MAX_CONTENTS_OF_PART
+        )
+        if not is_new:
+            return False
+        if len(evidence.contents) < MAX_CONTENTS_OF_PART:
+            evidence.contents.add(content)
+        if target_start not in evidence.crashes:
+            evidence.crashes[target_start] = now_s
+            if len(evidence.crashes) > MAX_CRASHES_OF_PART:
+                evidence.crashes.popitem(last=False)
+            self._renew_refusal(part, now_s)
+        return True
+
+    def _renew_refusal(self, part: int, now_s: float) -> None:
+        """Refuse a part for longer, if a request that was let through has crashed."""
+        refusal = self._refused.get(part)
+        if refusal is None:
+            return
+        if refusal.is_on_trial:
+            refusal.is_on_trial = False
+            refusal.wait_s = min(MAX_REFUSAL_S, 2 * refusal.wait_s)
+        until_s = now_s + self._staggered(refusal.wait_s)
+        refusal.until_s = max(refusal.until_s, until_s)
+        refusal.tied_until_s = now_s + self._staggered(TIED_TRIAL_S)
+
+    def _staggered(self, wait_s: float) -> float:
+        return wait_s * (1.0 + self._stagger)
+
+    @staticmethod
+    def _recent_starts(evidence: _PartEvidence, now_s: float) -> set[str]:
+        crashes = evidence.crashes.items()
+        return {start for start, at_s in crashes if now_s - at_s < REFUSAL_S}
+
+    def _causes(
+        self, starts: dict[int, set[str]], now_s: float
+    ) -> tuple[dict[int, frozenset[int]], set[str]]:
+        """Return the fewest parts that explain the crashes, and what they explain.
+
+        Each part has those that explain the same, with itself.
+        The part with most crashes that no other part explains comes first. Parts that
+        were in an answer lately come last. Parts with the same crashes can't be told
+        apart, so all of them are causes until there is more evidence.
+        """
+        causes: dict[int, frozenset[int]] = {}
+        explained: set[str] = set()
+        while True:
+            ranked = [
+                ((not self._was_answered(part, now_s), len(left)), part, left)
+                for part, recent in starts.items()
+                if (left := recent - explained) and self._is_enough(part, left, now_s)
+            ]
+            if not ranked:
+                return causes, explained
+            best, _, most = max(ranked, key=lambda entry: entry[0])
+            tied = frozenset(
+                part for rank, part, left in ranked if rank == best and left == most
+            )
+            causes.update(dict.fromkeys(tied, tied))
+            explained |= most
+
+    def _is_enough(self, part: int, starts: set[str], now_s: float) -> bool:
+        """Return whether the crashes suffice to refuse the part."""
+        if self._was_answered(part, now_s):
+            required, apart_s = ANSWERED_PART_CRASHES, ANSWERED_PART_MOMENT_S
+        else:
+            required, apart_s = PART_CRASHES_BEFORE_REFUSAL, MOMENT_S
+        evidence = self._parts[part]
+        if len(starts) < required or len(evidence.contents) < CONTENTS_BEFORE_REFUSAL:
+            return False
+        moments, last_s = 0, -math.inf
+        for at_s in sorted(evidence.crashes[start] for start in starts):
+            if at_s - last_s >= apart_s:
+                moments, last_s = moments + 1, at_s
+        return moments >= required
+
+    def _was_answered(self, part: int, now_s: float) -> bool:
+        return now_s - self._answered_at_s.get(part, -math.inf) < REFUSAL_S
+
+    def _explained_starts(self) -> set[str]:
+        """Return the crashes that refused parts explain."""
+        return {
+            start
+            for part in self._refused
+            if part in self._parts
+            for start in self._parts[part].crashes
+        }
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -28,9 +28,11 @@
     AcquireAdapter,
     AdapterAnswer,
     AdapterDecision,
-    CrashSuspect,
+    CrashReport,
     EngineEnded,
     Message,
+    PartsCleared,
+    PartTrial,
     PrefillFinished,
     ReleaseAdapter,
     StateSubscription,
@@ -199,7 +201,7 @@
         elif isinstance(message, PrefillFinished):
             self._slots.prefill_finished(message.request_id, now_s)
             self._answer_requests()
-        elif isinstance(message, CrashSuspect):
+        elif isinstance(message, CrashReport | PartsCleared | PartTrial):
             self._publisher.forward(message, sender)
 
     def _acquire_requested(
--- a/lentiltally/direct/caller_answer.py
+++ b/lentiltally/direct/caller_answer.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
+
 from lentiltally.clock import Clock
 from lentiltally.decisions.event_stream import EventStream
 from lentiltally.direct.caller_connection import CallerConnection
@@ -15,6 +17,7 @@
 
     The head of a stream is sent with the first complete event. If a target fails before
     that, the caller has received nothing yet and can still get another answer.
+    ``on_started`` is called when the head of a stream is sent.
     """
 
     __slots__ = (
@@ -27,6 +30,7 @@
         "is_complete",
         "is_started",
         "longest_gap_s",
+        "on_started",
         "stream",
     )
 
@@ -44,6 +48,7 @@
         self.is_started = False
         self.is_complete = False
         self.is_aborted = False
+        self.on_started: Callable[[], None] = lambda: None
 
     def head_received(self, head: AnswerHead) -> None:
         """Keep the head of the first target; others continue the same answer."""
@@ -89,6 +94,7 @@
     def _send_head(self) -> None:
         if not self.is_started and self._head is not None:
             self.is_started = True
+            self.on_started()
             headers = list(self._head.headers)
             headers.append((b"Transfer-Encoding", b"chunked"))
             self._connection.start_answer(self._head.status, headers)
--- a/lentiltally/direct/entry_metrics.py
+++ b/lentiltally/direct/entry_metrics.py
@@ -34,6 +34,12 @@
             registry=self._registry,
         )
 
+        self.refused_parts = Gauge(
+            "lentiltally_refused_prompt_parts",
+            "Prompt parts that are refused because they crash engines",
+            registry=self._registry,
+        )
+
     def ended(self, kind: str, outcome: str, took_s: float) -> None:
         """Record the outcome and the duration of a request."""
         self._request_duration.labels(kind, outcome).observe(took_s)
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.crash_suspects import fingerprint_texts, suspect_relays
+from lentiltally.decisions.crash_suspects import RequestTraits, suspect_relays
 from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.decisions.target_directory import DirectoryChange
 from lentiltally.direct.agent_client import AgentClient
@@ -26,11 +26,15 @@
 from lentiltally.direct.forwarding import ForwarderSettings, ForwardingContext
 from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
 from lentiltally.direct.messages import (
+    MAX_FINGERPRINTS,
+    MAX_REQUESTS_PER_REPORT,
     AdapterAnswer,
-    CrashSuspect,
+    CrashReport,
     EngineEnded,
     EngineState,
     Message,
+    PartsCleared,
+    PartTrial,
     StoreReport,
 )
 from lentiltally.direct.model import CallerLimits, TargetStage
@@ -69,6 +73,11 @@
 # A connection may be accepted this long before its request arrives. When none has been
 # opened for this long, the listener is closed.
 QUIET_BEFORE_CLOSE_S = 0.3
+# The connections of a crashed target end within this time, so that its suspects can be
+# reported together.
+REPORT_DELAY_S = 0.02
+# One crash concerns at most a few dozen open requests of an entry.
+MAX_REPORTS_PER_CRASH = 4
 # The settings file may also change without SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 5.0
 
@@ -103,7 +112,7 @@
         self._platform = platform
         self._clock = clock
         self._metrics = EntryMetrics()
-        self._state = EntryState(settings, clock)
+        self._state = EntryState(settings, clock, random.random())
         self._pool = TargetPool(clock)
         self._connections: set[CallerConnection] = set()
         self._stopping_since_s: float | None = None
@@ -158,7 +167,10 @@
             shared=self._shared_targets,
         )
         self._state.on_target_list_stale = self._targets.request_read
-        self._state.on_suspect = self._announce_suspect
+        self._state.on_suspect = self._suspect_found
+        self._state.on_parts_cleared = self._announce_cleared
+        self._state.on_trial = self._announce_trial
+        self._unannounced: dict[str, list[RequestTraits]] = {}
 
     @property
     def limits(self) -> CallerLimits:
@@ -277,6 +289,7 @@
 
     def _metrics_page(self) -> tuple[int, bytes]:
         self._metrics.connections_opened.set(self._pool.opened)
+        self._metrics.refused_parts.set(self._state.suspects.refused_parts)
         return 200, self._metrics.page()
 
     async def _drain(self, server: asyncio.Server) -> None:
@@ -336,20 +349,13 @@
                 self._store_reported(message.store)
         elif isinstance(message, EngineEnded):
             self._state.engine_ended(sender.ip, message.started_ms)
-        elif isinstance(message, CrashSuspect):
-            self._suspect_announced(message)
-
-    def _suspect_announced(self, message: CrashSuspect) -> None:
-        now_s = self._clock.monotonic_s()
-        start = message.target_start
-        if self._state.suspects.record_crash(message.fingerprint, start, now_s):
-            _log.info(
-                "crash suspect announced",
-                extra={
-                    "target": start,
-                    "suspects": fingerprint_texts((message.fingerprint,)),
-                },
-            )
+        elif isinstance(message, CrashReport):
+            self._state.crash_reported(message)
+        elif isinstance(message, PartsCleared):
+            self._state.parts_cleared(message.parts)
+        elif isinstance(message, PartTrial):
+            now_s = self._clock.monotonic_s()
+            self._state.suspects.trials_begun(message.parts, now_s)
 
     def _store_reported(self, report: StoreReport) -> None:
         """Note what an agent has read; read the list of targets if it has news."""
@@ -366,16 +372,44 @@
         if self._shared_targets.has_news(self._targets.next_offset):
             self._targets.news_reported()
 
-    def _announce_suspect(self, target_start: str, fingerprint: int) -> None:
-        """Send a new crash suspect to the other entries through some agents."""
+    def _suspect_found(self, target_start: str, traits: RequestTraits) -> None:
+        """Report a new crash suspect, together with those that follow at once."""
+        if target_start not in self._unannounced:
+            asyncio.get_running_loop().call_later(
+                REPORT_DELAY_S, self._report_crash, target_start
+            )
+        self._unannounced.setdefault(target_start, []).append(traits)
+
+    def _report_crash(self, target_start: str) -> None:
+        """Send the new suspects of a crash to the other entries."""
+        suspects = self._unannounced.pop(target_start)
+        # Those with parts first: they identify a cause that other requests share.
+        suspects.sort(key=lambda traits: not traits.parts)
+        size = MAX_REQUESTS_PER_REPORT
+        for first in range(0, min(len(suspects), MAX_REPORTS_PER_CRASH * size), size):
+            requests = tuple(
+                (traits.content, *traits.parts)[:MAX_FINGERPRINTS]
+                for traits in suspects[first : first + size]
+            )
+            report = CrashReport(target_start, requests)
+            self._send_to_entries(report, requests[0][0])
+
+    def _announce_cleared(self, parts: list[int]) -> None:
+        cleared = PartsCleared(tuple(parts[:MAX_FINGERPRINTS]))
+        self._send_to_entries(cleared, parts[0])
+
+    def _announce_trial(self, parts: list[int]) -> None:
+        trial = PartTrial(tuple(parts[:MAX_FINGERPRINTS]))
+        self._send_to_entries(trial, parts[0])
+
+    def _send_to_entries(self, message: Message, fingerprint: int) -> None:
+        """Send a message about a fingerprint to all other entries via some agents."""
         hosts = {
             record.address.rpartition(":")[0] for record in self._state.engine_targets()
         }
         relays = suspect_relays(hosts, fingerprint)
-        self._peers.send_all(
-            [SocketAddress(ip, self._settings.peer_port) for ip in relays],
-            CrashSuspect(fingerprint, target_start),
-        )
+        port = self._settings.peer_port
+        self._peers.send_all([SocketAddress(ip, port) for ip in relays], message)
 
     async def _every(self, period_s: float, act: Callable[[], None]) -> None:
         """Call ``act`` regularly; failures are logged with its name as the step."""
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -3,16 +3,20 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.crash_suspects import CrashSuspects, fingerprint_texts
+from lentiltally.decisions.crash_suspects import (
+    CrashSuspects,
+    RequestTraits,
+    fingerprint_texts,
+)
 from lentiltally.decisions.route_table import RouteTable
 from lentiltally.decisions.service_retry_budget import ServiceRetryBudget
 from lentiltally.decisions.target_choice import TargetChoice
 from lentiltally.decisions.target_crashes import TargetCrashes, start_name
 from lentiltally.decisions.target_directory import TargetDirectory
-from lentiltally.direct.messages import EngineState
+from lentiltally.direct.messages import CrashReport, EngineState
 from lentiltally.direct.model import (
     AdapterNotice,
     CallerLimits,
@@ -40,21 +44,28 @@
     write engine states, and requests write the rest.
     """
 
-    def __init__(self, settings: HostSettings, clock: Clock) -> None:
-        """Start without a configuration and without targets."""
+    def __init__(
+        self, settings: HostSettings, clock: Clock, stagger: float = 0.0
+    ) -> None:
+        """Start without a configuration and without targets.
+
+        ``stagger`` from 0 to 1 spreads what all entries would do at the same time.
+        """
         self.peer_port = settings.peer_port
         self.bounds = settings.bounds
         self.table: RouteTable | None = None
         self.directory = TargetDirectory()
         self.choice = TargetChoice(settings.failure_domain)
-        self.suspects = CrashSuspects()
+        self.suspects = CrashSuspects(stagger)
         self.entry_count = ASSUMED_ENTRIES
         self.on_target_list_stale: Callable[[], None] = _do_nothing
-        self.on_suspect: Callable[[str, int], None] = _do_nothing
+        self.on_suspect: Callable[[str, RequestTraits], None] = _do_nothing
+        self.on_parts_cleared: Callable[[list[int]], None] = _do_nothing
+        self.on_trial: Callable[[list[int]], None] = _do_nothing
         self._clock = clock
         self._budgets: dict[str, ServiceRetryBudget] = {}
         self._newest_versions: dict[str, tuple[int, float]] = {}
-        self._crashes: TargetCrashes[int] = TargetCrashes()
+        self._crashes: TargetCrashes[RequestTraits] = TargetCrashes()
 
     @property
     def limits(self) -> CallerLimits:
@@ -158,16 +169,19 @@
         if self._crashes.has_losses(record.target_id):
             self.target_ended(record.target_id, record.started_ms, "refuses")
 
-    def connection_lost(self, record: TargetRecord, fingerprint: int) -> None:
-        """Note a request whose connection was lost; its target may have crashed."""
+    def connection_lost(self, record: TargetRecord, traits: RequestTraits) -> None:
+        """Note a request whose connection was lost; its target may have crashed.
+
+        ``traits`` has no parts if the request's answer has begun.
+        """
         if self._is_draining(record.target_id):
             return
         now_s = self._clock.monotonic_s()
         if self._crashes.connection_lost(
-            record.target_id, record.started_ms, fingerprint, now_s
+            record.target_id, record.started_ms, traits, now_s
         ):
             start = start_name(record.target_id, record.started_ms)
-            self._record_suspects([(start, fingerprint)])
+            self._record_suspects([(start, traits)])
 
     def target_ended(
         self,
@@ -193,18 +207,94 @@
                 "target": target_id,
                 "started_ms": started_ms,
                 "reason": reason,
-                "suspects": fingerprint_texts(new),
+                "suspects": fingerprint_texts(traits.content for traits in new),
+                "parts": fingerprint_texts({p for traits in new for p in traits.parts}),
             },
         )
 
-    def _record_suspects(self, lost: list[tuple[str, int]]) -> list[int]:
+    def crash_reported(self, report: CrashReport) -> None:
+        """Record the suspects that another entry has reported."""
+        now_s = self._clock.monotonic_s()
+        new = [
+            traits
+            for content, *parts in report.requests
+            if self.suspects.record_crash(
+                traits := RequestTraits(content, tuple(parts)),
+                report.target_start,
+                now_s,
+            )
+        ]
+        if new:
+            _log.info(
+                "crash suspects reported",
+                extra={
+                    "start": report.target_start,
+                    "suspects": fingerprint_texts(t.content for t in new),
+                    "parts": fingerprint_texts({p for t in new for p in t.parts}),
+                },
+            )
+            self._judge_parts()
+
+    def answer_began(self, parts: tuple[int, ...]) -> None:
+        """Clear the prompt parts of an answer that has begun."""
+        cleared = self._clear_parts(parts, "answered")
+        if cleared:
+            self.on_parts_cleared(cleared)
+
+    def parts_cleared(self, parts: tuple[int, ...]) -> None:
+        """Clear the prompt parts of an answer that has begun at another entry."""
+        self._clear_parts(parts, "answered at another entry")
+
+    def begin_trials(self, parts: tuple[int, ...]) -> list[int]:
+        """Return the refused parts that a request may try now, and announce them."""
+        on_trial = self.suspects.begin_trials(parts, self._clock.monotonic_s())
+        if on_trial:
+            _log.info(
+                "prompt part tried again", extra={"parts": fingerprint_texts(on_trial)}
+            )
+            self.on_trial(on_trial)
+        return on_trial
+
+    def _clear_parts(self, parts: tuple[int, ...], reason: str) -> list[int]:
+        released = self.suspects.are_any_refused(parts)
+        cleared = self.suspects.parts_answered(parts, self._clock.monotonic_s())
+        if released:
+            self._log_released(cleared, reason)
+        return cleared
+
+    def _judge_parts(self) -> None:
+        """Refuse the prompt parts that explain the crashes known so far."""
+        changes = self.suspects.judge_parts(self._clock.monotonic_s())
+        if changes.refused:
+            _log.warning(
+                "prompt part refused",
+                extra={
+                    "parts": fingerprint_texts(changes.refused),
+                    "reason": "targets ended before answers with it began",
+                },
+            )
+        if changes.released:
+            self._log_released(changes.released, "another part explains the crashes")
+
+    @staticmethod
+    def _log_released(parts: Iterable[int], reason: str) -> None:
+        _log.info(
+            "prompt part no longer refused",
+            extra={"parts": fingerprint_texts(parts), "reason": reason},
+        )
+
+    def _record_suspects(
+        self, lost: list[tuple[str, RequestTraits]]
+    ) -> list[RequestTraits]:
         """Record suspects by start, and return those that were not known."""
         now_s = self._clock.monotonic_s()
         new = []
-        for start, fingerprint in lost:
-            if self.suspects.record_crash(fingerprint, start, now_s):
-                new.append(fingerprint)
-                self.on_suspect(start, fingerprint)
+        for start, traits in lost:
+            if self.suspects.record_crash(traits, start, now_s):
+                new.append(traits)
+                self.on_suspect(start, traits)
+        if new:
+            self._judge_parts()
         return new
 
     def _is_draining(self, target_id: str) -> bool:
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -4,7 +4,12 @@
 
 import asyncio
 
-from lentiltally.decisions.crash_suspects import request_fingerprint
+from lentiltally.decisions.crash_suspects import (
+    RequestTraits,
+    fingerprint_texts,
+    part_fingerprint,
+    request_fingerprint,
+)
 from lentiltally.decisions.target_choice import Candidate
 from lentiltally.decisions.target_timeouts import TargetTimeouts
 from lentiltally.direct.adapter_pin import AdapterPin
@@ -57,10 +62,12 @@
         self._answer = CallerAnswer(connection, context.clock, request.last_event_id)
         self._pin = AdapterPin(context, request, route.rank)
         self._sender = TargetSender(context, request, route, self._answer, self._pin)
-        self._log = HandlingLog(request, route.name, context.clock)
+        self._traits = _traits_of(request)
+        self._on_trial: list[int] = []
+        self._answer.on_started = self._answer_began
+        self._log = HandlingLog(request, route.name, self._traits, context.clock)
         timeout_s = request.timeout_s or route.timeout_s
         self._deadline_s = request.arrived_s + min(timeout_s, route.timeout_s)
-        self._fingerprint = _fingerprint_of(request)
         self._excluded: set[str] = set()
         # Requests sent to targets, and those of them that may have been executed.
         self._attempts = 0
@@ -108,8 +115,9 @@
         self._record_end("broken off" if self._answer.is_aborted else "answered")
 
     def _check_suspect(self) -> None:
-        if self._state.suspects.is_refused(
-            self._fingerprint, self._clock.monotonic_s()
+        """Raise Refusal if the content has crashed targets, and begin due trials."""
+        if self._state.suspects.is_content_refused(
+            self._traits.content, self._clock.monotonic_s()
         ):
             raise Refusal(
                 503,
@@ -118,9 +126,44 @@
                 step="suspects",
                 retry_after_s=self._context.retry_after_s(),
             )
+        self._on_trial = self._state.begin_trials(self._traits.parts)
+
+    def _refused_part(self) -> tuple[int, float] | None:
+        """Return a refused part of the prompt and for how long, None if none is.
+
+        A prompt whose answer has begun has no part that crashes its target.
+        """
+        if self._answer.is_started:
+            return None
+        return self._state.suspects.refused_part(
+            self._traits.parts, self._clock.monotonic_s(), self._on_trial
+        )
+
+    def _give_up_refused_part(self, part: int, left_s: float) -> None:
+        """Refuse the request because of a part; "not run" only if that is true."""
+        (text,) = fingerprint_texts((part,))
+        self._detail = f"targets ended before answers with the prompt part {text} began"
+        if self._executions > 0:
+            self._give_up(502)
+            return
+        raise Refusal(
+            503,
+            "crash-suspect-part",
+            self._detail,
+            step="suspects",
+            retry_after_s=left_s,
+        )
+
+    def _answer_began(self) -> None:
+        self._state.answer_began(self._traits.parts)
 
     async def _send_until_answered(self) -> None:
         while True:
+            # Others may have found the part since the last attempt.
+            refused = self._refused_part()
+            if refused is not None:
+                self._give_up_refused_part(*refused)
+                return
             candidate = self._choose()
             if candidate is None or not self._may_attempt():
                 self._give_up(502)
@@ -176,6 +219,8 @@
             if not self._state.directory.is_usable(candidate.record.target_id):
                 self._drained_meanwhile(candidate.record)
                 return None
+            if self._refused_part() is not None:
+                return None
             return await self._send(candidate, grant)
         finally:
             # Also after a cancellation, because the agent may have granted the adapter.
@@ -277,7 +322,8 @@
         self._excluded.add(record.target_id)
         if outcome is ExchangeOutcome.DELIVERED:
             now_s = self._clock.monotonic_s()
-            self._state.suspects.finished(self._fingerprint, now_s)
+            self._state.suspects.finished(self._traits.content, now_s)
+            self._answer_began()
             return True
         self._detail, self._peer = result.detail, record.target_id
         self._log.step(
@@ -306,7 +352,10 @@
         """
         self._executions += 1
         if result.was_reset:
-            self._state.connection_lost(record, self._fingerprint)
+            traits = self._traits
+            if self._answer.is_started:
+                traits = RequestTraits(traits.content)
+            self._state.connection_lost(record, traits)
         if result.outcome is ExchangeOutcome.ANSWERED:
             self._failed_answer = result
         is_idempotent = self._route.is_idempotent
@@ -346,9 +395,12 @@
         self._context.metrics.ended(self._route.kind.value, outcome, took_s)
 
 
-def _fingerprint_of(request: CallerRequest) -> int:
+def _traits_of(request: CallerRequest) -> RequestTraits:
     adapter = request.adapter.key if request.adapter else ""
-    return request_fingerprint(request.host, request.path, adapter, request.body)
+    return RequestTraits(
+        request_fingerprint(request.host, request.path, adapter, request.body),
+        tuple(part_fingerprint(part) for part in request.shared_parts),
+    )
 
 
 def _cancel(task: asyncio.Task[None]) -> None:
--- a/lentiltally/direct/handling_log.py
+++ b/lentiltally/direct/handling_log.py
@@ -5,7 +5,7 @@
 import logging
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.crash_suspects import fingerprint_texts, part_fingerprint
+from lentiltally.decisions.crash_suspects import RequestTraits, fingerprint_texts
 from lentiltally.decisions.target_choice import Candidate
 from lentiltally.direct.caller_answer import CallerAnswer
 from lentiltally.direct.request import CallerRequest
@@ -18,14 +18,14 @@
 class HandlingLog:
     """Logs each decision about one request."""
 
-    def __init__(self, request: CallerRequest, route: str, clock: Clock) -> None:
+    def __init__(
+        self, request: CallerRequest, route: str, traits: RequestTraits, clock: Clock
+    ) -> None:
         """Prepare to log about a request of a route."""
         self._request = request
         self._route = route
         self._clock = clock
-        self._shared_parts = fingerprint_texts(
-            part_fingerprint(part) for part in request.shared_parts
-        )
+        self._shared_parts = fingerprint_texts(traits.parts)
 
     def sent(self, candidate: Candidate, left_s: float, attempt: int) -> None:
         """Log an attempt, with the target's cost and the age of its engine state."""
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -8,19 +8,22 @@
 
 import enum
 import functools
+from typing import Annotated
 
 import msgspec
 import xxhash
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 __all__ = [
     "AcquireAdapter",
     "AdapterAnswer",
     "AdapterDecision",
-    "CrashSuspect",
+    "CrashReport",
     "EngineEnded",
     "EngineState",
     "Message",
+    "PartTrial",
+    "PartsCleared",
     "PrefillFinished",
     "ReleaseAdapter",
     "StateSubscription",
@@ -160,15 +163,44 @@
     request_id: str
 
 
-class CrashSuspect(Struct, tag=6, array_like=True, frozen=True):
-    """A target stopped while it ran a request with this fingerprint.
+# A report of this size takes about 1 kB, which fits one datagram on all links.
+MAX_REQUESTS_PER_REPORT = 12
+MAX_FINGERPRINTS = 9
+
+Fingerprints = Annotated[tuple[int, ...], Meta(max_length=MAX_FINGERPRINTS)]
+
+
+class CrashReport(Struct, tag=9, array_like=True, frozen=True):
+    """A target stopped while it ran these requests.
 
     Agents forward it to all entries. ``target_start`` names the start of the target
-    that crashed, the same at all entries, so that one crash is counted once.
+    that crashed, the same at all entries, so that one crash is counted once. Each of
+    ``requests`` has the fingerprint of the content, then those of the shared parts of
+    its prompt unless its answer had begun.
     """
 
-    fingerprint: int
     target_start: str
+    requests: Annotated[
+        tuple[Fingerprints, ...], Meta(max_length=MAX_REQUESTS_PER_REPORT)
+    ]
+
+
+class PartsCleared(Struct, tag=10, array_like=True, frozen=True):
+    """An answer has begun whose prompt has these parts, which were suspects.
+
+    Agents forward it to all entries.
+    """
+
+    parts: Fingerprints
+
+
+class PartTrial(Struct, tag=11, array_like=True, frozen=True):
+    """An entry lets one request with these refused parts through.
+
+    Agents forward it to all entries, so that the others wait for its outcome.
+    """
+
+    parts: Fingerprints
 
 
 class EngineEnded(Struct, tag=8, array_like=True, frozen=True):
@@ -187,7 +219,9 @@
     | AcquireAdapter
     | AdapterAnswer
     | ReleaseAdapter
-    | CrashSuspect
+    | CrashReport
+    | PartsCleared
+    | PartTrial
     | EngineEnded
     | PrefillFinished
 )
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -87,9 +87,10 @@
     ``order_instances`` holds, for each order, the instance that it expects and the one
     that received it. ``sequence`` counts the orders executed since the last start,
     ``born`` the starts.
-    ``deadly_part`` crashes the engine when it begins the answer to a request whose
-    prompt has this part: the head is sent, then the engine is down until ``recover``,
-    and ``crashes`` counts this. While ``is_frozen``, it answers no report.
+    ``deadly_part`` crashes the engine ``crash_after_s`` after the head of an answer to
+    a request whose prompt has this part. Then it is down until ``recover``, as
+    ``is_stopped`` says, and ``crashes`` counts this. While ``is_frozen``, it answers no
+    report.
     ``has_crashed`` is set when an order would load more adapters than there are slots.
     """
 
@@ -116,7 +117,9 @@
     born: int = 1
     has_crashed: bool = False
     deadly_part: str = ""
+    crash_after_s: float = 0.15
     crashes: int = 0
+    is_stopped: bool = False
     is_frozen: bool = False
 
     def __post_init__(self) -> None:
@@ -134,10 +137,12 @@
     def crash(self) -> None:
         """End without a farewell: connections are reset, new ones are refused."""
         self.crashes += 1
+        self.is_stopped = True
         self.stop()
 
     async def recover(self) -> None:
         """Start anew at the same address, without adapters."""
+        self.is_stopped = False
         self.born += 1
         self.sequence = 0
         self.adapters.clear()
@@ -276,7 +281,7 @@
             "x-prompt-prefix", ""
         ):
             await writer.drain()
-            await asyncio.sleep(0.02)
+            await asyncio.sleep(self.crash_after_s)
             self.crash()
             return False
         for number in range(first_id, self.events + 1):
--- a/tests/direct/crashes.feature
+++ b/tests/direct/crashes.feature
@@ -28,3 +28,41 @@
     When direct path gets 2 streams with the prompt parts "f0,5a,1"
     Then direct path serves a stream with the prompt parts "f0,5a,1" within 3 s
     And direct path entry has no ended start of a target
+
+  # Guards against one part of a prompt that crashes engine after engine, in requests
+  # that have nothing else in common, and against sound requests refused with them.
+  Scenario: Direct path refuses a prompt part that crashed three engines
+    Given direct path engines crash on the prompt part "dead"
+    And direct path has served a stream with the prompt parts "f0,5a,1"
+    When direct path gets a stream from "/stream/one" with the prompt parts "f0,dead,2"
+    And direct path crashed engines are back
+    And direct path gets a stream from "/stream/two" with the prompt parts "f0,dead,3"
+    Then direct path engines crashed 4 times
+    And direct path answers 502 with execution unknown
+    When direct path crashed engines are back
+    And direct path gets a stream from "/stream/three" with the prompt parts "f0,dead,4"
+    Then direct path engines crashed 4 times
+    And direct path refused the last request for "crash-suspect-part"
+    And direct path answers 503 as not executed
+    And direct path serves a stream with the prompt parts "f0,5a,5" within 2 s
+
+  # Guards against a part that crashes as many engines at each entry, and against a part
+  # that others refuse though answers with it begin.
+  Scenario: Direct path entries share what they know of prompt parts
+    Given direct path has another entry
+    And direct path has served a stream with the prompt parts "f0,5a,1"
+    And direct path engines crash on the prompt part "dead"
+    When direct path gets a stream from "/stream/one" with the prompt parts "f0,dead,2"
+    And direct path crashed engines are back
+    And direct path gets a stream from "/stream/two" with the prompt parts "f0,dead,3"
+    Then direct path other entry refuses the prompt part "dead" within 0.5 s
+    When direct path crashed engines are sound and back
+    And direct path other entry begins an answer with the prompt part "dead"
+    Then direct path serves a stream with the prompt parts "f0,dead,5" at last within 2 s
+
+  # Guards against sound parts refused because engines end after answers have begun.
+  Scenario: Direct path takes no prompt part for the cause once the answer has begun
+    Given direct path targets handle the next 4 requests as "cut"
+    When direct path gets 3 streams with the prompt parts "f0,5a,1"
+    And direct path engines end and come back 3 times
+    Then direct path entry suspects no prompt part
--- a/tests/fakes/direct.py
+++ b/tests/fakes/direct.py
@@ -29,6 +29,7 @@
 # Concurrent test runs use different loopback addresses.
 NETWORK = f"127.{64 + os.getpid() // 256 % 64}.{os.getpid() % 256}"
 ENTRY_IP = f"{NETWORK}.1"
+OTHER_ENTRY_IP = f"{NETWORK}.2"
 
 
 def engine_ip(number):
@@ -112,6 +113,7 @@
         self.peer_port = free_port(ENTRY_IP)
         self.entry_address = None
         self.entry = None
+        self.other_entry = None
 
     def run(self, work):
         # Longer than any wait that runs inside, so that the wait times out first.
@@ -204,6 +206,20 @@
         self.readiness = settings.readiness
         self.metrics = SocketAddress(ENTRY_IP, settings.metrics_port)
 
+        self.entry = self._start_entry(settings)
+
+    def start_other_entry(self):
+        """Start a second entry; callers of ``send`` use the first one."""
+        settings = self.settings(
+            "entry-2",
+            OTHER_ENTRY_IP,
+            callers=SocketAddress(OTHER_ENTRY_IP, free_port(OTHER_ENTRY_IP)),
+            readiness=SocketAddress(OTHER_ENTRY_IP, free_port(OTHER_ENTRY_IP)),
+        )
+        self.other_entry = self._start_entry(settings)
+        assert self.wait(lambda: self._sees_all_targets(self.other_entry))
+
+    def _start_entry(self, settings):
         async def start():
             platform = EntryPlatform(
                 header_codec=http_headers,
@@ -213,11 +229,13 @@
                 decode_target=decode_target_record,
                 readiness_path=http_headers.READINESS_PATH,
             )
-            self.entry = EntryProcess(settings, platform, SystemClock())
-            self._run_process(self.entry)
+            entry = EntryProcess(settings, platform, SystemClock())
+            self._run_process(entry)
+            return entry
 
-        self.run(start())
-        assert self.wait(lambda: self.entry.is_listening)
+        entry = self.run(start())
+        assert self.wait(lambda: entry.is_listening)
+        return entry
 
     def start_agent(self, engine_name):
         engine = self.engines[engine_name]
@@ -268,10 +286,10 @@
         return self.run(poll())
 
     def wait_ready(self):
-        return self.wait(self._sees_all_targets)
+        return self.wait(lambda: self._sees_all_targets(self.entry))
 
-    def _sees_all_targets(self):
-        state = self.entry._state
+    def _sees_all_targets(self, entry):
+        state = entry._state
         seen = {record.target_id for record in state.directory.all()}
         engines = [name for name, e in self.engines.items() if e.service == "llm"]
         views = [state.choice.view(name).state for name in engines]
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -53,6 +53,26 @@
     # Guards against a caller whose hop-by-hop headers affect the connection to a target.
     Then platform codec passes on only "X-Own" of "Connection: X-Drop", "X-Drop: 1", "TE: x", "X-Own: 2"
 
+  Scenario Outline: Platform codec reads the shared parts of a prompt
+    # Guards against a part that crashes engines and is not recognised in other requests,
+    # and against requests that fail, or take much memory, because of a malformed header.
+    Then platform codec reads from prompt "<prompt>" the shared parts "<shared>"
+
+    Examples:
+      | prompt                                      | shared              |
+      | 5c1e07a2:800,91bd3f06:410,e4402b7d:250      | 5c1e07a2 91bd3f06   |
+      | 5C1E07a2:800, 91bd3f06:410 ,e4402b7d:250    | 5c1e07a2 91bd3f06   |
+      | a:1,b:1,a:1,c:1                             | a b                 |
+      | a:1,b:1,c:1,d:1,e:1,f:1,0:1,1:1,2:1,3:1,4:1 | a b c d e f 0 1     |
+      | a:800                                       |                     |
+      |                                             |                     |
+      | a:1,,b:1                                    |                     |
+      | a,b:1                                       |                     |
+      | a:1,x:1,b:1                                 |                     |
+      | a:-1,b:1,c:1                                |                     |
+      | a:12345678901,b:1                           |                     |
+      | 0123456789abcdef0123456789abcdef0:1,b:1     |                     |
+
   Scenario: Platform codec writes orders with all that engines check
     # Guards against orders that an engine rejects, or carries out twice, because the
     # holder, the fencing token or the expected sequence number is missing or wrong.
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -114,6 +114,23 @@
     assert names == [kept, "X-Request-Id"], names
 
 
+@then('platform codec reads from prompt "{prompt}" the shared parts "{shared}"')
+def reads_shared_parts(context, prompt, shared):
+    headers = [(b"X-Request-Id", b"r"), (b"X-Prompt-Prefix", prompt.encode())]
+    request = decode_request(b"GET", b"/", headers, b"", 0.0)
+    assert list(request.shared_parts) == shared.split(), request.shared_parts
+
+
+@then('platform codec reads from prompt "{prompt}" the shared parts ""')
+def reads_no_shared_parts(context, prompt):
+    reads_shared_parts(context, prompt, "")
+
+
+@then('platform codec reads from prompt "" the shared parts ""')
+def reads_empty_prompt(context):
+    reads_shared_parts(context, "", "")
+
+
 @then("platform codec writes an order with holder, token and expected sequence")
 def writes_order(context):
     order = EngineOrder(EngineOrderKind.LOAD, "m", "a1", 3, 7, "wanted")
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -7,6 +7,8 @@
 
 from behave import given, then, when
 
+from lentiltally.decisions.crash_suspects import part_fingerprint
+
 PAUSE_S = 0.05
 
 
@@ -39,6 +41,76 @@
     context.answer = send(context, parts)
 
 
+@when('direct path gets a stream from "{path}" with the prompt parts "{parts}"')
+def gets_parts_from(context, path, parts):
+    context.answer = send(context, parts, path)
+
+
+@given('direct path has served a stream with the prompt parts "{parts}"')
+def has_served(context, parts):
+    assert send(context, parts).status == 200
+
+
+@given("direct path has another entry")
+def other_entry(context):
+    context.direct.start_other_entry()
+
+
+@when("direct path crashed engines are back")
+def engines_back(context):
+    """Start the crashed engines anew and wait until the entry may use both again."""
+    system = context.direct
+    for name, engine in system.engines.items():
+        if engine.is_stopped:
+            system.run(engine.recover())
+            engine.adapters["a1"] = 1
+            system.announce(name)
+    state = system.entry._state
+    assert system.wait(
+        lambda: all(
+            (record := state.directory.get(name)) is not None
+            and record.started_ms == engine.born
+            and (view := state.choice.view(name)).state is not None
+            and view.state.started_ms == engine.born
+            for name, engine in system.engines.items()
+        )
+    )
+
+
+@when("direct path crashed engines are sound and back")
+def sound_engines_back(context):
+    for engine in engines(context):
+        engine.deadly_part = ""
+    engines_back(context)
+
+
+@when("direct path engines end and come back {times:d} times")
+def engines_end(context, times):
+    for _ in range(times):
+        for engine in engines(context):
+            context.direct.call(engine.crash)
+        context.direct.run(asyncio.sleep(0.3))
+        engines_back(context)
+
+
+@when('direct path other entry begins an answer with the prompt part "{part}"')
+def other_entry_answers(context, part):
+    state = context.direct.other_entry._state
+    context.direct.call(lambda: state.answer_began((part_fingerprint(part),)))
+
+
+@then('direct path other entry refuses the prompt part "{part}" within {within_s:g} s')
+def other_entry_refuses(context, part, within_s):
+    suspects = context.direct.other_entry._state.suspects
+    parts = (part_fingerprint(part),)
+    assert context.direct.wait(lambda: suspects.are_any_refused(parts), within_s)
+
+
+@then("direct path entry suspects no prompt part")
+def suspects_no_part(context):
+    assert not context.direct.entry._state.suspects._parts
+
+
 @when('direct path gets {count:d} streams with the prompt parts "{parts}"')
 def gets_parts_often(context, count, parts):
     context.answers = [send(context, parts) for _ in range(count)]
@@ -57,14 +129,25 @@
         context.answer = send(context, parts)
 
 
-def send(context, parts, request_id="r1"):
+def send(context, parts, path="/stream/x"):
     prompt = ",".join(f"{part}:100" for part in parts.split(","))
     headers = {
         "X-Model": "m/a1",
         "X-Token-Counts": "300,5",
         "X-Prompt-Prefix": prompt,
     }
-    return context.direct.send("/stream/x", request_id=request_id, headers=headers)
+    return context.direct.send(path, headers=headers)
+
+
+@then(
+    'direct path serves a stream with the prompt parts "{parts}" at last within '
+    "{within_s:g} s"
+)
+def serves_at_last(context, parts, within_s):
+    until_s = time.monotonic() + within_s
+    while (answer := send(context, parts)).status != 200:
+        assert time.monotonic() < until_s, answer.body
+        time.sleep(PAUSE_S)
 
 
 @then(
--- a/tests/steps/direct_limits_steps.py
+++ b/tests/steps/direct_limits_steps.py
@@ -8,6 +8,7 @@
 
 from lentiltally.decisions.crash_suspects import (
     CrashSuspects,
+    RequestTraits,
     request_fingerprint,
     suspect_relays,
 )
@@ -148,7 +149,7 @@
 
 def record_crashes(suspects, fingerprint, *starts, now_s=NOW_S):
     for start in starts:
-        suspects.record_crash(fingerprint, start, now_s)
+        suspects.record_crash(RequestTraits(fingerprint), start, now_s)
 
 
 @then(
@@ -157,21 +158,23 @@
 def refuses(context):
     context.suspects = CrashSuspects()
     for start in ("t1@1", "t1@1", "t2@1"):
-        assert not context.suspects.is_refused(example_fingerprint(), NOW_S)
+        assert not context.suspects.is_content_refused(example_fingerprint(), NOW_S)
         record_crashes(context.suspects, example_fingerprint(), start)
-    assert context.suspects.is_refused(example_fingerprint(), NOW_S)
+    assert context.suspects.is_content_refused(example_fingerprint(), NOW_S)
 
 
 @then("crash suspects do not refuse another body or the same for another adapter")
 def refuses_only_it(context):
-    assert not context.suspects.is_refused(example_fingerprint(b"other"), NOW_S)
-    assert not context.suspects.is_refused(example_fingerprint(adapter="m/b"), NOW_S)
+    assert not context.suspects.is_content_refused(example_fingerprint(b"other"), NOW_S)
+    assert not context.suspects.is_content_refused(
+        example_fingerprint(adapter="m/b"), NOW_S
+    )
 
 
 @then("crash suspects clear a request that finished")
 def clears_finished(context):
     context.suspects.finished(example_fingerprint(), NOW_S)
-    assert not context.suspects.is_refused(example_fingerprint(), NOW_S)
+    assert not context.suspects.is_content_refused(example_fingerprint(), NOW_S)
 
 
 @given("crash suspects of an entry on which a request finished {age_s:g} s ago")
@@ -187,7 +190,7 @@
 
 @then("crash suspects {verb} another equal request")
 def refuses_equal_request(context, verb):
-    is_refused = context.suspects.is_refused(example_fingerprint(), NOW_S)
+    is_refused = context.suspects.is_content_refused(example_fingerprint(), NOW_S)
     assert is_refused == (verb == "refuse")
 
 
