--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -256,10 +256,10 @@
         return on_trial
 
     def _clear_parts(self, parts: tuple[int, ...], reason: str) -> list[int]:
-        released = self.suspects.are_any_refused(parts)
+        released = [p for p in parts if self.suspects.are_any_refused((p,))]
         cleared = self.suspects.parts_answered(parts, self._clock.monotonic_s())
         if released:
-            self._log_released(cleared, reason)
+            self._log_released(released, reason)
         return cleared
 
     def _judge_parts(self) -> None:
