Tell entries that start which parts of prompts are refused

Entries tell of the parts they refuse once a second in total, and agents pass the last message on to an entry that subscribes anew. An entry at which an answer with such a part began lately clears it instead, so that a refusal that one entry missed to lift does not spread.

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -225,6 +225,35 @@
             self._answered_at_s.popitem(last=False)
         return cleared
 
+    def refusals(self, now_s: float) -> list[tuple[int, float, float]]:
+        """Return refused parts, the time to their trial and the wait before it, in s.
+
+        Those whose trial is due are left out.
+        """
+        return [
+            (part, refusal.until_s - now_s, refusal.wait_s)
+            for part, refusal in self._refused.items()
+            if refusal.until_s > now_s
+        ]
+
+    def adopt_refusals(
+        self, refusals: Iterable[tuple[int, float, float]], now_s: float
+    ) -> tuple[list[int], list[int]]:
+        """Refuse parts that another entry refuses, as ``refusals`` returned them.
+
+        Return the parts refused from now on, and those that were in an answer lately,
+        which the other entry does not know.
+        """
+        adopted, refuted = [], []
+        for part, left_s, wait_s in refusals:
+            if self._was_answered(part, now_s):
+                refuted.append(part)
+            elif part not in self._refused and len(self._refused) < MAX_SUSPECTS:
+                tied_until_s = now_s + self._staggered(TIED_TRIAL_S)
+                self._refused[part] = _PartRefusal(now_s + left_s, wait_s, tied_until_s)
+                adopted.append(part)
+        return adopted, refuted
+
     def are_any_refused(self, parts: Iterable[int]) -> bool:
         """Return whether one of the parts is refused, also if its trial is due."""
         return not self._refused.keys().isdisjoint(parts)
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -34,6 +34,7 @@
     PartsCleared,
     PartTrial,
     PrefillFinished,
+    RefusedParts,
     ReleaseAdapter,
     StateSubscription,
 )
@@ -57,6 +58,8 @@
 BUSY_REPORT_INTERVAL_S = 0.015
 # Times that entries are told of the end of an engine's start: a datagram may be lost.
 END_ANNOUNCEMENTS = 3
+# Entries tell of refused parts about once a second in total, by different agents.
+REFUSED_PARTS_RETENTION_S = 10.0
 
 
 _DECISIONS = {
@@ -102,6 +105,8 @@
         self._identified_start_ms: int | None = None
         self._last_start_ms: int | None = None
         self._end_announcements_left = 0
+        self._refused_parts: RefusedParts | None = None
+        self._refused_parts_at_s = 0.0
         self._health_path = ""
         # Adapter requests carry the newest version that their entry knows, so an agent
         # may read of it late.
@@ -191,6 +196,7 @@
         if isinstance(message, StateSubscription):
             if self._publisher.subscribe(sender, message.interval_ms / 1000, now_s):
                 self._wake.set()
+                self._tell_refused_parts(sender, now_s)
             self._reader.version_seen(message.config_version)
         elif isinstance(message, AcquireAdapter):
             self._acquire_requested(message, sender, now_s)
@@ -203,6 +209,15 @@
             self._answer_requests()
         elif isinstance(message, CrashReport | PartsCleared | PartTrial):
             self._publisher.forward(message, sender)
+        elif isinstance(message, RefusedParts):
+            self._refused_parts, self._refused_parts_at_s = message, now_s
+            self._publisher.forward(message, sender)
+
+    def _tell_refused_parts(self, entry: SocketAddress, now_s: float) -> None:
+        """Tell an entry that may have started lately which parts others refuse."""
+        is_recent = now_s - self._refused_parts_at_s < REFUSED_PARTS_RETENTION_S
+        if self._refused_parts is not None and is_recent:
+            self._peers.send(entry, self._refused_parts)
 
     def _acquire_requested(
         self, message: AcquireAdapter, sender: SocketAddress, now_s: float
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -27,6 +27,7 @@
 from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
 from lentiltally.direct.messages import (
     MAX_FINGERPRINTS,
+    MAX_REFUSALS_PER_MESSAGE,
     MAX_REQUESTS_PER_REPORT,
     AdapterAnswer,
     CrashReport,
@@ -35,6 +36,7 @@
     Message,
     PartsCleared,
     PartTrial,
+    RefusedParts,
     StoreReport,
 )
 from lentiltally.direct.model import CallerLimits, TargetStage
@@ -76,6 +78,8 @@
 # The connections of a crashed target end within this time, so that its suspects can be
 # reported together.
 REPORT_DELAY_S = 0.02
+# An entry that has started knows of refused parts after about this time.
+REFUSED_PARTS_INTERVAL_S = 1.0
 # One crash concerns at most a few dozen open requests of an entry.
 MAX_REPORTS_PER_CRASH = 4
 # The settings file may also change without SIGHUP.
@@ -113,6 +117,7 @@
         self._clock = clock
         self._metrics = EntryMetrics()
         self._state = EntryState(settings, clock, random.random())
+        self._told_refused_parts_at_s = 0.0
         self._pool = TargetPool(clock)
         self._connections: set[CallerConnection] = set()
         self._stopping_since_s: float | None = None
@@ -322,6 +327,7 @@
         self._pool.close_stale()
         for connection in list(self._connections):
             connection.check_timeouts()
+        self._tell_refused_parts()
 
     def _target_changed(self, change: DirectoryChange) -> None:
         record = change.record
@@ -353,6 +359,10 @@
             self._state.crash_reported(message)
         elif isinstance(message, PartsCleared):
             self._state.parts_cleared(message.parts)
+        elif isinstance(message, RefusedParts):
+            self._state.parts_refused_elsewhere(
+                [(p, left / 1000, wait / 1000) for p, left, wait in message.parts]
+            )
         elif isinstance(message, PartTrial):
             now_s = self._clock.monotonic_s()
             self._state.suspects.trials_begun(message.parts, now_s)
@@ -402,6 +412,19 @@
         trial = PartTrial(tuple(parts[:MAX_FINGERPRINTS]))
         self._send_to_entries(trial, parts[0])
 
+    def _tell_refused_parts(self) -> None:
+        """Tell of refused parts now and then; all entries do so once a second."""
+        now_s = self._clock.monotonic_s()
+        interval_s = REFUSED_PARTS_INTERVAL_S * self._state.entry_count
+        if now_s - self._told_refused_parts_at_s < interval_s:
+            return
+        self._told_refused_parts_at_s = now_s
+        refused = self._state.refused_parts()[:MAX_REFUSALS_PER_MESSAGE]
+        if refused:
+            parts = [(p, int(1000 * t), int(1000 * w)) for p, t, w in refused]
+            message = RefusedParts(tuple(parts))
+            self._send_to_entries(message, refused[0][0])
+
     def _send_to_entries(self, message: Message, fingerprint: int) -> None:
         """Send a message about a fingerprint to all other entries via some agents."""
         hosts = {
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -255,6 +255,20 @@
             self.on_trial(on_trial)
         return on_trial
 
+    def refused_parts(self) -> list[tuple[int, float, float]]:
+        """Return the refused parts, as ``CrashSuspects.refusals`` does."""
+        return self.suspects.refusals(self._clock.monotonic_s())
+
+    def parts_refused_elsewhere(self, refusals: list[tuple[int, float, float]]) -> None:
+        """Refuse the parts that another entry refuses, unless answered lately here."""
+        adopted, refuted = self.suspects.adopt_refusals(
+            refusals, self._clock.monotonic_s()
+        )
+        if adopted:
+            self._log_refused(adopted, "another entry refuses it")
+        if refuted:
+            self.on_parts_cleared(refuted)
+
     def _clear_parts(self, parts: tuple[int, ...], reason: str) -> list[int]:
         released = [p for p in parts if self.suspects.are_any_refused((p,))]
         cleared = self.suspects.parts_answered(parts, self._clock.monotonic_s())
@@ -266,16 +280,19 @@
         """Refuse the prompt parts that explain the crashes known so far."""
         changes = self.suspects.judge_parts(self._clock.monotonic_s())
         if changes.refused:
-            _log.warning(
-                "prompt part refused",
-                extra={
-                    "parts": fingerprint_texts(changes.refused),
-                    "reason": "targets ended before answers with it began",
-                },
+            self._log_refused(
+                changes.refused, "targets ended before answers with it began"
             )
         if changes.released:
             self._log_released(changes.released, "another part explains the crashes")
 
+    @staticmethod
+    def _log_refused(parts: Iterable[int], reason: str) -> None:
+        _log.warning(
+            "prompt part refused",
+            extra={"parts": fingerprint_texts(parts), "reason": reason},
+        )
+
     @staticmethod
     def _log_released(parts: Iterable[int], reason: str) -> None:
         _log.info(
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -24,6 +24,7 @@
     "Message",
     "PartTrial",
     "PartsCleared",
+    "RefusedParts",
     "PrefillFinished",
     "ReleaseAdapter",
     "StateSubscription",
@@ -166,6 +167,7 @@
 # A report of this size takes about 1 kB, which fits one datagram on all links.
 MAX_REQUESTS_PER_REPORT = 12
 MAX_FINGERPRINTS = 9
+MAX_REFUSALS_PER_MESSAGE = 32
 
 Fingerprints = Annotated[tuple[int, ...], Meta(max_length=MAX_FINGERPRINTS)]
 
@@ -203,6 +205,18 @@
     parts: Fingerprints
 
 
+class RefusedParts(Struct, tag=12, array_like=True, frozen=True):
+    """Parts that an entry refuses, for entries that have started since.
+
+    Each part has its fingerprint, the time in ms to its trial and the wait in ms before
+    that. Agents forward it to all entries, and to each that subscribes soon after.
+    """
+
+    parts: Annotated[
+        tuple[tuple[int, int, int], ...], Meta(max_length=MAX_REFUSALS_PER_MESSAGE)
+    ]
+
+
 class EngineEnded(Struct, tag=8, array_like=True, frozen=True):
     """The start of an agent's engine that began at ``started_ms`` has ended.
 
@@ -222,6 +236,7 @@
     | CrashReport
     | PartsCleared
     | PartTrial
+    | RefusedParts
     | EngineEnded
     | PrefillFinished
 )
--- a/tests/decisions/crash_suspects.feature
+++ b/tests/decisions/crash_suspects.feature
@@ -73,6 +73,13 @@
     Then crash suspects refuse at 9 only the parts "p"
     And crash suspects let requests with "f+p" through at times "9 no, 62.9 no"
 
+  # Guards against an entry that starts and sends a refused part to targets again, and
+  # against a part that entries refuse for each other though answers with it begin.
+  Scenario: Crash suspects adopt the parts that another entry refuses
+    When crash suspects get the events "1 crash a r1:p, 2 crash b r2:p, 3 crash c r3:p"
+    Then crash suspects of another entry adopt at 9 the refusal of "p" until 63
+    And crash suspects of another entry that has begun answers with "p" clear it
+
   # Guards against any order of crashes, requests and sound failures in which a part that
   # crashes targets goes on, or a popular part is refused.
   Scenario: Crash suspects find the deadly part among random requests
--- a/tests/direct/crashes.feature
+++ b/tests/direct/crashes.feature
@@ -66,3 +66,14 @@
     When direct path gets 3 streams with the prompt parts "f0,5a,1"
     And direct path engines end and come back 3 times
     Then direct path entry suspects no prompt part
+
+  # Guards against three more engines for each entry that starts.
+  Scenario: Direct path entry that starts learns which prompt parts are refused
+    Given direct path has served a stream with the prompt parts "f0,5a,1"
+    And direct path engines crash on the prompt part "dead"
+    When direct path gets a stream from "/stream/one" with the prompt parts "f0,dead,2"
+    And direct path crashed engines are back
+    And direct path gets a stream from "/stream/two" with the prompt parts "f0,dead,3"
+    And direct path crashed engines are back
+    And direct path starts another entry 2 s later
+    Then direct path other entry refuses the prompt part "dead" within 1.5 s
--- a/tests/steps/crash_suspects_steps.py
+++ b/tests/steps/crash_suspects_steps.py
@@ -66,6 +66,30 @@
         assert (refused is None) == (expected == "yes"), (text, refused)
 
 
+@then(
+    'crash suspects of another entry adopt at {now_s:g} the refusal of "{part}" until '
+    "{until_s:g}"
+)
+def adopts(context, now_s, part, until_s):
+    other = CrashSuspects()
+    parts = fingerprints(part)
+    refusals = context.suspects.refusals(now_s)
+    assert other.adopt_refusals(refusals, now_s) == (list(parts), [])
+    assert other.adopt_refusals(refusals, now_s) == ([], [])
+    assert other.refused_part(parts, until_s - 0.1) is not None
+    assert other.begin_trials(parts, until_s + 0.1) == list(parts)
+
+
+@then('crash suspects of another entry that has begun answers with "{part}" clear it')
+def refutes(context, part):
+    other = CrashSuspects()
+    parts = fingerprints(part)
+    other.parts_answered(parts, 8.0)
+    refusals = context.suspects.refusals(9.0)
+    assert other.adopt_refusals(refusals, 9.0) == ([], list(parts))
+    assert other.refused_part(parts, 9.0) is None
+
+
 @then(
     "crash suspects of {count:d} random fleets let at most {limit:d} deadly requests "
     "through later than {after_s:g} s after the fifth crash"
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -56,6 +56,12 @@
     context.direct.start_other_entry()
 
 
+@when("direct path starts another entry {pause_s:g} s later")
+def starts_other_entry(context, pause_s):
+    context.direct.run(asyncio.sleep(pause_s))
+    context.direct.start_other_entry()
+
+
 @when("direct path crashed engines are back")
 def engines_back(context):
     """Start the crashed engines anew and wait until the entry may use both again."""
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -587,6 +587,22 @@
         "platform/adapter",
         "reads the shared parts",
     ),
+    Mutation(
+        "refused parts told to entries that start",
+        "direct/entry_process.py",
+        "            self._send_to_entries(message, refused[0][0])\n",
+        "            pass\n",
+        "direct/crashes",
+        "entry that starts learns which prompt parts",
+    ),
+    Mutation(
+        "refused parts that were answered lately",
+        "decisions/crash_suspects.py",
+        "                refuted.append(part)\n",
+        "                pass\n",
+        "decisions/crash_suspects",
+        "adopt the parts that another entry refuses",
+    ),
     Mutation(
         "relays of crash suspects",
         "decisions/crash_suspects.py",
