Tell a restarted entry of refused parts also while its former subscription lasts

Agents told only new subscribers. Subscriptions now say how long the entry has run, and agents tell each entry that has run for less than 3 s.

The scenario failed with the former condition.

--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -60,6 +60,9 @@
 END_ANNOUNCEMENTS = 3
 # Entries tell of refused parts about once a second in total, by different agents.
 REFUSED_PARTS_RETENTION_S = 10.0
+# An entry that has started subscribes a few times within this time. Its former
+# subscription may still be valid.
+NEW_ENTRY_MS = 3_000
 
 
 _DECISIONS = {
@@ -196,6 +199,7 @@
         if isinstance(message, StateSubscription):
             if self._publisher.subscribe(sender, message.interval_ms / 1000, now_s):
                 self._wake.set()
+            if message.age_ms < NEW_ENTRY_MS:
                 self._tell_refused_parts(sender, now_s)
             self._reader.version_seen(message.config_version)
         elif isinstance(message, AcquireAdapter):
@@ -214,7 +218,7 @@
             self._publisher.forward(message, sender)
 
     def _tell_refused_parts(self, entry: SocketAddress, now_s: float) -> None:
-        """Tell an entry that may have started lately which parts others refuse."""
+        """Tell an entry that has started lately which parts others refuse."""
         is_recent = now_s - self._refused_parts_at_s < REFUSED_PARTS_RETENTION_S
         if self._refused_parts is not None and is_recent:
             self._peers.send(entry, self._refused_parts)
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -54,12 +54,14 @@
     """Subscribes an entry to the engine states of an agent, and renews this.
 
     ``interval_ms`` is the interval between two states of an engine whose load changes,
-    ``config_version`` the version of the desired state that the entry knows.
+    ``config_version`` the version of the desired state that the entry knows, ``age_ms``
+    the time since the entry started.
     """
 
     entry: str
     interval_ms: int = 100
     config_version: int = 0
+    age_ms: int = 3_600_000
 
 
 class StoreReport(Struct, array_like=True, frozen=True):
--- a/lentiltally/direct/state_subscriber.py
+++ b/lentiltally/direct/state_subscriber.py
@@ -39,6 +39,7 @@
         self._peers = peers
         self._clock = clock
         self._rng = rng
+        self._started_s = clock.monotonic_s()
         self._renew_at_s: dict[str, float] = {}
 
     def renew(self) -> None:
@@ -53,6 +54,7 @@
             self._name,
             int(pace.interval_s * 1000),
             0 if table is None else table.state.version,
+            int((now_s - self._started_s) * 1000),
         )
         due = [
             record
--- a/tests/direct/crashes.feature
+++ b/tests/direct/crashes.feature
@@ -75,5 +75,5 @@
     And direct path crashed engines are back
     And direct path gets a stream from "/stream/two" with the prompt parts "f0,dead,3"
     And direct path crashed engines are back
-    And direct path starts another entry 2 s later
-    Then direct path other entry refuses the prompt part "dead" within 1.5 s
+    And direct path restarts another entry 2 s later
+    Then direct path other entry refuses the prompt part "dead" within 0.5 s
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -3,11 +3,15 @@
 from __future__ import annotations
 
 import asyncio
+import math
+import socket
 import time
 
 from behave import given, then, when
 
 from lentiltally.decisions.crash_suspects import part_fingerprint
+from lentiltally.direct.messages import StateSubscription, encode_message
+from tests.fakes.direct import OTHER_ENTRY_IP
 
 PAUSE_S = 0.05
 
@@ -56,10 +60,22 @@
     context.direct.start_other_entry()
 
 
-@when("direct path starts another entry {pause_s:g} s later")
-def starts_other_entry(context, pause_s):
-    context.direct.run(asyncio.sleep(pause_s))
-    context.direct.start_other_entry()
+@when("direct path restarts another entry {pause_s:g} s later")
+def restarts_other_entry(context, pause_s):
+    """Start an entry whose former run has a valid subscription at the agents.
+
+    The first entry has told of its refused parts before and doesn't do so again.
+    """
+    system = context.direct
+    system.run(asyncio.sleep(pause_s))
+    system.entry._told_refused_parts_at_s = math.inf
+    data = encode_message(StateSubscription("entry-2"))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as former:
+        former.bind((OTHER_ENTRY_IP, system.peer_port))
+        for engine in engines(context):
+            former.sendto(data, (engine.ip, system.peer_port))
+        system.run(asyncio.sleep(0.05))
+    system.start_other_entry()
 
 
 @when("direct path crashed engines are back")
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -588,13 +588,21 @@
         "reads the shared parts",
     ),
     Mutation(
-        "refused parts told to entries that start",
+        "refused parts told by entries",
         "direct/entry_process.py",
         "            self._send_to_entries(message, refused[0][0])\n",
         "            pass\n",
         "direct/crashes",
         "entry that starts learns which prompt parts",
     ),
+    Mutation(
+        "refused parts told to entries that start",
+        "direct/agent_process.py",
+        "            if message.age_ms < NEW_ENTRY_MS:\n",
+        "            if False:\n",
+        "direct/crashes",
+        "entry that starts learns which prompt parts",
+    ),
     Mutation(
         "refused parts that were answered lately",
         "decisions/crash_suspects.py",
