--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -22,14 +22,19 @@
     ConfigurationFeed,
     TargetDecoder,
 )
+from lentiltally.direct.http_connection import ConnectError
 from lentiltally.direct.keyed_feed import KeyedTopic
 from lentiltally.direct.messages import (
     AcquireAdapter,
     AdapterAnswer,
     AdapterDecision,
-    CrashSuspect,
+    CrashReport,
+    EngineEnded,
     Message,
+    PartsCleared,
+    PartTrial,
     PrefillFinished,
+    RefusedParts,
     ReleaseAdapter,
     StateSubscription,
 )
@@ -51,6 +56,13 @@
 # load is under way.
 REPORT_INTERVAL_S = 0.1
 BUSY_REPORT_INTERVAL_S = 0.015
+# Times that entries are told of the end of an engine's start: a datagram may be lost.
+END_ANNOUNCEMENTS = 3
+# Entries tell of refused parts about once a second in total, by different agents.
+REFUSED_PARTS_RETENTION_S = 10.0
+# An entry that has started subscribes a few times within this time. Its former
+# subscription may still be valid.
+NEW_ENTRY_MS = 3_000
 
 
 _DECISIONS = {
@@ -94,6 +106,10 @@
         self._config_version = 0
         self._is_engine_unresponsive = False
         self._identified_start_ms: int | None = None
+        self._last_start_ms: int | None = None
+        self._end_announcements_left = 0
+        self._refused_parts: RefusedParts | None = None
+        self._refused_parts_at_s = 0.0
         self._health_path = ""
         # Adapter requests carry the newest version that their entry knows, so an agent
         # may read of it late.
@@ -183,6 +199,8 @@
         if isinstance(message, StateSubscription):
             if self._publisher.subscribe(sender, message.interval_ms / 1000, now_s):
                 self._wake.set()
+            if message.age_ms < NEW_ENTRY_MS:
+                self._tell_refused_parts(sender, now_s)
             self._reader.version_seen(message.config_version)
         elif isinstance(message, AcquireAdapter):
             self._acquire_requested(message, sender, now_s)
@@ -193,8 +211,17 @@
         elif isinstance(message, PrefillFinished):
             self._slots.prefill_finished(message.request_id, now_s)
             self._answer_requests()
-        elif isinstance(message, CrashSuspect):
+        elif isinstance(message, CrashReport | PartsCleared | PartTrial):
             self._publisher.forward(message, sender)
+        elif isinstance(message, RefusedParts):
+            self._refused_parts, self._refused_parts_at_s = message, now_s
+            self._publisher.forward(message, sender)
+
+    def _tell_refused_parts(self, entry: SocketAddress, now_s: float) -> None:
+        """Tell an entry that has started lately which parts others refuse."""
+        is_recent = now_s - self._refused_parts_at_s < REFUSED_PARTS_RETENTION_S
+        if self._refused_parts is not None and is_recent:
+            self._peers.send(entry, self._refused_parts)
 
     def _acquire_requested(
         self, message: AcquireAdapter, sender: SocketAddress, now_s: float
@@ -306,6 +333,8 @@
 
     def _apply_report(self, report: EngineReport) -> None:
         self._reader.engine_started(report.started_ms)
+        self._last_start_ms = report.started_ms
+        self._end_announcements_left = END_ANNOUNCEMENTS
         if self._slots.update_report(report):
             _log.info("engine restarted", extra={"started_ms": report.started_ms})
         self._answer_requests()
@@ -351,3 +380,14 @@
             self._is_engine_unresponsive = True
             self._metrics.engine_unresponsive.set(1)
             _log.warning("engine unresponsive", extra={"error": str(error)})
+        if isinstance(error, ConnectError) and error.is_refused:
+            self._announce_end()
+
+    def _announce_end(self) -> None:
+        """Tell the entries that the engine's last known start has ended."""
+        if self._last_start_ms is None or self._end_announcements_left == 0:
+            return
+        if self._end_announcements_left == END_ANNOUNCEMENTS:
+            _log.warning("engine ended", extra={"started_ms": self._last_start_ms})
+        self._end_announcements_left -= 1
+        self._publisher.announce(EngineEnded(self._last_start_ms))
--- a/lentiltally/direct/attempt_preparation.py
+++ b/lentiltally/direct/attempt_preparation.py
@@ -6,6 +6,7 @@
 
 from __future__ import annotations
 
+from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from lentiltally.clock import Clock
@@ -68,8 +69,12 @@
         sender: TargetSender,
         pin: AdapterPin,
         log: HandlingLog,
+        may_be_sent: Callable[[], bool],
     ) -> None:
-        """Prepare attempts at the targets of a service until the deadline."""
+        """Prepare attempts at the targets of a service until the deadline.
+
+        None is prepared any more once ``may_be_sent`` returns False.
+        """
         self._context = context
         self._state = context.state
         self._settings = context.settings
@@ -81,6 +86,7 @@
         self._sender = sender
         self._pin = pin
         self._log = log
+        self._may_be_sent = may_be_sent
         self._tries = _Tries()
 
     @property
@@ -94,7 +100,7 @@
         ``attempts`` is the number of attempts before it: another one needs the retry
         budget.
         """
-        while (candidate := self._choose()) is not None and self._is_allowed(attempts):
+        while self._is_allowed(attempts) and (candidate := self._choose()) is not None:
             prepared = await self._prepare(candidate, attempts)
             if prepared is not None:
                 return prepared
@@ -120,6 +126,10 @@
         """Note why the last attempt failed."""
         self._tries.detail, self._tries.peer = detail, record.target_id
 
+    def ended(self, detail: str) -> None:
+        """Note why no further attempt is made."""
+        self._tries.detail = detail
+
     def rejected(self, record: TargetRecord) -> None:
         """Count a rejection without execution, and avoid the target for a while."""
         self._tries.rejections += 1
@@ -168,6 +178,8 @@
     def _is_allowed(self, attempts: int) -> bool:
         """Return whether the limits and the retry budget allow another attempt."""
         settings = self._settings
+        if not self._may_be_sent():
+            return False
         if self._tries.rejections >= settings.max_rejections:
             return False
         if self._tries.declines >= settings.max_declines:
@@ -207,6 +219,8 @@
             if not self._state.directory.is_usable(record.target_id):
                 self._drained_meanwhile(record)
                 return None
+            if not self._may_be_sent():
+                return None
         connection = await self._connect(record)
         if connection is None:
             return None
@@ -250,6 +264,8 @@
             return await self._sender.connect(record, self._left_s)
         except ConnectError as error:
             self._exclude(record, str(error), is_unreachable=True)
+            if error.is_refused:
+                self._state.connection_refused(record)
             self._log.step("target unreachable", record.target_id, reason=str(error))
             return None
 
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -8,18 +8,23 @@
 
 import enum
 import functools
+from typing import Annotated
 
 import msgspec
 import xxhash
-from msgspec import Struct
+from msgspec import Meta, Struct
 
 __all__ = [
     "AcquireAdapter",
     "AdapterAnswer",
     "AdapterDecision",
-    "CrashSuspect",
+    "CrashReport",
+    "EngineEnded",
     "EngineState",
     "Message",
+    "PartTrial",
+    "PartsCleared",
+    "RefusedParts",
     "PrefillFinished",
     "ReleaseAdapter",
     "StateSubscription",
@@ -49,12 +54,14 @@
     """Subscribes an entry to the engine states of an agent, and renews this.
 
     ``interval_ms`` is the interval between two states of an engine whose load changes,
-    ``config_version`` the version of the desired state that the entry knows.
+    ``config_version`` the version of the desired state that the entry knows, ``age_ms``
+    the time since the entry started.
     """
 
     entry: str
     interval_ms: int = 100
     config_version: int = 0
+    age_ms: int = 3_600_000
 
 
 class StoreReport(Struct, array_like=True, frozen=True):
@@ -159,15 +166,67 @@
     request_id: str
 
 
-class CrashSuspect(Struct, tag=6, array_like=True, frozen=True):
-    """A target stopped while it ran a request with this fingerprint.
+# A report of this size takes about 1 kB, which fits one datagram on all links.
+MAX_REQUESTS_PER_REPORT = 12
+MAX_FINGERPRINTS = 9
+MAX_REFUSALS_PER_MESSAGE = 32
 
-    Agents forward it to all entries. ``target_start`` identifies the run of the target
-    that crashed, so that one crash is counted once.
+Fingerprints = Annotated[tuple[int, ...], Meta(max_length=MAX_FINGERPRINTS)]
+
+
+class CrashReport(Struct, tag=9, array_like=True, frozen=True):
+    """A target stopped while it ran these requests.
+
+    Agents forward it to all entries. ``target_start`` names the start of the target
+    that crashed, the same at all entries, so that one crash is counted once. Each of
+    ``requests`` has the fingerprint of the content, then those of the shared parts of
+    its prompt unless its answer had begun.
     """
 
-    fingerprint: int
     target_start: str
+    requests: Annotated[
+        tuple[Fingerprints, ...], Meta(max_length=MAX_REQUESTS_PER_REPORT)
+    ]
+
+
+class PartsCleared(Struct, tag=10, array_like=True, frozen=True):
+    """An answer has begun whose prompt has these parts, which were suspects.
+
+    Agents forward it to all entries.
+    """
+
+    parts: Fingerprints
+
+
+class PartTrial(Struct, tag=11, array_like=True, frozen=True):
+    """An entry lets one request with these refused parts through.
+
+    Agents forward it to all entries, so that the others wait for its outcome.
+    """
+
+    parts: Fingerprints
+
+
+class RefusedParts(Struct, tag=12, array_like=True, frozen=True):
+    """Parts that an entry refuses, for entries that have started since.
+
+    Each part has its fingerprint, the time in ms to its trial and the wait in ms before
+    that. Agents forward it to all entries, and to each that subscribes soon after.
+    """
+
+    parts: Annotated[
+        tuple[tuple[int, int, int], ...], Meta(max_length=MAX_REFUSALS_PER_MESSAGE)
+    ]
+
+
+class EngineEnded(Struct, tag=8, array_like=True, frozen=True):
+    """The start of an agent's engine that began at ``started_ms`` has ended.
+
+    The engine's port refuses connections, so it has terminated. A target whose process
+    stands still does not refuse them.
+    """
+
+    started_ms: int
 
 
 Message = (
@@ -176,7 +235,11 @@
     | AcquireAdapter
     | AdapterAnswer
     | ReleaseAdapter
-    | CrashSuspect
+    | CrashReport
+    | PartsCleared
+    | PartTrial
+    | RefusedParts
+    | EngineEnded
     | PrefillFinished
 )
 
--- /dev/null
+++ b/tests/steps/direct_crashes_steps.py
@@ -0,0 +1,218 @@
+"""Steps for requests that crash engines on the direct path."""
+
+from __future__ import annotations
+
+import asyncio
+import math
+import socket
+import time
+
+from behave import given, then, when
+
+from lentiltally.decisions.crash_suspects import part_fingerprint
+from lentiltally.direct.messages import StateSubscription, encode_message
+from tests.fakes.direct import OTHER_ENTRY_IP
+
+PAUSE_S = 0.05
+
+
+def engines(context):
+    return list(context.direct.engines.values())
+
+
+@given('direct path engines crash on the prompt part "{part}"')
+def engines_crash(context, part):
+    for engine in engines(context):
+        engine.deadly_part = part
+
+
+@given("direct path engines answer no reports for {silent_s:g} s")
+def engines_silent(context, silent_s):
+    system = context.direct
+
+    async def act():
+        for engine in engines(context):
+            engine.is_frozen = True
+        await asyncio.sleep(silent_s)
+        for engine in engines(context):
+            engine.is_frozen = False
+
+    context.silence = asyncio.run_coroutine_threadsafe(act(), system.loop)
+
+
+@when('direct path gets a stream with the prompt parts "{parts}"')
+def gets_parts(context, parts):
+    context.answer = send(context, parts)
+
+
+@when('direct path gets a stream from "{path}" with the prompt parts "{parts}"')
+def gets_parts_from(context, path, parts):
+    context.answer = send(context, parts, path)
+
+
+@given('direct path has served a stream with the prompt parts "{parts}"')
+def has_served(context, parts):
+    assert send(context, parts).status == 200
+
+
+@given("direct path has another entry")
+def other_entry(context):
+    context.direct.start_other_entry()
+
+
+@when("direct path restarts another entry {pause_s:g} s later")
+def restarts_other_entry(context, pause_s):
+    """Start an entry whose former run has a valid subscription at the agents.
+
+    The first entry has told of its refused parts before and doesn't do so again.
+    """
+    system = context.direct
+    system.run(asyncio.sleep(pause_s))
+    system.entry._told_refused_parts_at_s = math.inf
+    data = encode_message(StateSubscription("entry-2"))
+    with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as former:
+        former.bind((OTHER_ENTRY_IP, system.peer_port))
+        for engine in engines(context):
+            former.sendto(data, (engine.ip, system.peer_port))
+        system.run(asyncio.sleep(0.05))
+    system.start_other_entry()
+
+
+@when("direct path crashed engines are back")
+def engines_back(context):
+    """Start the crashed engines anew and wait until the entry may use both again."""
+    system = context.direct
+    for name, engine in system.engines.items():
+        if engine.is_stopped:
+            system.run(engine.recover())
+            engine.adapters["a1"] = 1
+            system.announce(name)
+    state = system.entry._state
+    assert system.wait(
+        lambda: all(
+            (record := state.directory.get(name)) is not None
+            and record.started_ms == engine.born
+            and (view := state.choice.view(name)).state is not None
+            and view.state.started_ms == engine.born
+            for name, engine in system.engines.items()
+        )
+    )
+
+
+@when("direct path crashed engines are sound and back")
+def sound_engines_back(context):
+    for engine in engines(context):
+        engine.deadly_part = ""
+    engines_back(context)
+
+
+@when("direct path engines end and come back {times:d} times")
+def engines_end(context, times):
+    for _ in range(times):
+        for engine in engines(context):
+            context.direct.call(engine.crash)
+        context.direct.run(asyncio.sleep(0.3))
+        engines_back(context)
+
+
+@when('direct path other entry begins an answer with the prompt part "{part}"')
+def other_entry_answers(context, part):
+    state = context.direct.other_entry._state
+    context.direct.call(lambda: state.answer_began((part_fingerprint(part),)))
+
+
+@then('direct path other entry refuses the prompt part "{part}" within {within_s:g} s')
+def other_entry_refuses(context, part, within_s):
+    suspects = context.direct.other_entry._state.suspects
+    parts = (part_fingerprint(part),)
+    assert context.direct.wait(lambda: suspects.are_any_refused(parts), within_s)
+
+
+@then("direct path entry suspects no prompt part")
+def suspects_no_part(context):
+    assert not context.direct.entry._state.suspects._parts
+
+
+@when('direct path gets {count:d} streams with the prompt parts "{parts}"')
+def gets_parts_often(context, count, parts):
+    context.answers = [send(context, parts) for _ in range(count)]
+
+
+@when(
+    'direct path gets a stream with the prompt parts "{parts}" within {within_s:g} s '
+    "of refusals"
+)
+def gets_until_refused(context, parts, within_s):
+    """Repeat the request until it is refused as a suspect; no engine may run it."""
+    until_s = time.monotonic() + within_s
+    context.answer = send(context, parts)
+    while b"suspect" not in context.answer.body and time.monotonic() < until_s:
+        time.sleep(PAUSE_S)
+        context.answer = send(context, parts)
+
+
+def send(context, parts, path="/stream/x"):
+    prompt = ",".join(f"{part}:100" for part in parts.split(","))
+    headers = {
+        "X-Model": "m/a1",
+        "X-Token-Counts": "300,5",
+        "X-Prompt-Prefix": prompt,
+    }
+    return context.direct.send(path, headers=headers)
+
+
+@then(
+    'direct path serves a stream with the prompt parts "{parts}" at last within '
+    "{within_s:g} s"
+)
+def serves_at_last(context, parts, within_s):
+    until_s = time.monotonic() + within_s
+    while (answer := send(context, parts)).status != 200:
+        assert time.monotonic() < until_s, answer.body
+        time.sleep(PAUSE_S)
+
+
+@then(
+    'direct path serves a stream with the prompt parts "{parts}" within {within_s:g} s'
+)
+def serves_soon(context, parts, within_s):
+    until_s = time.monotonic() + within_s
+    answer = send(context, parts)
+    while answer.status != 200 and time.monotonic() < until_s:
+        assert b"suspect" not in answer.body, answer.body
+        time.sleep(PAUSE_S)
+        answer = send(context, parts)
+    assert answer.status == 200 and answer.is_complete, (answer.status, answer.body)
+
+
+@then("direct path entry has no ended start of a target")
+def no_ended_start(context):
+    context.silence.result(5.0)
+    assert not any(has_ended(context, engine) for engine in engines(context))
+
+
+@then("direct path entry knows within {within_s:g} s that both engines have ended")
+def knows_ends(context, within_s):
+    assert context.direct.wait(
+        lambda: all(has_ended(context, engine) for engine in engines(context)),
+        within_s,
+    )
+
+
+def has_ended(context, engine):
+    crashes = context.direct.entry._state._crashes
+    return crashes.has_ended(engine.name, engine.born)
+
+
+@then("direct path engines crashed {times:d} times")
+def crashed(context, times):
+    assert sum(engine.crashes for engine in engines(context)) == times, [
+        engine.crashes for engine in engines(context)
+    ]
+
+
+@then('direct path refused the last request for "{reason}"')
+def refused_for(context, reason):
+    answer = context.answer
+    assert answer.status == 503, (answer.status, answer.body)
+    assert f"problem:{reason}".encode() in answer.body, answer.body
