--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -117,6 +117,8 @@
 
 @when('direct path other entry begins an answer with the prompt part "{part}"')
 def other_entry_answers(context, part):
+    """Begin an answer; the first entry doesn't tell of its refused parts meanwhile."""
+    context.direct.entry._told_refused_parts_at_s = math.inf
     state = context.direct.other_entry._state
     context.direct.call(lambda: state.answer_began((part_fingerprint(part),)))
 
