Accept no target record with numbers, ids or addresses out of range

Callers saw: beside one odd record in the list of targets, every request of its service ended without an answer. Cause: the decoder checked types but not ranges. A start below -1 is missing in the index of addresses, so TargetDirectory.usable raised KeyError for all targets of the service, in entries for each request and in agents after each read ("unexpected error", they back off as if the store were down). 400 digits of slots raise OverflowError where loads are divided by them, an id with a line break is no valid header value, and an octet of 80 digits is no host name. A start or a sequence too far in the future would make every later, correct record of the same id or address look older.

A record now names a target only if its numbers are in range, its id is printable ASCII and its address is a plain IPv4 address with a port. The index of addresses no longer depends on the range. A negative slow start still counts as none, and no slots as one, as before. The stand-in of the store writes the length of a key in bytes.

--- a/lentiltally/decisions/target_directory.py
+++ b/lentiltally/decisions/target_directory.py
@@ -169,7 +169,8 @@
 
     def _note_address(self, record: TargetRecord) -> None:
         start = record.started_ms, record.target_id
-        if start > self._newest_at_address.get(record.address, (-1, "")):
+        known = self._newest_at_address.get(record.address)
+        if known is None or start > known:
             self._newest_at_address[record.address] = start
         ip = record.address.rpartition(":")[0]
         self._ids_at_host.setdefault(ip, set()).add(record.target_id)
--- a/lentiltally/direct/settings.py
+++ b/lentiltally/direct/settings.py
@@ -2,10 +2,17 @@
 
 from __future__ import annotations
 
+import re
 from dataclasses import dataclass, field
 
 __all__ = ["HostBounds", "HostSettings", "SocketAddress"]
 
+# An error quotes no more characters of a text that may come from a faulty writer.
+MAX_QUOTED = 64
+# Without leading zeros, which some resolvers take for octal numbers.
+_NUMBER = "(?:0|[1-9][0-9]{0,4})"
+_ADDRESS = re.compile(rf"((?:{_NUMBER}\.){{3}}{_NUMBER}):({_NUMBER})")
+
 
 @dataclass(frozen=True, slots=True)
 class SocketAddress:
@@ -17,14 +24,12 @@
     @classmethod
     def from_text(cls, text: str) -> SocketAddress:
         """Parse ``IP:PORT``; raises ValueError if it is something else."""
-        ip, separator, port = text.rpartition(":")
-        parts = ip.split(".")
-        if not separator or len(parts) != 4 or not all(p.isdigit() for p in parts):
-            raise ValueError(f"{text!r} is not an IPv4 address with a port")
-        number = int(port)
-        if not 0 < number < 65_536 or any(int(p) > 255 for p in parts):
-            raise ValueError(f"{text!r} is not an IPv4 address with a port")
-        return cls(ip, number)
+        match = _ADDRESS.fullmatch(text)
+        if match is not None:
+            ip, port = match[1], int(match[2])
+            if 0 < port < 65_536 and all(int(p) <= 255 for p in ip.split(".")):
+                return cls(ip, port)
+        raise ValueError(f"{text[:MAX_QUOTED]!r} is not an IPv4 address with a port")
 
     def __str__(self) -> str:
         """Return ``IP:PORT``."""
--- a/lentiltally/platform/_json.py
+++ b/lentiltally/platform/_json.py
@@ -2,11 +2,19 @@
 
 from __future__ import annotations
 
-from typing import TypeVar
+from typing import Annotated, TypeVar
 
 import msgspec
+from msgspec import Meta
 
-__all__ = ["decode_json"]
+__all__ = ["Count", "UnixMs", "decode_json"]
+
+# Every JSON writer represents these integers exactly, and they fit the 64 bits of a
+# number in a message between processes.
+Count = Annotated[int, Meta(ge=0, le=2**53 - 1)]
+# The upper limit is in the year 2109. A start that is too far in the future would make
+# all later, correct records of a target look older.
+UnixMs = Annotated[int, Meta(ge=0, le=2**42)]
 
 _Document = TypeVar("_Document")
 
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -118,7 +118,7 @@
             ">QQ", topic.first_offset + len(topic.records), topic.first_offset
         )
         for key, value in topic.records[max(0, offset - topic.first_offset) :]:
-            content = bytes([len(key)]) + key.encode() + (value or b"")
+            content = bytes([len(key.encode())]) + key.encode() + (value or b"")
             body += struct.pack(">I", len(content)) + content
         return answer(200, body)
 
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -467,4 +467,20 @@
         "direct/stop",
         "still answers on connections that are new",
     ),
+    Mutation(
+        "ranges of target records",
+        "platform/target_list.py",
+        "born: UnixMs = 0",
+        "born: int = 0",
+        "direct/odd_records",
+        "a start in the year 30000",
+    ),
+    Mutation(
+        "addresses of target records",
+        "direct/settings.py",
+        '_NUMBER = "(?:0|[1-9][0-9]{0,4})"',
+        '_NUMBER = "[0-9]+"',
+        "direct/odd_records",
+        "an octet of 80 digits",
+    ),
 )
