Report addresses and requests that no library accepts as connection errors

open_connection let ValueError and OverflowError pass ("connect(): port must be 0-65535."), and HttpConnection.send let h11.LocalProtocolError pass and stayed busy after it. Both end a request with an unhandled exception, which its caller sees as a closed connection, where the request could go to another target.

The errors are a ConnectError, after which nothing was sent, and a PeerError; the connection stays usable after the latter.

--- a/lentiltally/direct/http_connection.py
+++ b/lentiltally/direct/http_connection.py
@@ -124,13 +124,22 @@
     def send(
         self, method: bytes, path: bytes, headers: RawHeaders, body: bytes
     ) -> None:
-        """Send a complete request; raises PeerError if the connection is closed."""
+        """Send a complete request.
+
+        Raises PeerError if the connection is closed or the request is not valid HTTP.
+        """
         if not self.is_reusable or self._transport is None:
             raise PeerError("connection has ended", step="send", peer=str(self.address))
+        try:
+            request = h11.Request(method=method, target=path, headers=list(headers))
+        except h11.LocalProtocolError as error:
+            raise PeerError(
+                f"invalid request: {error}", step="send", peer=str(self.address)
+            ) from error
         self._is_busy = True
         self._interim_responses = 0
         self.requests += 1
-        self._sent = h11.Request(method=method, target=path, headers=list(headers))
+        self._sent = request
         self._body = body
         self._transport.write(self._encode(self._http, self._sent, body))
 
@@ -249,7 +258,8 @@
     try:
         async with asyncio.timeout(timeout_s):
             await loop.create_connection(lambda: connection, address.ip, address.port)
-    except (OSError, TimeoutError) as error:
+    except (OSError, TimeoutError, ValueError, OverflowError) as error:
+        # ValueError and OverflowError: the host or the port is no valid one.
         raise ConnectError(
             f"no connection: {error or 'timeout'}", step="connect", peer=str(address)
         ) from error
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -483,4 +483,12 @@
         "direct/odd_records",
         "an octet of 80 digits",
     ),
+    Mutation(
+        "addresses that no socket accepts",
+        "direct/http_connection.py",
+        "except (OSError, TimeoutError, ValueError, OverflowError) as error:",
+        "except (OSError, TimeoutError) as error:",
+        "direct/http_connection",
+        "reports that nothing was sent",
+    ),
 )
