Read no number from headers or event ids that can't be converted

Callers saw a closed connection instead of their answer. Cause: numbers of targets and callers were converted without a range. "X-Server-Load: nan,0,8" and "inf,0,8" raised in decode_answer_head, and 1e308 or 1e400 later, wherever loads are divided; an event id or an X-Token-Counts of 5,000 digits is more than int() converts, and 25 digits are more than a message to an agent holds. None of these is a PeerError, so the request ended with an unhandled exception. The caller's own number only ended its own request.

A reported load with a number out of range counts as none, a prompt whose tokens are out of range as one of unknown length, and an event id of more than 18 digits breaks the stream, which resumes at the next target.

--- a/lentiltally/decisions/event_stream.py
+++ b/lentiltally/decisions/event_stream.py
@@ -14,11 +14,16 @@
 # A partial event is kept until it is complete. Events of the engines have some hundred
 # bytes, but a faulty engine may send bytes without end.
 MAX_EVENT_BYTES = 1024 * 1024
+# An id fits 64 bits, so a header can name it.
+MAX_ID_DIGITS = 18
 
 
 @dataclass(frozen=True, slots=True)
 class StreamBroken(Exception):  # noqa: N818 - says what happened
-    """The stream can't be continued: an event is missing, repeated or too large."""
+    """The stream can't be continued.
+
+    An event is missing, repeated or too large, or its id is too long.
+    """
 
     detail: str
 
@@ -47,8 +52,8 @@
     def received(self, data: bytes) -> bytes:
         """Add bytes from the target and return the events that they complete.
 
-        Raises StreamBroken if an event is too large or its id does not follow the
-        last one.
+        Raises StreamBroken if an event is too large, or its id is too long or does not
+        follow the last one.
         """
         self._buffer += data
         end = self._buffer.rfind(b"\n\n")
@@ -82,5 +87,7 @@
     for line in event.split(b"\n"):
         if line.startswith(b"id:"):
             value = line[3:].strip()
+            if value.isdigit() and len(value) > MAX_ID_DIGITS:
+                raise StreamBroken(f"an event id exceeds {MAX_ID_DIGITS} digits")
             return int(value) if value.isdigit() else None
     return None
--- a/lentiltally/platform/http_headers.py
+++ b/lentiltally/platform/http_headers.py
@@ -17,6 +17,9 @@
 
 READINESS_PATH = b"/-/readiness"
 MS_PER_S = 1000.0
+# Larger numbers are none that a caller or a target means, and a message between
+# processes can't contain those of more than 64 bits.
+MAX_NUMBER = 1e12
 
 _REQUEST_ID = b"x-request-id"
 _DEADLINE = b"x-deadline-milliseconds"
@@ -90,7 +93,7 @@
         arrived_s=arrived_s,
         timeout_s=None if timeout_ms is None else timeout_ms / MS_PER_S,
         adapter=_adapter(fields.get(_MODEL, b"")),
-        prompt_tokens=int(prompt_tokens) if prompt_tokens.strip().isdigit() else 0,
+        prompt_tokens=_count(prompt_tokens),
         last_event_id=None if last_event_id is None else int(last_event_id),
     )
 
@@ -182,11 +185,19 @@
         number = float(value)
     except ValueError:
         raise _bad_request(f"the {name} is not a number") from None
-    if not 0 <= number < 1e12:
+    if not 0 <= number < MAX_NUMBER:
         raise _bad_request(f"the {name} is out of range")
     return number
 
 
+def _count(value: bytes) -> int:
+    """Return a number of tokens, 0 if the value is none."""
+    digits = value.strip()
+    if not digits.isdigit() or not float(digits) < MAX_NUMBER:
+        return 0
+    return int(digits)
+
+
 def _keep_alive_s(value: bytes) -> float | None:
     """Return the idle timeout of a ``Keep-Alive`` header, None if it has none."""
     for part in value.split(b","):
@@ -207,7 +218,8 @@
         numbers = [float(part) for part in parts]
     except ValueError:
         return None
-    if len(numbers) < 3:
+    # NaN is not in the range either.
+    if len(numbers) < 3 or not all(0 <= number < MAX_NUMBER for number in numbers):
         return None
     slowness = numbers[3] / 100.0 if len(numbers) > 3 else 1.0
     return LoadReport(
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -17,6 +17,7 @@
 SIGNATURE_HEADER = "X-Response-Signature"
 DRIP_INTERVAL_S = 0.1
 ENDLESS_PAUSE_S = 0.001
+LONG_ID_DIGITS = {"long-id": 25, "longest-id": 5_000}
 # What an endless answer begins with, and what it repeats. REQUEST stands for the id of
 # the request.
 ENDLESS_ANSWERS = {
@@ -62,6 +63,7 @@
     - ``unframed-reset``: the same, and the connection ends with a reset
     - ``cut``: resets the connection in the middle of the third event of a stream
     - ``skip``: leaves the third event of a stream out
+    - ``long-id``, ``longest-id``: the id of the third event has 25 or 5,000 digits
     - ``stall``: sends two events of a stream and then nothing more
     - ``drip``: sends two events of a stream, or a part of a body, and then a byte every
       0.1 s
@@ -77,6 +79,7 @@
     A request for another instance than ``name``, for an adapter that is not loaded or
     for another version of it is refused with 421, whatever the step.
 
+    ``answer_headers`` are added to each whole answer.
     A stream has ``events`` events with pauses of ``event_s``; ``answer_after_s`` delays
     each answer. ``slots`` counts adapter slots. ``adapters`` maps loaded adapters to
     their versions, ``loading`` holds those being loaded, and ``versions`` the version
@@ -100,6 +103,7 @@
     ip: str = ""
     service: str = ""
     script: deque[str] = field(default_factory=deque)
+    answer_headers: dict[str, str] = field(default_factory=dict)
     adapters: dict[str, int] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     loading: set[str] = field(default_factory=set)
@@ -217,7 +221,7 @@
     ) -> bool:
         request_id = request.headers["x-request-id"]
         signature = {SIGNATURE_HEADER: f"proof-{self.name}"}
-        headers = {"X-Request-Id": request_id, **signature}
+        headers = {"X-Request-Id": request_id, **signature, **self.answer_headers}
         body = b"body of " + request_id.encode()
         if step == "unproved":
             headers.pop(SIGNATURE_HEADER)
@@ -257,6 +261,9 @@
                 event = event[:9]
             if step == "skip" and number == first_id + 2:
                 continue
+            if step in LONG_ID_DIGITS and number == first_id + 2:
+                digits = b"9" * LONG_ID_DIGITS[step]
+                event = event.replace(b"id: 3", b"id: " + digits)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             if step == "cut" and number == first_id + 2:
--- a/tests/direct/faulty_targets.feature
+++ b/tests/direct/faulty_targets.feature
@@ -53,3 +53,41 @@
     And direct path one target handles the next request as "drip"
     When direct path gets a GET to "/safe/x"
     Then direct path answers 200 with the target's body and signature
+
+  # Guards against a request that ends without an answer, because a header of the answer
+  # has a number that can't be converted. The target has run the request.
+  Scenario Outline: Direct path passes on an answer with <header> of <number>
+    Given direct path with a store, a configuration and two plain targets
+    And direct path targets answer with "<header>" of <number>
+    When direct path gets 4 GETs to "/safe/x"
+    Then direct path answered all with 200
+
+    Examples:
+      | header        | number             |
+      | X-Server-Load | nan,0,8            |
+      | X-Server-Load | inf,0,8            |
+      | X-Server-Load | 1e999,0,8          |
+      | X-Server-Load | 1,0,8,nan          |
+      | X-Server-Load | 1e308,1e308,1      |
+      | X-Server-Load | -1,0,8             |
+      | X-Server-Load | 0,0,5000 digits    |
+      | X-Server-Load | 0,0,1e400          |
+      | Keep-Alive    | timeout=nan        |
+      | Keep-Alive    | timeout=-1         |
+      | Keep-Alive    | timeout and 5000 digits |
+      | Retry-After   | 5000 digits        |
+
+  # Guards against an event id that ends the request with an unhandled exception, or that
+  # no request to resume the stream can name.
+  Scenario Outline: Direct path resumes a stream whose next event id has <digits> digits
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path engines have "a1" loaded
+    And direct path one target handles the next request as "<step>"
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path resumed after event 2
+
+    Examples:
+      | digits | step       |
+      | 25     | long-id    |
+      | 5000   | longest-id |
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -57,3 +57,18 @@
     # Guards against orders that an engine rejects, or carries out twice, because the
     # holder, the fencing token or the expected sequence number is missing or wrong.
     Then platform codec writes an order with holder, token and expected sequence
+
+  # Guards against a caller's number that ends its request with an unhandled exception: it
+  # can't be converted, or a message to an agent can't contain it.
+  Scenario Outline: Platform codec reads <number> as <tokens> tokens of a prompt
+    Then platform codec reads "X-Token-Counts" of <number> as <tokens> tokens
+
+    Examples:
+      | number          | tokens  |
+      | 100,20          | 100     |
+      | 9,x             | 9       |
+      | -1,20           | 0       |
+      | 1.5             | 0       |
+      | 1e400           | 0       |
+      | 25 digits       | 0       |
+      | 5000 digits     | 0       |
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -127,3 +127,13 @@
         "fencingToken": 1,
         "expect": 7,
     }, body
+
+
+@then('platform codec reads "X-Token-Counts" of {text} as {tokens:d} tokens')
+def reads_tokens(context, text, tokens):
+    del context
+    count, _, unit = text.partition(" ")
+    value = "9" * int(count) if unit == "digits" else text
+    headers = [(b"X-Request-Id", b"r1"), (b"X-Token-Counts", value.encode())]
+    request = decode_request(b"GET", b"/", headers, b"", 0.0)
+    assert request.prompt_tokens == tokens, request.prompt_tokens
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -491,4 +491,28 @@
         "direct/http_connection",
         "reports that nothing was sent",
     ),
+    Mutation(
+        "range of reported loads",
+        "platform/http_headers.py",
+        "or not all(0 <= number < MAX_NUMBER for number in numbers)",
+        "",
+        "direct/faulty_targets",
+        "passes on an answer with X-Server-Load",
+    ),
+    Mutation(
+        "length of event ids",
+        "decisions/event_stream.py",
+        "if value.isdigit() and len(value) > MAX_ID_DIGITS:",
+        "if False:",
+        "direct/faulty_targets",
+        "id has 5000 digits",
+    ),
+    Mutation(
+        "range of token counts",
+        "platform/http_headers.py",
+        "or not float(digits) < MAX_NUMBER:",
+        "or False:",
+        "platform/adapter",
+        "tokens of a prompt",
+    ),
 )
