Check the ranges of numbers in reports, configurations and version notices

Callers saw refusals or closed connections. Causes: after a report with a number of more than 64 bits (born, running, waiting), the agent failed to encode its next state, outside the handling of errors, and the task that reads its engine ended while the process ran on; 400 digits did the same. A version notice of that size made each request for its adapter end with an unhandled exception, a configuration of that version made every later one look older, and so did its rank and its timeouts to requests. A superscript digit or 5,000 digits in an adapter's version ended the reading of a report with an unexpected error. Odd configurations were also logged again with each read of the newest records.

Nested values, null, NaN and 1e400 were turned down before.

Numbers of all documents now have ranges. An odd report counts as none, an odd configuration leaves the last one in force, and each odd record of the configuration is logged once. The agent goes on reading its engine if a state can't be sent.

--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -264,8 +264,7 @@
                 self._engine_failed(error)
             except Exception:
                 _log.exception("engine step failed")
-            now_s = self._clock.monotonic_s()
-            self._publisher.publish(self._reader.report(now_s), now_s)
+            self._publish_state()
             pause_s = (
                 BUSY_REPORT_INTERVAL_S if self._slots.has_work else REPORT_INTERVAL_S
             )
@@ -276,6 +275,14 @@
             except TimeoutError:
                 continue
 
+    def _publish_state(self) -> None:
+        now_s = self._clock.monotonic_s()
+        try:
+            self._publisher.publish(self._reader.report(now_s), now_s)
+        except Exception:
+            # Without this task the agent would run on but never read its engine again.
+            _log.exception("engine state not published")
+
     async def _step(self) -> None:
         report = await self._platform.engine.report()
         self._apply_report(report)
--- a/lentiltally/direct/entry_feeds.py
+++ b/lentiltally/direct/entry_feeds.py
@@ -32,24 +32,32 @@
         self._decode = decode
         self._on_state = on_state
         self._on_notice = on_notice
+        # Offsets of the undecodable records that were logged last, by key.
+        self._undecodable: dict[str, int] = {}
 
     def on_record(self, record: FeedRecord) -> None:
-        """Decode one record; an undecodable one is logged and ignored."""
+        """Decode one record; an undecodable one is logged once and ignored."""
         if record.value is None:
             return
         try:
             value = self._decode(record.key, record.value)
         except LentiltallyError as error:
-            _log.warning(
-                "undecodable configuration record ignored",
-                extra={"key": record.key, "offset": record.offset, "error": str(error)},
-            )
+            self._log_undecodable(record, error)
             return
         if isinstance(value, DesiredState):
             self._on_state(value)
         elif isinstance(value, AdapterNotice):
             self._on_notice(value)
 
+    def _log_undecodable(self, record: FeedRecord, error: LentiltallyError) -> None:
+        # The newest record of a key is read again after each truncation.
+        if self._undecodable.get(record.key) != record.offset:
+            self._undecodable[record.key] = record.offset
+            _log.warning(
+                "undecodable configuration record ignored",
+                extra={"key": record.key, "offset": record.offset, "error": str(error)},
+            )
+
     def on_snapshot_keys(self, keys: set[str]) -> None:
         """Do nothing: configuration is replaced but never removed."""
 
--- a/lentiltally/platform/desired_state.py
+++ b/lentiltally/platform/desired_state.py
@@ -19,7 +19,7 @@
     WeightedService,
 )
 from lentiltally.errors import LentiltallyError
-from lentiltally.platform._json import decode_json
+from lentiltally.platform._json import Count, decode_json
 
 __all__ = [
     "CONFIGURATION_KEY",
@@ -46,6 +46,11 @@
     """A value from the platform's store, or an engine's report, is malformed."""
 
 
+# Times and ranks become numbers of messages, which have 64 bits.
+_Milliseconds = Annotated[float, Meta(ge=-1e12, le=1e12)]
+_Rank = Annotated[int, Meta(ge=-(2**31), le=2**31)]
+
+
 class _TrafficShare(Struct):
     service: str
     weight: float = 1.0
@@ -56,14 +61,14 @@
     host: str
     path_prefix: str
     kind: str
-    timeout_ms: float = 30_000.0
-    target_latency_ms: float = 1_000.0
-    priority: int = 0
+    timeout_ms: _Milliseconds = 30_000.0
+    target_latency_ms: _Milliseconds = 1_000.0
+    priority: _Rank = 0
     service: str = ""
     traffic_split: list[_TrafficShare] = []
-    attempts: Annotated[int, Meta(ge=1)] = 1
+    attempts: Annotated[int, Meta(ge=1, le=2**31)] = 1
     resumable: bool = False
-    gap_target_ms: float = 0.0
+    gap_target_ms: _Milliseconds = 0.0
 
 
 class _Model(Struct, rename="camel"):
@@ -74,9 +79,9 @@
 
 
 class _Engine(Struct, rename="camel"):
-    slots: int = 1
-    kv_cache_tokens: int = 0
-    adapter_slots: int = 0
+    slots: Count = 1
+    kv_cache_tokens: Count = 0
+    adapter_slots: Count = 0
     weights_mb: float = 0.0
     models: list[_Model] = []
 
@@ -84,19 +89,19 @@
 class _Service(Struct, rename="camel"):
     name: str
     health_path: str = "/health"
-    connection_limit: int = 64
+    connection_limit: Count = 64
     engine: _Engine | None = None
 
 
 class _CallerLimits(Struct, rename="camel"):
-    header_bytes: int = 16_384
-    body_bytes: int = 4 * 1024 * 1024
-    header_timeout_ms: float = 3_000.0
-    idle_timeout_ms: float = 15_000.0
+    header_bytes: Count = 16_384
+    body_bytes: Count = 4 * 1024 * 1024
+    header_timeout_ms: _Milliseconds = 3_000.0
+    idle_timeout_ms: _Milliseconds = 15_000.0
 
 
 class _Config(Struct):
-    version: int
+    version: Count
     routes: list[_Route] = []
     services: list[_Service] = []
     limits: _CallerLimits = msgspec.field(default_factory=_CallerLimits)
@@ -105,7 +110,7 @@
 class _AdapterNotice(Struct):
     model: str
     adapter: str
-    version: int
+    version: Count
 
 
 def decode_desired_state(value: bytes) -> DesiredState:
--- a/lentiltally/platform/engine_control.py
+++ b/lentiltally/platform/engine_control.py
@@ -2,6 +2,8 @@
 
 from __future__ import annotations
 
+import re
+
 import msgspec
 from msgspec import Struct
 
@@ -15,7 +17,7 @@
 from lentiltally.direct.http_client import HttpClient
 from lentiltally.direct.http_connection import PeerError
 from lentiltally.direct.settings import SocketAddress
-from lentiltally.platform._json import decode_json
+from lentiltally.platform._json import Count, UnixMs, decode_json
 from lentiltally.platform.desired_state import StoreValueError
 
 __all__ = ["EngineControlClient", "decode_report", "encode_order"]
@@ -31,26 +33,28 @@
 # Constant, because the holder of an engine never changes: the holder is a host, and
 # only the agent on that host sends orders to the engine.
 _FENCING_TOKEN = 1
+# str.isdigit also accepts characters that int() rejects; 15 digits fit a Count.
+_VERSION = re.compile("[0-9]{1,15}")
 
 
 class _Model(Struct):
     name: str
-    version: int = 0
+    version: Count = 0
     adapters: list[str] = []
 
 
 class _Report(Struct, rename="camel"):
     models: list[_Model] = []
     busy: bool = False
-    sequence: int = 0
-    waiting: int = 0
-    running: int = 0
-    kv_cache_used: int = 0
-    kv_cache_total: int = 0
+    sequence: Count = 0
+    waiting: Count = 0
+    running: Count = 0
+    kv_cache_used: Count = 0
+    kv_cache_total: Count = 0
     # Adapters being loaded from the weight store, as MODEL/NAME@VERSION.
     coming: list[str] = []
     # Start of the engine in Unix milliseconds.
-    born: int = 0
+    born: UnixMs = 0
     state: str = "ready"
     remaining_ms: float | None = None
 
@@ -167,9 +171,9 @@
 
 
 def _parse_adapter(text: str) -> LoadedAdapter:
-    """Parse ``NAME@VERSION``; the version is 0 if it is missing or not a number."""
+    """Parse ``NAME@VERSION``; the version is 0 if it is missing or not a count."""
     name, _, version = text.partition("@")
-    return LoadedAdapter(name, int(version) if version.isdigit() else 0)
+    return LoadedAdapter(name, int(version) if _VERSION.fullmatch(version) else 0)
 
 
 def _drop_version(text: str) -> str:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -79,7 +79,8 @@
     A request for another instance than ``name``, for an adapter that is not loaded or
     for another version of it is refused with 421, whatever the step.
 
-    ``answer_headers`` are added to each whole answer.
+    ``answer_headers`` are added to each whole answer. ``report_fields`` replace fields
+    of the reports by JSON texts; ``reports`` counts the reports.
     A stream has ``events`` events with pauses of ``event_s``; ``answer_after_s`` delays
     each answer. ``slots`` counts adapter slots. ``adapters`` maps loaded adapters to
     their versions, ``loading`` holds those being loaded, and ``versions`` the version
@@ -104,6 +105,8 @@
     service: str = ""
     script: deque[str] = field(default_factory=deque)
     answer_headers: dict[str, str] = field(default_factory=dict)
+    report_fields: dict[str, str] = field(default_factory=dict)
+    reports: int = 0
     adapters: dict[str, int] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     loading: set[str] = field(default_factory=set)
@@ -136,7 +139,7 @@
     async def handle(self, request: RawRequest) -> bytes | None:
         """Answer a request for a report or an order; these never use the script."""
         if request.path == "/-/report":
-            return answer(200, json.dumps(self._report()).encode())
+            return answer(200, self._report_body())
         if request.path == "/-/order":
             expected = request.headers.get("x-expected-instance", "")
             self.order_instances.append((expected, self.name))
@@ -279,6 +282,13 @@
         await writer.drain()
         return True
 
+    def _report_body(self) -> bytes:
+        self.reports += 1
+        fields = {name: json.dumps(value) for name, value in self._report().items()}
+        fields |= self.report_fields
+        texts = (f'"{name}":{text}' for name, text in fields.items())
+        return ("{" + ",".join(texts) + "}").encode()
+
     def _report(self) -> dict[str, object]:
         adapters = [f"{name}@{version}" for name, version in self.adapters.items()]
         models = [{"name": self.model, "version": 1, "adapters": adapters}]
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -72,3 +72,29 @@
       | 1e400           | 0       |
       | 25 digits       | 0       |
       | 5000 digits     | 0       |
+
+  # Guards against numbers of an engine's report that a message to the entries can't
+  # contain, or that end the reading of the report with an unexpected error.
+  Scenario Outline: Platform codec rejects a report with <field> of <number>
+    Then platform codec rejects a report with <field> of <number>
+
+    Examples:
+      | field        | number    |
+      | born         | 25 digits |
+      | born         | -1        |
+      | running      | 25 digits |
+      | waiting      | -1        |
+      | sequence     | 25 digits |
+      | kvCacheUsed  | 25 digits |
+      | kvCacheTotal | 25 digits |
+
+  Scenario Outline: Platform codec reads <text> as adapter version <version>
+    Then platform codec reads the adapter "a@<text>" with version <version>
+
+    Examples:
+      | text        | version |
+      | 7           | 7       |
+      | \u00b2      | 0       |
+      | -1          | 0       |
+      | 25 digits   | 0       |
+      | 5000 digits | 0       |
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -14,7 +14,7 @@
 from lentiltally.cli import main
 from lentiltally.decisions.engine_orders import EngineOrder, EngineOrderKind
 from lentiltally.platform.desired_state import StoreValueError
-from lentiltally.platform.engine_control import encode_order
+from lentiltally.platform.engine_control import decode_report, encode_order
 from lentiltally.platform.http_headers import decode_answer_head, decode_request
 from lentiltally.platform.target_list import decode_target_record
 
@@ -137,3 +137,27 @@
     headers = [(b"X-Request-Id", b"r1"), (b"X-Token-Counts", value.encode())]
     request = decode_request(b"GET", b"/", headers, b"", 0.0)
     assert request.prompt_tokens == tokens, request.prompt_tokens
+
+
+def digits_or(text):
+    count, _, unit = text.partition(" ")
+    return "9" * int(count) if unit == "digits" else text
+
+
+@then("platform codec rejects a report with {field} of {text}")
+def rejects_report(context, field, text):
+    del context
+    try:
+        decode_report(f'{{"{field}":{digits_or(text)}}}'.encode(), None)
+    except StoreValueError:
+        return
+    raise AssertionError("accepted")
+
+
+@then('platform codec reads the adapter "a@{text}" with version {version:d}')
+def reads_adapter(context, text, version):
+    del context
+    model = f'{{"name":"m","adapters":["a@{digits_or(text)}"]}}'
+    report = decode_report(f'{{"models":[{model}]}}'.encode(), None)
+    (adapter,) = report.models[0].adapters
+    assert (adapter.name, adapter.version) == ("a", version), adapter
--- a/tests/steps/odd_records_steps.py
+++ b/tests/steps/odd_records_steps.py
@@ -7,6 +7,8 @@
 
 from behave import then, when
 
+from tests.fakes.direct import configuration
+
 LEVELS = 100_000
 ODD_ADDRESSES = {
     "an octet of 80 digits": "0" * 79 + "9.0.0.1:80",
@@ -113,3 +115,119 @@
     directories += [agent._reader._directory for agent in agents]
     assert system.wait(lambda: all(d.is_usable("p9") for d in directories))
     assert system.wait(lambda: all(not d.is_usable("odd") for d in directories))
+
+
+def number_text(text):
+    """Return the JSON text that the words of a scenario stand for."""
+    count, _, unit = text.partition(" ")
+    if unit == "digits":
+        return "9" * int(count)
+    if unit == "nested arrays":
+        return "[" * int(count) + "]" * int(count)
+    return text
+
+
+@when("direct path engines send some reports with {kind}")
+def odd_reports(context, kind):
+    system = context.direct
+    engines = system.engines.values()
+    name, _, text = kind.partition(" of ")
+    fields = {name: number_text(text)}
+    if name.startswith("adapter version"):
+        version = "\u00b2" if "superscript" in kind else number_text(text)
+        model = {"name": "m", "version": 1, "adapters": [f"a1@{version}"]}
+        fields = {"models": json.dumps([model])}
+
+    def set_fields(value):
+        for engine in engines:
+            engine.report_fields = dict(value)
+        return [engine.reports for engine in engines]
+
+    before = system.call(lambda: set_fields(fields))
+    counts = list(zip(engines, before, strict=True))
+    assert system.wait(lambda: all(e.reports >= n + 4 for e, n in counts))
+    before = system.call(lambda: set_fields({}))
+    counts = list(zip(engines, before, strict=True))
+    assert system.wait(lambda: all(e.reports >= n + 2 for e, n in counts))
+
+
+@when("direct path agents fail to publish a state")
+def fail_to_publish(context):
+    system = context.direct
+    failed = []
+
+    def fail_once(publisher):
+        publish = publisher.publish
+
+        def failing(*arguments):
+            publisher.publish = publish
+            failed.append(publisher)
+            raise OverflowError("a number of the state is too large")
+
+        publisher.publish = failing
+
+    def fail_all():
+        for agent in system.agents.values():
+            fail_once(agent._publisher)
+
+    system.call(fail_all)
+    assert system.wait(lambda: len(failed) == len(system.agents))
+
+
+def put_and_reread(context, key, value):
+    """Append a record, and let the store delete it, so that it is read again."""
+    system = context.direct
+    context.log_lines = LogCounter("lentiltally.direct.entry_feeds")
+    context.add_cleanup(context.log_lines.close)
+    agents = system.agents.values()
+    feeds = [system.entry._configuration]
+    feeds += [agent._reader.configuration for agent in agents]
+    offset = system.call(lambda: system.store.put("keyed.op", key, value))
+    assert system.wait(lambda: all(feed.next_offset > offset for feed in feeds))
+
+    def compact():
+        system.store.put_json("keyed.op", "other", {})
+        system.store.compact_topic("keyed.op")
+        for feed in feeds:
+            feed.request_read()
+
+    system.call(compact)
+    assert system.wait(lambda: all(feed.next_offset > offset + 1 for feed in feeds))
+    context.last_offset = offset + 1
+
+
+@when("direct path configuration gets a record with {kind} that is read twice")
+def odd_configuration(context, kind):
+    name, _, text = kind.partition(" of ")
+    document = configuration(1000)
+    places = [document, document["limits"]]
+    places += [*document["routes"], document["services"][1]["engine"]]
+    for place in places:
+        if name in place or (name == "more" and place is document):
+            place[name] = "@"
+    value = json.dumps(document).replace('"@"', number_text(text)).encode()
+    put_and_reread(context, "config", value)
+
+
+@when(
+    'direct path configuration gets a notice of version {text} for "a1" that is read '
+    "twice"
+)
+def odd_notice(context, text):
+    notice = json.dumps({"model": "m", "adapter": "a1", "version": "@"})
+    value = notice.replace('"@"', number_text(text)).encode()
+    put_and_reread(context, "version/m.a1", value)
+
+
+@then("direct path entry and agents apply a later configuration")
+def later_configuration(context):
+    system = context.direct
+    later = configuration(1001)
+    system.call(lambda: system.store.put_json("keyed.op", "config", later))
+    agents = system.agents.values()
+    assert system.wait(
+        lambda: (
+            system.entry._state.table.state.version == 1001
+            and all(agent._config_version == 1001 for agent in agents)
+        )
+    )
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -515,4 +515,38 @@
         "platform/adapter",
         "tokens of a prompt",
     ),
+    Mutation(
+        "states that can't be published",
+        "direct/agent_process.py",
+        "            self._publisher.publish(self._reader.report(now_s), now_s)\n"
+        "        except Exception:",
+        "            self._publisher.publish(self._reader.report(now_s), now_s)\n"
+        "        except LentiltallyError:",
+        "direct/odd_records",
+        "a state that could not be published",
+    ),
+    Mutation(
+        "ranges of reports",
+        "platform/engine_control.py",
+        '_VERSION = re.compile("[0-9]{1,15}")',
+        '_VERSION = re.compile("[0-9]+")',
+        "platform/adapter",
+        "as adapter version",
+    ),
+    Mutation(
+        "ranges of configurations",
+        "platform/desired_state.py",
+        "class _Config(Struct):\n    version: Count",
+        "class _Config(Struct):\n    version: int",
+        "direct/odd_records",
+        "one with version of 25 digits",
+    ),
+    Mutation(
+        "one log line for an odd configuration",
+        "direct/entry_feeds.py",
+        "if self._undecodable.get(record.key) != record.offset:",
+        "if True:",
+        "direct/odd_records",
+        "beside one with version of -1",
+    ),
 )
