Read the newest records beside an odd item of the page

Processes saw no configuration and no list of targets: one item of the page of newest records whose value is not base64, or whose key is not UTF-8 (another writer's key of raw bytes, which the page holds as such or as a lone surrogate), made the whole page unreadable. A process that starts, or whose position the store has deleted, reads that page and nothing else, again and again, until the record is removed.

A page that doesn't decode as a whole is decoded item by item. An item without a readable value gets an empty one, which the decoders turn down and log once, so it names no target; one without a key or with an offset out of range is left out. A page nested too deeply is still malformed as a whole: the store itself writes pages.

--- a/lentiltally/platform/store_client.py
+++ b/lentiltally/platform/store_client.py
@@ -7,10 +7,12 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import struct
 from base64 import b64decode
 from dataclasses import dataclass
+from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
@@ -25,7 +27,7 @@
     FeedTruncatedError,
 )
 from lentiltally.direct.settings import SocketAddress
-from lentiltally.platform._json import decode_json
+from lentiltally.platform._json import Count, decode_json
 
 __all__ = ["StoreTopic"]
 
@@ -43,13 +45,16 @@
 _PAGE_HEADER = struct.Struct(">QQ")
 _RECORD_LENGTH = struct.Struct(">I")
 _KEY_LENGTH_BYTES = 1
+# Stands in keys for what is not UTF-8.
+REPLACEMENT = "\ufffd"
+MAX_OFFSET = 2**53 - 1
 
 
 class _NewestItem(Struct):
     key: str
     # Base64.
     value: str
-    offset: int
+    offset: Count
 
 
 class _NewestPage(Struct):
@@ -57,7 +62,13 @@
     # Whether further keys follow on the next page.
     more: bool
     # Offset that the next record of the topic gets.
-    end: int
+    end: Count
+
+
+class _LenientPage(Struct):
+    items: list[Any]
+    more: bool
+    end: Count
 
 
 class _Truncation(Struct):
@@ -83,6 +94,9 @@
         The pages together are not a snapshot, and a page may lack records appended
         before its end offset. So the next read has to start after the newest record of
         the first page, to miss none.
+
+        An item without a readable value gets an empty one, which no decoder accepts. An
+        item without a key or an offset is left out.
         """
         records: list[FeedRecord] = []
         end: int | None = None
@@ -98,10 +112,14 @@
             if end is None:
                 end = page.end
                 next_offset = _next_offset(page)
-            records += [self._decode_item(item) for item in page.items]
+            records += [_decode_item(item) for item in page.items]
             if not page.more or not page.items:
                 return FeedPage(end, tuple(records), next_offset)
-            after_key = page.items[-1].key
+            # The store does not know a key with replaced characters.
+            keys = [item.key for item in page.items if REPLACEMENT not in item.key]
+            if not keys or keys[-1] == after_key:
+                raise self._error("no key to continue after")
+            after_key = keys[-1]
 
     async def read(self, offset: int, wait_s: float) -> FeedPage:
         """Return the records from an offset on; raises FeedError.
@@ -152,14 +170,12 @@
     def _decode_newest_page(self, answer: HttpResponse) -> _NewestPage:
         try:
             return decode_json(answer.body, _NewestPage)
-        except msgspec.MsgspecError as error:
-            raise self._error(f"malformed page: {error}") from error
-
-    def _decode_item(self, item: _NewestItem) -> FeedRecord:
+        except msgspec.MsgspecError:
+            _log.debug("page with odd items", extra={"topic": self.name})
         try:
-            return FeedRecord(item.key, b64decode(item.value), item.offset)
-        except ValueError as error:
-            raise self._error(f"malformed value of {item.key}: {error}") from error
+            return _decode_items_singly(answer.body)
+        except (msgspec.MsgspecError, ValueError, RecursionError) as error:
+            raise self._error(f"malformed page: {error}") from error
 
     def _decode_log_page(self, body: bytes, offset: int) -> FeedPage:
         if len(body) < _PAGE_HEADER.size:
@@ -186,6 +202,37 @@
         )
 
 
+def _decode_items_singly(body: bytes) -> _NewestPage:
+    """Decode a page with odd items, and keep those that have a key and an offset.
+
+    Python's parser accepts what a key with invalid UTF-8 may become in JSON: the bytes
+    themselves or lone surrogates. Raises ValueError, RecursionError or MsgspecError.
+    """
+    page = msgspec.convert(
+        json.loads(body.decode("utf-8", "surrogateescape")), _LenientPage
+    )
+    items = []
+    for fields in page.items:
+        if not isinstance(fields, dict):
+            continue
+        key, value, offset = (fields.get(n) for n in ("key", "value", "offset"))
+        if isinstance(key, str) and type(offset) is int and 0 <= offset <= MAX_OFFSET:
+            text = value if isinstance(value, str) else ""
+            items.append(_NewestItem(_replace_surrogates(key), text, offset))
+    return _NewestPage(items, page.more, page.end)
+
+
+def _replace_surrogates(text: str) -> str:
+    return text.encode("utf-16", "surrogatepass").decode("utf-16", "replace")
+
+
+def _decode_item(item: _NewestItem) -> FeedRecord:
+    try:
+        return FeedRecord(item.key, b64decode(item.value), item.offset)
+    except ValueError:
+        return FeedRecord(item.key, b"", item.offset)
+
+
 def _next_offset(page: _NewestPage) -> int:
     """Return the offset of the first record that the page may lack."""
     if not page.items:
--- a/tests/platform/malformed.feature
+++ b/tests/platform/malformed.feature
@@ -24,3 +24,28 @@
     Given malformed feed of a store whose first page raises an unexpected error
     When malformed feed follows the topic
     Then malformed feed reads the topic again
+
+  # Guards against one odd record of another writer that makes the list of the newest
+  # records unreadable: a process that starts would never get its configuration.
+  Scenario Outline: Malformed item of the newest page with <odd> leaves the others
+    When malformed newest page has an item with <odd> between "a" and "z"
+    Then malformed newest page gives the values of "a" and "z"
+    And malformed newest page gives the record "<key>"
+    And malformed newest page goes on after <after>
+
+    Examples:
+      | odd                     | key       | after |
+      | a value that isn't base64 | m       | "z"   |
+      | a value that isn't ASCII | m        | "z"   |
+      | no value                | m         | "z"   |
+      | a number as value       | m         | "z"   |
+      | a lone surrogate as key | m\ufffd   | "z"   |
+      | a key not in UTF-8      | m\ufffd   | "z"   |
+      | no key                  | nothing   | "z"   |
+      | an offset of 25 digits  | nothing   | "z"   |
+      | an offset of -1         | nothing   | "z"   |
+      | a list instead of it    | nothing   | "z"   |
+
+  Scenario: Malformed newest pages without a key to go on after end the read
+    When malformed newest pages have no readable key and say that more follow
+    Then malformed newest page raises FeedError
--- a/tests/steps/malformed_steps.py
+++ b/tests/steps/malformed_steps.py
@@ -12,7 +12,12 @@
 
 from lentiltally.clock import SystemClock
 from lentiltally.direct.http_client import HttpResponse
-from lentiltally.direct.keyed_feed import FeedPage, FeedRecord, KeyedFeed
+from lentiltally.direct.keyed_feed import (
+    FeedError,
+    FeedPage,
+    FeedRecord,
+    KeyedFeed,
+)
 from lentiltally.direct.messages import (
     AcquireAdapter,
     EngineState,
@@ -241,3 +246,90 @@
 @then("malformed feed reads the topic again")
 def reads_again(context):
     assert context.listener.keys == ["a"], context.listener.keys
+
+
+ODD_ITEMS = {
+    "a value that isn't base64": b'{"key":"m","value":"abc","offset":5}',
+    "a value that isn't ASCII": b'{"key":"m","value":"\xc3\xa9===","offset":5}',
+    "no value": b'{"key":"m","offset":5}',
+    "a number as value": b'{"key":"m","value":1,"offset":5}',
+    "a lone surrogate as key": b'{"key":"m\\udc80","value":"eA==","offset":5}',
+    "a key not in UTF-8": b'{"key":"m\x80","value":"eA==","offset":5}',
+    "no key": b'{"value":"eA==","offset":5}',
+    "an offset of 25 digits": b'{"key":"m","value":"eA==","offset":%s}' % (b"9" * 25),
+    "an offset of -1": b'{"key":"m","value":"eA==","offset":-1}',
+    "a list instead of it": b"[1]",
+}
+
+
+class PagesClient(PageClient):
+    """Answers each call of the store with the next body, and keeps the paths."""
+
+    def __init__(self, *bodies):
+        super().__init__(b"")
+        self.bodies = list(bodies)
+        self.paths = []
+
+    async def call(self, method, path, *, timeout_s, **more):
+        self.paths.append(path)
+        body = self.bodies.pop(0) if len(self.bodies) > 1 else self.bodies[0]
+        return HttpResponse(200, {}, body)
+
+
+def newest_page(items, more):
+    flag = b"true" if more else b"false"
+    return b'{"items":[%s],"more":%s,"end":9}' % (b",".join(items), flag)
+
+
+def read_pages(context):
+    context.page = context.failure = None
+    try:
+        topic = StoreTopic("keyed.op", context.client)
+        context.page = asyncio.run(asyncio.wait_for(topic.newest(), LIMIT_S))
+    except Exception as error:
+        context.failure = error
+
+
+@when('malformed newest page has an item with {odd} between "a" and "z"')
+def odd_item(context, odd):
+    first, last = (
+        b'{"key":"%s","value":"eA==","offset":%d}' % pair
+        for pair in ((b"a", 4), (b"z", 6))
+    )
+    context.client = PagesClient(
+        newest_page([first, ODD_ITEMS[odd], last], more=True),
+        newest_page([], more=False),
+    )
+    read_pages(context)
+
+
+@when("malformed newest pages have no readable key and say that more follow")
+def no_readable_key(context):
+    item = ODD_ITEMS["a lone surrogate as key"]
+    context.client = PagesClient(newest_page([item], more=True))
+    read_pages(context)
+
+
+@then('malformed newest page gives the values of "a" and "z"')
+def gives_values(context):
+    assert context.failure is None, repr(context.failure)
+    values = {record.key: record.value for record in context.page.records}
+    assert (values["a"], values["z"]) == (b"x", b"x"), values
+
+
+@then('malformed newest page gives the record "{key}"')
+def gives_record(context, key):
+    others = [r.key for r in context.page.records if r.key not in ("a", "z")]
+    expected = [] if key == "nothing" else [key.replace("\\ufffd", "\ufffd")]
+    assert others == expected, others
+
+
+@then('malformed newest page goes on after "{key}"')
+def goes_on_after(context, key):
+    assert len(context.client.paths) == 2, context.client.paths
+    assert context.client.paths[1].endswith(b"after=" + key.encode())
+
+
+@then("malformed newest page raises FeedError")
+def raises_feed_error(context):
+    assert isinstance(context.failure, FeedError), repr(context.failure)
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -549,4 +549,20 @@
         "direct/odd_records",
         "beside one with version of -1",
     ),
+    Mutation(
+        "odd items of the newest page",
+        "platform/store_client.py",
+        "            return _decode_items_singly(answer.body)\n",
+        '            raise ValueError("odd")\n',
+        "platform/malformed",
+        "a lone surrogate as key",
+    ),
+    Mutation(
+        "key to continue the newest page after",
+        "platform/store_client.py",
+        "if not keys or keys[-1] == after_key:",
+        "if not keys and not records:",
+        "platform/malformed",
+        "pages without a key to go on",
+    ),
 )
