Continue a stream only with an answer of the same kind

Callers found another answer's text in the middle of their stream, or a stream that ended as if it were complete. Cause: when a stream that had begun was resumed at a second target, any signed 2xx answer was taken for its continuation. A JSON or text body with a blank line passed as an event without an id, and an empty page or a 204 ended the caller's stream with a last chunk.

A started stream now goes on only with the status and the media type of its first answer. Otherwise the attempt counts as broken: the next target is asked, or the caller's connection is aborted before the last chunk.

Ruled out, by rows that passed before: 500, 503, 404, 429 and 302 with and without a proof, 200 without one or with an encoding, an answer to another request, a malformed or cut head, events from the first on, an event in part. An error's head can't follow the stream's own: h11 allows one head in an answer, and a mutation that tries ends in an aborted connection, too. Events without an id are still passed on in a resumed stream, as in any.

--- a/lentiltally/direct/caller_answer.py
+++ b/lentiltally/direct/caller_answer.py
@@ -51,6 +51,17 @@
             self._head = head
         self.stream.discard_partial_event()
 
+    def can_continue_with(self, head: AnswerHead) -> bool:
+        """Return whether an answer may follow what the caller has received.
+
+        To a stream that has begun, only one of the same kind can add events. Any other
+        answer would end up in the middle of the stream, or end it as if it were whole.
+        """
+        first = self._head
+        if not self.is_started or first is None:
+            return True
+        return (head.status, head.media_type) == (first.status, first.media_type)
+
     async def data_received(self, data: bytes) -> bool:
         """Forward the complete events in the data; return whether there were any."""
         events = self.stream.received(data)
--- a/lentiltally/direct/request.py
+++ b/lentiltally/direct/request.py
@@ -90,10 +90,11 @@
     ``signature`` is None if the target did not sign the answer. ``did_not_run`` is set
     only where the target itself says that it has not run the request, and
     ``is_misdirected`` for status 421: another target listens at the address now.
-    ``is_encoded`` says that the body has a content encoding, ``is_closing`` that the
-    target closes the connection after the answer. ``keep_alive_s`` is how long the
-    target keeps an idle connection open, None if it does not say. ``headers`` are
-    those for the caller.
+    ``media_type`` is the type of the body without parameters, in lower case, empty if
+    the target does not say. ``is_encoded`` says that the body has a content encoding,
+    ``is_closing`` that the target closes the connection after the answer.
+    ``keep_alive_s`` is how long the target keeps an idle connection open, None if it
+    does not say. ``headers`` are those for the caller.
     """
 
     status: int
@@ -101,6 +102,7 @@
     signature: str | None
     did_not_run: bool
     is_misdirected: bool
+    media_type: bytes
     is_encoded: bool
     is_closing: bool
     keep_alive_s: float | None
--- a/lentiltally/direct/target_exchange.py
+++ b/lentiltally/direct/target_exchange.py
@@ -159,6 +159,8 @@
         """
         is_success = 200 <= head.status < 300
         if is_stream and is_success and _is_signed_and_unencoded(head):
+            if not answer.can_continue_with(head):
+                return self._failed(ExchangeOutcome.BROKEN, "no continuation")
             return await self._relay(head, answer)
         if not head.did_not_run:
             self._record_begin()
--- a/lentiltally/platform/http_headers.py
+++ b/lentiltally/platform/http_headers.py
@@ -143,6 +143,7 @@
         signature=None if signature is None else signature.decode("latin-1"),
         did_not_run=b"x-not-executed" in fields or is_misdirected,
         is_misdirected=is_misdirected,
+        media_type=fields.get(b"content-type", b"").split(b";")[0].strip().lower(),
         is_encoded=fields.get(b"content-encoding", b"identity").lower() != b"identity",
         is_closing=b"close" in fields.get(b"connection", b"").lower(),
         keep_alive_s=_keep_alive_s(fields.get(b"keep-alive", b"")),
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -69,6 +69,8 @@
       0.1 s
     - ``stale-refusal``: executes, but first repeats the refusal of an earlier request
     - ``unnamed-refusal``: the same, and the refusal carries no id
+    - ``raw``: executes, sends the bytes ``raw_answer`` with the id of the request for
+      REQUEST, and closes the connection, with a reset if ``raw_ends_with_reset``
     - ``endless-head``, ``endless-interim``, ``endless-body``, ``endless-event``:
       executes and sends header lines, informational responses, the body of an answer to
       another request, or one event, until the caller closes the connection
@@ -105,6 +107,8 @@
     service: str = ""
     script: deque[str] = field(default_factory=deque)
     answer_headers: dict[str, str] = field(default_factory=dict)
+    raw_answer: bytes = b""
+    raw_ends_with_reset: bool = False
     report_fields: dict[str, str] = field(default_factory=dict)
     reports: int = 0
     adapters: dict[str, int] = field(default_factory=dict)
@@ -171,7 +175,9 @@
         )
         if step == "hang":
             await asyncio.sleep(3600)
-        if step == "lost":
+        if step in ("lost", "raw"):
+            if step == "raw":
+                await self._send_raw(request, writer)
             return False
         if step in ENDLESS_ANSWERS:
             await self._send_without_end(request, writer, step)
@@ -203,6 +209,18 @@
         }
         return answer(503, headers=headers)
 
+    async def _send_raw(
+        self, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send the raw answer, and reset the connection if it ends so."""
+        request_id = request.headers["x-request-id"]
+        writer.write(self.raw_answer.replace(b"REQUEST", request_id.encode()))
+        await writer.drain()
+        if self.raw_ends_with_reset:
+            # Otherwise the reset could overtake what was sent.
+            await asyncio.sleep(0.02)
+            reset(writer)
+
     async def _send_without_end(
         self, request: RawRequest, writer: asyncio.StreamWriter, step: str
     ) -> None:
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -565,4 +565,28 @@
         "platform/malformed",
         "pages without a key to go on",
     ),
+    Mutation(
+        "continuation of a stream",
+        "direct/target_exchange.py",
+        "if not answer.can_continue_with(head):",
+        "if False:",
+        "direct/cut_answers",
+        "whose next target answers with 200 and JSON",
+    ),
+    Mutation(
+        "answer without a length that was reset",
+        "direct/http_connection.py",
+        '            self._record_error(f"connection lost: {error}")\n',
+        '            self._http.receive_data(b"")\n',
+        "direct/cut_answers",
+        "ends without a length with a reset",
+    ),
+    Mutation(
+        "event that was cut off",
+        "direct/target_exchange.py",
+        "if answer.stream.has_partial_event:",
+        "if False:",
+        "direct/cut_answers",
+        "aborts a stream that ends in an event of an unframed stream",
+    ),
 )
