--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -589,4 +589,20 @@
         "direct/cut_answers",
         "aborts a stream that ends in an event of an unframed stream",
     ),
+    Mutation(
+        "heads that are cut off, on the own interface",
+        "agent/_http.py",
+        "if reader.is_cut_off:",
+        "if False:",
+        "agent/cut_answers",
+        "ends after the last header",
+    ),
+    Mutation(
+        "lengths that are no numbers, on the own interface",
+        "agent/_http.py",
+        "if len(lengths) > 1 or not all(_is_length(length) for length in lengths):",
+        "if len(lengths) > 1:",
+        "agent/cut_answers",
+        "ends after a length",
+    ),
 )
