Continue an engine's stream only with its next event, on the own interface

Callers found a JSON document in the middle of their stream, events twice or with a gap, and with a mark of the end in such a body a stream that ended as if it were complete. Cause: when the agent resumes a stream, it took any answer with status 200 for its continuation, whatever its type and its first event. The id to resume after was also taken from the text of an event if that looked like an id, and data nested too deeply raised RecursionError where the origin of an answer is checked.

Evidence: tests/agent/resumed_streams.feature on the code before, 8 of 13 failed, e.g. ASSERT FAILED: b'id: 1 ... id: 2 ... {"error": 1}\n\nid: 4\ndata: [DONE]\n\n' RecursionError('maximum recursion depth exceeded while deserializing an object') All pass now. Errors 500 and 404, a head that is cut off and no answer were refused before. The test of the id in a text has a mutation of its own, which turns it red.

A resumed stream has to be an event stream whose first event has the id after the last one; otherwise the resume counts as failed, and after the last one the attempt ends with an error after which the request may have run.

--- a/lentiltally/agent/engine_client.py
+++ b/lentiltally/agent/engine_client.py
@@ -53,11 +53,13 @@
 class EventBlock(msgspec.Struct, frozen=True):
     """Consecutive server-sent events, in their encoded form.
 
-    ``last_id`` is the id of the last event that has one; empty if none has.
+    ``first_id`` is the id of the first event, empty if it has none. ``last_id`` is the
+    id of the last event that has one; empty if none has.
     """
 
     count: int
     data: bytes
+    first_id: str
     last_id: str
 
 
@@ -335,7 +337,12 @@
             end = self._buffer.rfind(EVENT_END)
             if end >= 0 and not (has_more_data and len(self._buffer) < MAX_READ_BYTES):
                 events, self._buffer = self._buffer[: end + 2], self._buffer[end + 2 :]
-                yield EventBlock(events.count(EVENT_END), events, _last_id(events))
+                yield EventBlock(
+                    events.count(EVENT_END),
+                    events,
+                    _last_id(events[: events.index(EVENT_END) + 2]),
+                    _last_id(events),
+                )
         if is_at_end:
             yield None
 
@@ -374,8 +381,9 @@
 
 
 def _last_id(data: bytes) -> str:
-    start = data.rfind(b"id: ")
-    if start < 0:
+    # Only at the start of a line: the text of an event may look like an id.
+    start = data.rfind(b"\nid: ") + 1
+    if start == 0 and not data.startswith(b"id: "):
         return ""
     return data[start + 4 : data.index(b"\n", start)].decode("ascii", "replace")
 
@@ -383,5 +391,5 @@
 def _decode_origin(body: bytes) -> _AnswerOrigin:
     try:
         return _origin_decoder.decode(body)
-    except msgspec.MsgspecError:
+    except (msgspec.MsgspecError, RecursionError):
         return _AnswerOrigin()
--- a/lentiltally/agent/engine_run.py
+++ b/lentiltally/agent/engine_run.py
@@ -31,6 +31,9 @@
 
 MAX_STREAM_RESUMES = 4
 DONE_MARKER = b"data: [DONE]"
+EVENT_STREAM_TYPE = "text/event-stream"
+# int() converts no more than 4,300 digits.
+MAX_ID_DIGITS = 18
 HTTP_OK = 200
 HTTP_NOT_FOUND = 404
 HTTP_SERVER_ERROR = 500
@@ -70,6 +73,9 @@
         self._stream_reader = reader
         self._silence_timeout_s = silence_timeout_s
         self._is_origin_checked = False
+        # Id after which the current connection continues the stream; empty once its
+        # first event is checked.
+        self._continues_after = ""
         self._content_type = ""
         self._execute = execute
         self._expected_incarnation = expected_incarnation
@@ -146,6 +152,9 @@
 
     def _forward_events(self, stream: EngineStream) -> None:
         self._is_origin_checked = False
+        self._continues_after = self._last_id
+        if self._last_id and _media_type(stream.content_type) != EVENT_STREAM_TYPE:
+            raise self._error("the engine resumed with no event stream", True)
         self._content_type = stream.content_type
         self._stream_reader.follow(stream, self._forward_block, self._silence_timeout_s)
         if self._is_complete:
@@ -154,6 +163,8 @@
 
     def _forward_block(self, block: EventBlock) -> bool:
         """Emit a block of events; True if it has the last event of the answer."""
+        if self._continues_after:
+            self._check_continuation(block.first_id)
         if not self._is_origin_checked and (origin := first_event_origin(block.data)):
             self._check_origin(*origin)
             self._is_origin_checked = True
@@ -166,6 +177,15 @@
         self._is_complete = DONE_MARKER in block.data
         return self._is_complete
 
+    def _check_continuation(self, first_id: str) -> None:
+        """Check the first event of a resumed stream; ids count from event to event."""
+        if not _follows(first_id, self._continues_after):
+            raise self._error(
+                f"event {first_id[:MAX_ID_DIGITS]!r} follows {self._continues_after}",
+                True,
+            )
+        self._continues_after = ""
+
     def _emit_unstreamed(self, status: int, content_type: str, body: bytes) -> None:
         if status == HTTP_NOT_FOUND:
             raise self._error("the engine does not have the adapter loaded", False)
@@ -188,3 +208,14 @@
         return TargetError(
             message, step="run", peer=self._execute.target, may_have_run=may_have_run
         )
+
+
+def _media_type(content_type: str) -> str:
+    return content_type.partition(";")[0].strip().lower()
+
+
+def _follows(event_id: str, last_id: str) -> bool:
+    ids = (event_id, last_id)
+    if not all(i.isascii() and i.isdigit() and len(i) <= MAX_ID_DIGITS for i in ids):
+        return False
+    return int(event_id) == int(last_id) + 1
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -605,4 +605,28 @@
         "agent/cut_answers",
         "ends after a length",
     ),
+    Mutation(
+        "continuation of a stream, on the own interface",
+        "agent/engine_run.py",
+        "if not _follows(first_id, self._continues_after):",
+        "if False:",
+        "agent/resumed_streams",
+        "continues no stream with events from the first on",
+    ),
+    Mutation(
+        "type of a continued stream, on the own interface",
+        "agent/engine_run.py",
+        "_media_type(stream.content_type) != EVENT_STREAM_TYPE:",
+        "False:",
+        "agent/resumed_streams",
+        "continues no stream with a plain text of events",
+    ),
+    Mutation(
+        "ids at the start of a line, on the own interface",
+        "agent/engine_client.py",
+        'start = data.rfind(b"\\nid: ") + 1',
+        'start = max(0, data.rfind(b"id: "))',
+        "agent/resumed_streams",
+        "continues a stream with the next events",
+    ),
 )
