Take an odd list of adapters of an engine for a failed report

The agent no longer noticed restarts of its engine: the thread that polls it ended on one list of adapters with an entry that has no id, with null for the entries, or nested too deeply, because only malformed JSON was an expected error.

Evidence: tests/agent/engine_lists.feature on the code before, 4 of 6 failed: KeyError('id') TypeError("'NoneType' object is not iterable") RecursionError('maximum recursion depth exceeded while deserializing an object') All pass now: the list has a type, and any error of its decoder is a TargetError, which the thread logs and goes on. A number out of range and invalid UTF-8 were expected.

--- a/lentiltally/agent/engine_client.py
+++ b/lentiltally/agent/engine_client.py
@@ -7,7 +7,7 @@
 from __future__ import annotations
 
 from collections.abc import Iterator
-from typing import Any
+from typing import Any, TypeVar
 from urllib.parse import urlsplit
 
 import msgspec
@@ -21,6 +21,8 @@
     target_error,
 )
 
+_Document = TypeVar("_Document")
+
 CONNECT_TIMEOUT_S = 1.0
 ORDER_TIMEOUT_S = 10.0
 REPORT_TIMEOUT_S = 2.0
@@ -72,6 +74,15 @@
         self.status = status
 
 
+class _ListedModel(msgspec.Struct):
+    id: str
+
+
+class _ModelList(msgspec.Struct):
+    data: list[_ListedModel] = []
+    system_fingerprint: str | None = None
+
+
 class _AnswerOrigin(msgspec.Struct):
     """The fields of an answer that name the model and the engine incarnation."""
 
@@ -166,18 +177,17 @@
 
     def list_adapters(self) -> AdapterListing:
         """Return the loaded adapters; raises TargetError."""
-        document = self._get_document("/v1/models")
-        models = [str(entry["id"]) for entry in document.get("data", [])]
+        listed = self._get_document("/v1/models", _ModelList)
         # The base model is listed too; its name has no version.
-        adapters = tuple(model for model in models if "@" in model)
-        return AdapterListing(str(document.get("system_fingerprint", "")), adapters)
+        adapters = tuple(model.id for model in listed.data if "@" in model.id)
+        return AdapterListing(listed.system_fingerprint or "", adapters)
 
     def load_report(self) -> dict[str, Any]:
         """Return the engine's load report; raises TargetError.
 
         Its figures lag behind the engine's state.
         """
-        return self._get_document("/load")
+        return self._get_document("/load", dict[str, Any])
 
     def load_adapter(self, adapter: str, source: str, fencing_token: int) -> None:
         """Load an adapter from ``source``; does nothing if it is loaded already.
@@ -221,7 +231,7 @@
                 status=response.status,
             )
 
-    def _get_document(self, path: str) -> dict[str, Any]:
+    def _get_document(self, path: str, kind: type[_Document]) -> _Document:
         timeout = urllib3.Timeout(REPORT_TIMEOUT_S)
         response = self._request(
             "GET",
@@ -232,18 +242,17 @@
             step="report",
             reads_body=True,
         )
-        try:
-            document = msgspec.json.decode(response.data)
-        except msgspec.MsgspecError as error:
-            raise target_error(error, "report", self._name) from error
-        if response.status != 200 or not isinstance(document, dict):
+        if response.status != 200:
             raise TargetError(
                 f"{path} answered {response.status}",
                 step="report",
                 peer=self._name,
                 may_have_run=False,
             )
-        return document
+        try:
+            return msgspec.json.decode(response.data, type=kind)
+        except (msgspec.MsgspecError, RecursionError) as error:
+            raise target_error(error, "report", self._name) from error
 
     def _request(
         self,
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -629,4 +629,12 @@
         "agent/resumed_streams",
         "continues a stream with the next events",
     ),
+    Mutation(
+        "odd lists of adapters, on the own interface",
+        "agent/engine_client.py",
+        "        except (msgspec.MsgspecError, RecursionError) as error:\n",
+        "        except msgspec.MsgspecError as error:\n",
+        "agent/engine_lists",
+        "data nested 100000 deep",
+    ),
 )
