Get past an unreadable record of the log

Processes of the own interface stopped following the log: one record nested too deeply, or with a lone surrogate, made every page that contains it unreadable, so followers read the same page again and again and learned nothing that came after it. Without the page, the record's own RecursionError would have done the same. Answers of the log and of the host list that are nested too deeply raised RecursionError in their clients.

Evidence: tests/platform/odd_log.feature on the code before; the three rows of nested and surrogate records fail with "ASSERT FAILED: []", and RecursionError: maximum recursion depth exceeded while deserializing an object is logged with each read. A record of another type and a number of 1e400 were skipped before. Another document instead of a page was an error before and still is: records are only left out of what is a page.

The client halves the page until the record is left out or stands alone, and then gives it the value null, which no decoder accepts, so that it is logged once and skipped.

--- a/lentiltally/platform/host_list.py
+++ b/lentiltally/platform/host_list.py
@@ -7,6 +7,7 @@
 
 from lentiltally.errors import LentiltallyError
 from lentiltally.platform._http import new_pool
+from lentiltally.platform._json import decode_json
 
 
 class HostListError(LentiltallyError):
@@ -53,7 +54,7 @@
         if answer.status != 200:
             raise self._error(f"answered {answer.status}")
         try:
-            return msgspec.json.decode(answer.data, type=tuple[HostRecord, ...])
+            return decode_json(answer.data, tuple[HostRecord, ...])
         except msgspec.MsgspecError as error:
             raise self._error(f"malformed answer: {error}") from error
 
--- a/lentiltally/platform/log_client.py
+++ b/lentiltally/platform/log_client.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import json
 from collections.abc import Sequence
 from typing import NoReturn, TypeVar
 from urllib.parse import quote
@@ -12,6 +13,7 @@
 from lentiltally.clock import Clock
 from lentiltally.errors import LentiltallyError
 from lentiltally.platform._http import may_have_arrived, new_pool, retry_after_s
+from lentiltally.platform._json import decode_json
 
 _Decoded = TypeVar("_Decoded")
 
@@ -142,7 +144,7 @@
             self._raise_answer_lost(f"the append was answered {answer.status}", None)
         self._check_status(answer, "append")
         try:
-            return msgspec.json.decode(answer.data, type=AppendResult)
+            return decode_json(answer.data, AppendResult)
         except msgspec.MsgspecError as error:
             self._raise_answer_lost(f"malformed answer to the append: {error}", error)
 
@@ -152,11 +154,27 @@
         """Return up to ``limit`` records from ``offset`` on.
 
         If there is none, the log waits up to ``wait_ms`` for the first one (long poll).
-        Raises LogTruncated, LogUnavailable or LogRefused.
+        A record that can't be read, for instance because it is nested too deeply, has
+        the value null. Raises LogTruncated, LogUnavailable or LogRefused.
         """
         query = f"/records?offset={offset}&limit={limit}&wait_ms={wait_ms}"
         answer = self._get(stream, query, "read", wait_ms / 1000)
-        return self._decode(answer, LogPage, "read")
+        try:
+            return msgspec.json.decode(answer.data, type=LogPage)
+        except RecursionError:
+            return self._read_fewer(stream, offset, limit)
+        except msgspec.MsgspecError as error:
+            if _is_page(answer.data):
+                return self._read_fewer(stream, offset, limit)
+            self._raise_unavailable(f"malformed answer: {error}", "read", error)
+
+    def _read_fewer(self, stream: str, offset: int, limit: int) -> LogPage:
+        """Read a smaller page, without an unreadable record or with nothing else."""
+        if limit > 1:
+            return self.read(stream, offset, limit // 2)
+        bounds = self.bounds(stream)
+        unreadable = LogRecord(offset, 0, msgspec.Raw(b"null"))
+        return LogPage((unreadable,), bounds.next_offset, bounds.first_offset)
 
     def bounds(self, stream: str) -> LogBounds:
         """Return the bounds of a stream; raises LogUnavailable or LogRefused."""
@@ -202,7 +220,7 @@
         self, answer: urllib3.BaseHTTPResponse, kind: type[_Decoded], step: str
     ) -> _Decoded:
         try:
-            return msgspec.json.decode(answer.data, type=kind)
+            return decode_json(answer.data, kind)
         except msgspec.MsgspecError as error:
             self._raise_unavailable(f"malformed answer: {error}", step, error)
 
@@ -219,3 +237,15 @@
 
     def _raise_answer_lost(self, message: str, cause: Exception | None) -> NoReturn:
         raise LogAnswerLost(message, step="append", peer=self._base_url) from cause
+
+
+def _is_page(data: bytes) -> bool:
+    """Return whether a document is a page, although msgspec can't decode a record.
+
+    Python's parser accepts lone surrogates, and bytes that are not UTF-8 as such.
+    """
+    try:
+        document = json.loads(data.decode("utf-8", "surrogateescape"))
+    except (ValueError, RecursionError):
+        return False
+    return isinstance(document, dict) and {"records", "next_offset"} <= document.keys()
--- a/lentiltally/platform/stream_follower.py
+++ b/lentiltally/platform/stream_follower.py
@@ -164,7 +164,7 @@
     def _apply_record(self, record: LogRecord) -> None:
         try:
             decoded = self._decoder.decode(record.value)
-        except msgspec.MsgspecError:
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError):
             _log.warning(
                 "malformed record skipped",
                 extra={"stream": self._stream, "offset": record.offset},
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -637,4 +637,13 @@
         "agent/engine_lists",
         "data nested 100000 deep",
     ),
+    Mutation(
+        "pages with a record nested too deeply",
+        "platform/log_client.py",
+        "        except RecursionError:\n"
+        "            return self._read_fewer(stream, offset, limit)\n",
+        "",
+        "platform/odd_log",
+        "gets past a record nested 100000 deep",
+    ),
 )
