Write log lines that contain lone surrogates

An entry or agent ran on without a log: the thread that writes it ended on the first line with a lone surrogate, which has no UTF-8.

A NUL and a line break were written before, too. Surrogates are written as escapes.

--- a/lentiltally/direct/log_stream.py
+++ b/lentiltally/direct/log_stream.py
@@ -46,7 +46,8 @@
             lines = []
             while self._lines:
                 lines.append(self._lines.popleft())
-            self._write("".join(lines).encode())
+            # Texts of faulty writers may contain lone surrogates.
+            self._write("".join(lines).encode(errors="backslashreplace"))
 
     def _write(self, data: bytes) -> None:
         while data:
--- a/tests/direct/log_stream.feature
+++ b/tests/direct/log_stream.feature
@@ -11,3 +11,14 @@
     Then log rate passes 10 infos and 5 warnings and drops 40 lines
     When log rate gets 50 infos 0.5 s later
     Then log rate passes 5 more infos
+
+  # Guards against a text of a faulty writer that ends the thread which writes the log: no
+  # later line appears, although the process runs on.
+  Scenario Outline: Log stream goes on after a line with <odd>
+    When log stream gets a line with <odd> and then another one
+    Then log stream has written both lines
+
+    Examples:
+      | odd                    |
+      | a lone surrogate       |
+      | a NUL and a line break |
--- a/tests/steps/log_stream_steps.py
+++ b/tests/steps/log_stream_steps.py
@@ -2,13 +2,17 @@
 
 from __future__ import annotations
 
+import json
 import logging
 import os
+import sys
+import threading
 import time
 from datetime import UTC, datetime, timedelta
 
 from behave import then, when
 
+from lentiltally import logs
 from lentiltally.clock import ManualClock
 from lentiltally.direct.log_stream import BoundedStream, LogRateLimiter
 
@@ -59,3 +63,42 @@
 @then("log rate passes {infos:d} more infos")
 def passed_more(context, infos):
     assert context.infos == infos
+
+
+def odd_value(kind):
+    if kind == "a lone surrogate":
+        return "key \udc80 of a record"
+    return "a\0b\r\nc"
+
+
+@when("log stream gets a line with {kind} and then another one")
+def gets_odd_line(context, kind):
+    root = logging.getLogger()
+    before = (root.handlers[:], root.level, logging.raiseExceptions)
+    before_hooks = (sys.excepthook, threading.excepthook)
+    reader, writer = os.pipe()
+    try:
+        logs.configure("info", "json", "p", stream=BoundedStream(writer))
+        log = logging.getLogger("odd")
+        log.warning("first", extra={"target": odd_value(kind)})
+        # Lets the thread write the first line on its own.
+        time.sleep(0.2)
+        log.warning("second")
+        time.sleep(0.2)
+    finally:
+        root.handlers[:], root.level, logging.raiseExceptions = before
+        sys.excepthook, threading.excepthook = before_hooks
+        logging.captureWarnings(False)
+    os.set_blocking(reader, False)
+    try:
+        context.written = os.read(reader, 1_000_000)
+    except BlockingIOError:
+        context.written = b""
+    os.close(reader)
+
+
+@then("log stream has written both lines")
+def both_lines(context):
+    lines = [json.loads(line) for line in context.written.splitlines()]
+    messages = [line["message"] for line in lines]
+    assert messages == ["first", "second"], messages
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -646,4 +646,12 @@
         "platform/odd_log",
         "gets past a record nested 100000 deep",
     ),
+    Mutation(
+        "log lines with lone surrogates",
+        "direct/log_stream.py",
+        '.encode(errors="backslashreplace")',
+        ".encode()",
+        "direct/log_stream",
+        "a line with a lone surrogate",
+    ),
 )
