--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -17,6 +17,7 @@
 SIGNATURE_HEADER = "X-Response-Signature"
 DRIP_INTERVAL_S = 0.1
 ENDLESS_PAUSE_S = 0.001
+LONG_ID_DIGITS = {"long-id": 25, "longest-id": 5_000}
 # What an endless answer begins with, and what it repeats. REQUEST stands for the id of
 # the request.
 ENDLESS_ANSWERS = {
@@ -62,12 +63,15 @@
     - ``unframed-reset``: the same, and the connection ends with a reset
     - ``cut``: resets the connection in the middle of the third event of a stream
     - ``skip``: leaves the third event of a stream out
+    - ``long-id``, ``longest-id``: the id of the third event has 25 or 5,000 digits
     - ``stall``: sends two events of a stream and then nothing more
     - ``pause``: sends two events of a stream, nothing for ``pause_s``, then the rest
     - ``drip``: sends two events of a stream, or a part of a body, and then a byte every
       0.1 s
     - ``stale-refusal``: executes, but first repeats the refusal of an earlier request
     - ``unnamed-refusal``: the same, and the refusal carries no id
+    - ``raw``: executes, sends the bytes ``raw_answer`` with the id of the request for
+      REQUEST, and closes the connection, with a reset if ``raw_ends_with_reset``
     - ``endless-head``, ``endless-interim``, ``endless-body``, ``endless-event``:
       executes and sends header lines, informational responses, the body of an answer to
       another request, or one event, until the caller closes the connection
@@ -78,6 +82,8 @@
     A request for another instance than ``name``, for an adapter that is not loaded or
     for another version of it is refused with 421, whatever the step.
 
+    ``answer_headers`` are added to each whole answer. ``report_fields`` replace fields
+    of the reports by JSON texts; ``reports`` counts the reports.
     A stream has ``events`` events with pauses of ``event_s``; ``answer_after_s`` delays
     each answer. ``slots`` counts adapter slots. ``adapters`` maps loaded adapters to
     their versions, ``loading`` holds those being loaded, and ``versions`` the version
@@ -106,6 +112,11 @@
     ip: str = ""
     service: str = ""
     script: deque[str] = field(default_factory=deque)
+    answer_headers: dict[str, str] = field(default_factory=dict)
+    raw_answer: bytes = b""
+    raw_ends_with_reset: bool = False
+    report_fields: dict[str, str] = field(default_factory=dict)
+    reports: int = 0
     adapters: dict[str, int] = field(default_factory=dict)
     versions: dict[str, int] = field(default_factory=dict)
     loading: set[str] = field(default_factory=set)
@@ -160,7 +171,7 @@
         if request.path == "/-/report":
             if self.is_frozen:
                 await asyncio.sleep(3600)
-            return answer(200, json.dumps(self._report()).encode())
+            return answer(200, self._report_body())
         if request.path == "/-/order":
             expected = request.headers.get("x-expected-instance", "")
             self.order_instances.append((expected, self.name))
@@ -192,7 +203,9 @@
         )
         if step == "hang":
             await asyncio.sleep(3600)
-        if step == "lost":
+        if step in ("lost", "raw"):
+            if step == "raw":
+                await self._send_raw(request, writer)
             return False
         if step in ENDLESS_ANSWERS:
             await self._send_without_end(request, writer, step)
@@ -224,6 +237,18 @@
         }
         return answer(503, headers=headers)
 
+    async def _send_raw(
+        self, request: RawRequest, writer: asyncio.StreamWriter
+    ) -> None:
+        """Send the raw answer, and reset the connection if it ends so."""
+        request_id = request.headers["x-request-id"]
+        writer.write(self.raw_answer.replace(b"REQUEST", request_id.encode()))
+        await writer.drain()
+        if self.raw_ends_with_reset:
+            # Otherwise the reset could overtake what was sent.
+            await asyncio.sleep(0.02)
+            reset(writer)
+
     async def _send_without_end(
         self, request: RawRequest, writer: asyncio.StreamWriter, step: str
     ) -> None:
@@ -245,7 +270,7 @@
     ) -> bool:
         request_id = request.headers["x-request-id"]
         signature = {SIGNATURE_HEADER: f"proof-{self.name}"}
-        headers = {"X-Request-Id": request_id, **signature}
+        headers = {"X-Request-Id": request_id, **signature, **self.answer_headers}
         body = b"body of " + request_id.encode()
         if step == "unproved":
             headers.pop(SIGNATURE_HEADER)
@@ -292,6 +317,9 @@
                 event = event[:9]
             if step == "skip" and number == first_id + 2:
                 continue
+            if step in LONG_ID_DIGITS and number == first_id + 2:
+                digits = b"9" * LONG_ID_DIGITS[step]
+                event = event.replace(b"id: 3", b"id: " + digits)
             writer.write(b"%x\r\n%s\r\n" % (len(event), event))
             await writer.drain()
             if step == "cut" and number == first_id + 2:
@@ -309,6 +337,13 @@
         await writer.drain()
         return True
 
+    def _report_body(self) -> bytes:
+        self.reports += 1
+        fields = {name: json.dumps(value) for name, value in self._report().items()}
+        fields |= self.report_fields
+        texts = (f'"{name}":{text}' for name, text in fields.items())
+        return ("{" + ",".join(texts) + "}").encode()
+
     def _report(self) -> dict[str, object]:
         adapters = [f"{name}@{version}" for name, version in self.adapters.items()]
         models = [{"name": self.model, "version": 1, "adapters": adapters}]
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -77,3 +77,44 @@
     # Guards against orders that an engine rejects, or carries out twice, because the
     # holder, the fencing token or the expected sequence number is missing or wrong.
     Then platform codec writes an order with holder, token and expected sequence
+
+  # Guards against a caller's number that ends its request with an unhandled exception: it
+  # can't be converted, or a message to an agent can't contain it.
+  Scenario Outline: Platform codec reads <number> as <tokens> tokens of a prompt
+    Then platform codec reads "X-Token-Counts" of <number> as <tokens> tokens
+
+    Examples:
+      | number          | tokens  |
+      | 100,20          | 100     |
+      | 9,x             | 9       |
+      | -1,20           | 0       |
+      | 1.5             | 0       |
+      | 1e400           | 0       |
+      | 25 digits       | 0       |
+      | 5000 digits     | 0       |
+
+  # Guards against numbers of an engine's report that a message to the entries can't
+  # contain, or that end the reading of the report with an unexpected error.
+  Scenario Outline: Platform codec rejects a report with <field> of <number>
+    Then platform codec rejects a report with <field> of <number>
+
+    Examples:
+      | field        | number    |
+      | born         | 25 digits |
+      | born         | -1        |
+      | running      | 25 digits |
+      | waiting      | -1        |
+      | sequence     | 25 digits |
+      | kvCacheUsed  | 25 digits |
+      | kvCacheTotal | 25 digits |
+
+  Scenario Outline: Platform codec reads <text> as adapter version <version>
+    Then platform codec reads the adapter "a@<text>" with version <version>
+
+    Examples:
+      | text        | version |
+      | 7           | 7       |
+      | \u00b2      | 0       |
+      | -1          | 0       |
+      | 25 digits   | 0       |
+      | 5000 digits | 0       |
