Wait for a search that is no longer needed before the next attempt

Callers got an aborted stream, or 503 with "agent silent", although an engine had granted the adapter: the silent engine ended, or rejected the request late, while the search for its replacement waited for an agent.

Cause: the search was cancelled but unwound later. The retry had sent its request for the adapter to the same agent by then; the search's end took the retry's pending answer with it and released its pin. All requests then avoided that engine for a second.

Change: the exchange ends once the search has released what it held, also where the target resumes. A pending request is only removed by the call that made it.

--- a/lentiltally/direct/agent_client.py
+++ b/lentiltally/direct/agent_client.py
@@ -124,7 +124,8 @@
                     )
             return AcquireResult(False, reason="agent silent", is_timed_out=True)
         finally:
-            self._pending.pop(request_id, None)
+            if self._pending.get(request_id) is pending:
+                del self._pending[request_id]
 
     def answer_received(self, message: AdapterAnswer) -> None:
         """Match an agent's answer to its request; late answers are ignored."""
--- a/lentiltally/direct/target_exchange.py
+++ b/lentiltally/direct/target_exchange.py
@@ -129,7 +129,7 @@
         try:
             return await self._exchange(attempt, answer, is_stream)
         finally:
-            self._silence.end()
+            await self._silence.end()
 
     async def _exchange(
         self, attempt: TargetAttempt, answer: CallerAnswer, is_stream: bool
@@ -258,7 +258,7 @@
             return await self._connection.next_event()
         left_s = stalled_at_s - self._clock.monotonic_s()
         if left_s > 0:
-            self._silence.broken()
+            await self._silence.resumed()
             with contextlib.suppress(TimeoutError):
                 async with asyncio.timeout(left_s):
                     return await self._connection.next_event()
@@ -293,31 +293,36 @@
         self._replacements = replacements
         self._search: asyncio.Task[None] | None = None
 
-    async def outlast(self, work: asyncio.Future[_T], normal_s: float = 0.0) -> _T:
+    async def outlast(self, work: asyncio.Future[_T], grace_s: float = 0.0) -> _T:
         """Return the result of ``work`` unless a replacement is ready before.
 
-        No replacement is sought in the first ``normal_s``. Raises TimeoutError if there
+        No replacement is sought in the first ``grace_s``. Raises TimeoutError if there
         is one; ``work`` is cancelled then.
         """
         try:
-            await asyncio.wait({work}, timeout=normal_s)
+            await asyncio.wait({work}, timeout=grace_s)
             if not work.done():
                 await self._wait(work)
             return await work
         finally:
             work.cancel()
 
-    def broken(self) -> None:
+    async def resumed(self) -> None:
         """End the search, because the target goes on."""
         if self._search is not None:
-            self.end()
+            await self.end()
             self._search = None
             self._replacements.dismiss_replacement()
 
-    def end(self) -> None:
-        """Stop searching; a target that was found is kept."""
+    async def end(self) -> None:
+        """Stop searching; a target that was found is kept.
+
+        Returns once the search has released what it held: the next attempt may ask the
+        same agents for the same request.
+        """
         if self._search is not None:
             self._search.cancel()
+            await asyncio.wait({self._search})
 
     async def _wait(self, work: asyncio.Future[_T]) -> None:
         if self._search is None:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -188,6 +188,9 @@
         if request.path.startswith("/-/"):
             return await RawHttpServer.exchange(self, request, writer)
         step = self.script.popleft() if self.script else "run"
+        if step == "late full":
+            await asyncio.sleep(self.answer_after_s)
+            step = "full"
         refusal = self._refusal(request, step)
         if refusal is not None:
             self.refused.append(request.headers["x-request-id"])
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -37,3 +37,24 @@
     Then direct path delivered the events 1 to 5 completely
     And direct path resumed after event 2
     And direct path stream is cancelled at its engine within 1.5 s
+
+  Scenario: Direct path moves a stream whose silent engine ends while another engine loads
+    # Guards against a retry whose answer from the agent is lost, because the search that it
+    # replaces takes the pending request and the pin of the same target with it.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e2" loads for 0.4 s
+    And direct path engine "e1" handles the next request as "stall"
+    And direct path engine "e1" ends 1.55 s later
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+
+  Scenario: Direct path sends a request that a silent engine rejects late to one that loads
+    # Guards against the same where the silent engine rejects the request at last.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e2" loads for 0.4 s
+    And direct path engine "e1" handles the next request as "late full"
+    And direct path engine "e1" answers after 1.45 s
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -73,3 +73,19 @@
     assert system.wait(
         lambda: (state := choice.view(name).state) and key_hash in state.loaded
     )
+
+
+@given('direct path engine "{name}" ends {after_s:g} s later')
+def engine_ends(context, name, after_s):
+    system = context.direct
+
+    async def act():
+        await asyncio.sleep(after_s)
+        system.engines[name].crash()
+
+    asyncio.run_coroutine_threadsafe(act(), system.loop)
+
+
+@given('direct path engine "{name}" answers after {after_s:g} s')
+def engine_answers_after(context, name, after_s):
+    context.direct.engines[name].answer_after_s = after_s
