Make a trial of a refused part a single attempt

Engines: each trial of a refused part ended as many engines as its route allows attempts, so that two trials could exceed the three requests that operators accept (BUDGET).

Cause: the request stayed exempt after its first attempt had crashed an engine.

Evidence: the new scenario of tests/direct/crashes.feature failed before ([3, 3] crashes, 6 in all) and passes now (5). Mutation "one attempt for a trial" is red.

--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -280,6 +280,8 @@
         Returns whether it gave up.
         """
         self._executions += 1
+        # A trial is one attempt: a retry would end another target.
+        self._on_trial = []
         if result.was_reset:
             traits = self._traits
             if self._answer.is_started:
--- a/tests/direct/crashes.feature
+++ b/tests/direct/crashes.feature
@@ -77,3 +77,16 @@
     And direct path crashed engines are back
     And direct path restarts another entry 2 s later
     Then direct path other entry refuses the prompt part "dead" within 0.5 s
+
+  # Guards against a trial of a refused part that ends as many engines as its route allows
+  # attempts.
+  Scenario: Direct path lets a trial of a refused part reach one engine only
+    Given direct path engines crash on the prompt part "dead"
+    And direct path has served a stream with the prompt parts "f0,5a,1"
+    When direct path gets a stream from "/stream/one" with the prompt parts "f0,dead,2"
+    And direct path crashed engines are back
+    And direct path gets a stream from "/stream/two" with the prompt parts "f0,dead,3"
+    And direct path crashed engines are back
+    And direct path trial of the prompt part "dead" is due
+    And direct path gets a stream from "/stream/three" with the prompt parts "f0,dead,4"
+    Then direct path engines crashed 5 times
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -218,3 +218,10 @@
     answer = context.answer
     assert answer.status == 503, (answer.status, answer.body)
     assert f"problem:{reason}".encode() in answer.body, answer.body
+
+
+@when('direct path trial of the prompt part "{part}" is due')
+def trial_due(context, part):
+    entry = context.direct.entry
+    refusal = entry._state.suspects._refused[part_fingerprint(part)]
+    context.direct.call(lambda: setattr(refusal, "until_s", 0.0))
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -854,4 +854,12 @@
         "direct/log_stream",
         "goes on after a line with",
     ),
+    Mutation(
+        "one attempt for a trial",
+        "direct/handling.py",
+        "        self._on_trial = []\n        if result.was_reset:",
+        "        if result.was_reset:",
+        "direct/crashes",
+        "trial of a refused part reach one engine",
+    ),
 )
