Cancel a request at the end of a stop only after its first step

A caller whose request was read in the same moment in which a stop ended got no answer: its task was cancelled before its first step, and nothing answered or closed the connection.

Change: the cancellation is scheduled behind the task's first step, for whichever request is open then. The pause in the drain that was meant for this is removed.

Evidence: the new scenario of tests/direct/stop.feature failed before (b'') and passes now.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -241,7 +241,8 @@
     def end_request(self) -> None:
         """Cancel the request that is being handled; its handler still answers it."""
         if self._task is not None:
-            self._task.cancel()
+            # A task that is cancelled before its first step can't answer its request.
+            asyncio.get_running_loop().call_soon(self._task.cancel)
 
     def abort(self) -> None:
         """Close at once, so that the caller sees that an answer is incomplete."""
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -323,8 +323,6 @@
                 self._close_idle(now_s)
             await asyncio.sleep(0.05)
         server.close()
-        # A task that is cancelled before its first step could not answer its request.
-        await asyncio.sleep(0)
         for connection in list(self._connections):
             connection.end_request()
 
--- a/tests/direct/stop.feature
+++ b/tests/direct/stop.feature
@@ -38,3 +38,9 @@
     Given direct path with a store, a configuration and two plain targets
     When direct path is asked to stop during a request of 3.1 s, and a kept connection sends another 2.8 s later
     Then direct path answered the long request and refused the late one as not executed
+
+  Scenario: Direct path answers a request that is read at the moment at which a stop ends
+    # Guards against a request whose task is cancelled before its first step, so that nothing
+    # answers it and its connection is never closed.
+    When direct path reads a request on a kept connection while its drain ends
+    Then direct path answered the request that was read last
--- a/tests/steps/direct_stop_steps.py
+++ b/tests/steps/direct_stop_steps.py
@@ -8,7 +8,10 @@
 import h11
 from behave import given, then, when
 
+from lentiltally.clock import SystemClock
 from lentiltally.direct import entry_process
+from lentiltally.direct.caller_connection import CallerConnection
+from lentiltally.direct.model import CallerLimits
 from tests.fakes.direct import HOST, configuration, route
 from tests.steps.direct_streams_steps import headers
 
@@ -271,3 +274,65 @@
 def apply_configuration(system, routes):
     system.configure(configuration(4, routes))
     assert system.wait(lambda: system.entry._state.table.state.version == 4)
+
+
+class _LastHandler:
+    """Refuses every request at once, as a forwarder does that has stopped accepting."""
+
+    limits = CallerLimits()
+    is_stopping = True
+
+    def __init__(self):
+        self.connections = set()
+
+    async def handle(self, request, connection):
+        connection.send_answer(503, [], b"stopping")
+
+    def opened(self, connection):
+        self.connections.add(connection)
+
+    def closed(self, connection):
+        self.connections.discard(connection)
+
+
+@when("direct path reads a request on a kept connection while its drain ends")
+def reads_while_drain_ends(context):
+    """Read it behind the drain's wake-up, where the event loop puts socket events."""
+    request = b"GET /x HTTP/1.1\r\nHost: a\r\n\r\n"
+
+    async def act():
+        loop = asyncio.get_running_loop()
+        handler = _LastHandler()
+        server = await loop.create_server(
+            lambda: CallerConnection(handler, SystemClock()), "127.0.0.1", 0
+        )
+        address = server.sockets[0].getsockname()
+        reader, writer = await asyncio.open_connection(*address)
+        while not handler.connections:
+            await asyncio.sleep(0.01)
+        drain = asyncio.create_task(_end_of_drain(server, handler.connections))
+        await asyncio.sleep(0)
+        (connection,) = handler.connections
+        loop.call_soon(connection.data_received, request)
+        await drain
+        try:
+            return await asyncio.wait_for(reader.read(100), 0.5)
+        except TimeoutError:
+            return b""
+        finally:
+            writer.transport.abort()
+
+    context.last_answer = asyncio.run(act())
+
+
+@then("direct path answered the request that was read last")
+def answered_last(context):
+    assert context.last_answer.startswith(b"HTTP/1.1 503"), context.last_answer
+
+
+async def _end_of_drain(server, connections):
+    """Do what ``EntryProcess._drain`` does after its last pause."""
+    await asyncio.sleep(0)
+    server.close()
+    for connection in list(connections):
+        connection.end_request()
