--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -94,7 +94,7 @@
     ``order_instances`` holds, for each order, the instance that it expects and the one
     that received it. ``sequence`` counts the orders executed since the last start,
     ``born`` the starts.
-    ``deadly_part`` crashes the engine ``crash_after_s`` after the head of an answer to
+    ``poisoned_part`` crashes the engine ``crash_after_s`` after the head of an answer to
     a request whose prompt has this part. Then it is down until ``recover``, as
     ``is_stopped`` says, and ``crashes`` counts this. While ``is_frozen``, it answers no
     report.
@@ -129,7 +129,7 @@
     sequence: int = 0
     born: int = 1
     has_crashed: bool = False
-    deadly_part: str = ""
+    poisoned_part: str = ""
     crash_after_s: float = 0.15
     crashes: int = 0
     is_stopped: bool = False
@@ -307,7 +307,7 @@
             "Transfer-Encoding: chunked\r\n\r\n"
         )
         writer.write(head.encode())
-        if self.deadly_part and self.deadly_part in request.headers.get(
+        if self.poisoned_part and self.poisoned_part in request.headers.get(
             "x-prompt-prefix", ""
         ):
             await writer.drain()
--- a/tests/decisions/crash_suspects.feature
+++ b/tests/decisions/crash_suspects.feature
@@ -82,8 +82,8 @@
 
   # Guards against any order of crashes, requests and sound failures in which a part that
   # crashes targets goes on, or a popular part is refused.
-  Scenario: Crash suspects find the deadly part among random requests
-    Then crash suspects of 300 random fleets let at most 3 deadly requests through later than 3 s after the fifth crash
+  Scenario: Crash suspects find the poisoned part among random requests
+    Then crash suspects of 300 random fleets let at most 3 poisoned requests through later than 3 s after the fifth crash
     And crash suspects of 300 random fleets never refuse a popular part for over 3 s
 
   # Guards against memory that grows with the number of parts and crashes.
--- a/tests/steps/crash_suspects_steps.py
+++ b/tests/steps/crash_suspects_steps.py
@@ -91,14 +91,14 @@
 
 
 @then(
-    "crash suspects of {count:d} random fleets let at most {limit:d} deadly requests "
+    "crash suspects of {count:d} random fleets let at most {limit:d} poisoned requests "
     "through later than {after_s:g} s after the fifth crash"
 )
-def finds_deadly_part(context, count, limit, after_s):
+def finds_poisoned_part(context, count, limit, after_s):
     context.fleets = [RandomFleet(seed) for seed in range(count)]
     for fleet in context.fleets:
         fleet.run()
-        late = fleet.deadly_sent_later_than(after_s)
+        late = fleet.poisoned_sent_later_than(after_s)
         assert late <= limit, (fleet.seed, late, fleet.crashes_at_s)
     assert any(len(fleet.crashes_at_s) >= 5 for fleet in context.fleets)
 
@@ -138,17 +138,17 @@
 
 
 class RandomFleet:
-    """Engines under sound and deadly requests, with other failures of engines.
+    """Engines under sound and poisoned requests, with other failures of engines.
 
     All requests have a popular first part and one of the popular or rare second parts.
-    The deadly ones have one part more. A request begins its answer some time after it
-    was sent; a deadly one ends its engine then. A failure domain ends at a random time.
+    The poisoned ones have one part more. A request begins its answer some time after it
+    was sent; a poisoned one ends its engine then. A failure domain ends at a random time.
     """
 
     def __init__(self, seed):
         self.seed = seed
         self.crashes_at_s = []
-        self._deadly_sent_at_s = []
+        self._poisoned_sent_at_s = []
         self.longest_refusal_s = 0.0
         self._rng = random.Random(seed)
         self._suspects = CrashSuspects(self._rng.random())
@@ -172,23 +172,23 @@
                 for number in range(ENGINES_PER_DOMAIN):
                     self._end((first + number) % ENGINES, now_s)
             for _ in range(int(requests_per_step + rng.random())):
-                is_deadly = now_s > begins_s and rng.random() < share
-                self._send(is_deadly, now_s)
+                is_poisoned = now_s > begins_s and rng.random() < share
+                self._send(is_poisoned, now_s)
             for engine in range(ENGINES):
                 self._begin_answers(engine, now_s)
             self._note_refusals(now_s)
 
-    def deadly_sent_later_than(self, after_s):
-        """Count deadly requests sent ``after_s`` after the fifth crash by them."""
+    def poisoned_sent_later_than(self, after_s):
+        """Count poisoned requests sent ``after_s`` after the fifth crash by them."""
         if len(self.crashes_at_s) < 5:
             return 0
         since_s = self.crashes_at_s[4] + after_s
-        return sum(at_s > since_s for at_s in self._deadly_sent_at_s)
+        return sum(at_s > since_s for at_s in self._poisoned_sent_at_s)
 
-    def _send(self, is_deadly, now_s):
+    def _send(self, is_poisoned, now_s):
         rng = self._rng
         second = rng.choice(("second", "second", f"rare{rng.randrange(40)}"))
-        parts = ("first", second, "deadly") if is_deadly else ("first", second)
+        parts = ("first", second, "poisoned") if is_poisoned else ("first", second)
         traits = RequestTraits(
             rng.getrandbits(60), tuple(part_fingerprint(part) for part in parts)
         )
@@ -197,16 +197,16 @@
             return
         up = [n for n in range(ENGINES) if self._down_until_s[n] <= now_s]
         if up:
-            if is_deadly:
-                self._deadly_sent_at_s.append(now_s)
+            if is_poisoned:
+                self._poisoned_sent_at_s.append(now_s)
             begins_at_s = now_s + rng.uniform(0.1, 0.6)
-            self._running[rng.choice(up)].append((begins_at_s, is_deadly, traits))
+            self._running[rng.choice(up)].append((begins_at_s, is_poisoned, traits))
 
     def _begin_answers(self, engine, now_s):
         due = [entry for entry in self._running[engine] if entry[0] <= now_s]
         for entry in sorted(due, key=lambda entry: entry[0]):
-            _, is_deadly, traits = entry
-            if is_deadly:
+            _, is_poisoned, traits = entry
+            if is_poisoned:
                 self.crashes_at_s.append(now_s)
                 self._end(engine, now_s)
                 return
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -23,7 +23,7 @@
 @given('direct path engines crash on the prompt part "{part}"')
 def engines_crash(context, part):
     for engine in engines(context):
-        engine.deadly_part = part
+        engine.poisoned_part = part
 
 
 @given("direct path engines answer no reports for {silent_s:g} s")
@@ -102,7 +102,7 @@
 @when("direct path crashed engines are sound and back")
 def sound_engines_back(context):
     for engine in engines(context):
-        engine.deadly_part = ""
+        engine.poisoned_part = ""
     engines_back(context)
 
 
