Adopt no refusal of a prompt part that is longer than an entry's own

A malformed message could make an entry refuse a part for ever: the times of another entry's refusals were adopted as they came.

They are limited to the longest that an entry chooses itself. The new scenario of tests/decisions/crash_suspects.feature failed before (no trial at 1,210 s) and passes now.

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -51,6 +51,7 @@
 ANSWERED_PART_REFUSAL_S = 5.0
 REFUSAL_S = 60.0
 MAX_REFUSAL_S = 600.0
+MAX_STAGGER = 1.0
 # Time for the answer to a request that is let through after a refusal.
 TRIAL_S = 10.0
 # Of parts that were in the same crashes only one is the cause. A request that lacks one
@@ -241,11 +242,14 @@
     ) -> tuple[list[int], list[int]]:
         """Refuse parts that another entry refuses, as ``refusals`` returned them.
 
-        Return the parts refused from now on, and those that were in an answer lately,
-        which the other entry does not know.
+        No time is adopted that is longer than an entry would choose. Return the parts
+        refused from now on, and those that were in an answer lately, which the other
+        entry does not know.
         """
         adopted, refuted = [], []
-        for part, left_s, wait_s in refusals:
+        for part, told_left_s, told_wait_s in refusals:
+            left_s = min(told_left_s, MAX_REFUSAL_S * (1.0 + MAX_STAGGER))
+            wait_s = min(told_wait_s, MAX_REFUSAL_S)
             if self._was_answered(part, now_s):
                 refuted.append(part)
             elif part not in self._refused and len(self._refused) < MAX_SUSPECTS:
--- a/tests/decisions/crash_suspects.feature
+++ b/tests/decisions/crash_suspects.feature
@@ -80,6 +80,10 @@
     Then crash suspects of another entry adopt at 9 the refusal of "p" until 63
     And crash suspects of another entry that has begun answers with "p" clear it
 
+  # Guards against a part that is refused for ever because of one malformed message.
+  Scenario: Crash suspects adopt no refusal that is longer than their own
+    Then crash suspects told at 9 to refuse "p" for 9e15 s try it again at 1210
+
   # Guards against any order of crashes, requests and sound failures in which a part that
   # crashes targets goes on, or a popular part is refused.
   Scenario: Crash suspects find the poisoned part among random requests
--- a/tests/steps/crash_suspects_steps.py
+++ b/tests/steps/crash_suspects_steps.py
@@ -80,6 +80,18 @@
     assert other.begin_trials(parts, until_s + 0.1) == list(parts)
 
 
+@then(
+    'crash suspects told at {now_s:g} to refuse "{part}" for {left_s:g} s try it again '
+    "at {trial_s:g}"
+)
+def adopts_bounded(context, now_s, part, left_s, trial_s):
+    suspects = CrashSuspects()
+    parts = fingerprints(part)
+    suspects.adopt_refusals([(parts[0], left_s, left_s)], now_s)
+    assert suspects.refused_part(parts, now_s) is not None
+    assert suspects.begin_trials(parts, trial_s) == list(parts)
+
+
 @then('crash suspects of another entry that has begun answers with "{part}" clear it')
 def refutes(context, part):
     other = CrashSuspects()
