Count only parts that are refused now in the gauge, and correct three claims

The gauge lentiltally_refused_prompt_parts never fell for a part that nobody asks for again; it now leaves out parts whose trial is due. Two comments said more than holds.

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -35,14 +35,16 @@
     "suspect_relays",
 ]
 
-# Operators accept the loss of up to three targets to one request.
+# Operators accept the loss of up to three targets to one request; a retry may be under
+# way when the second one ends.
 CRASHES_BEFORE_REFUSAL = 2
 # Many requests have the same part, so it takes more evidence than one content, and of
 # different requests: each of them could crash targets by something else.
 PART_CRASHES_BEFORE_REFUSAL = 3
 CONTENTS_BEFORE_REFUSAL = 2
 # A failure of hosts or of their power ends many targets at one moment, which counts
-# once. Agents tell of an end within this time.
+# once. Agents tell of an end within this time; if they end with their hosts, the list
+# of targets tells of each end separately.
 MOMENT_S = 0.1
 # A part that was in an answer lately is hardly the cause. It is refused only if no
 # answer with it has begun during crashes that are far apart.
@@ -166,7 +168,7 @@
 
     @property
     def refused_parts(self) -> int:
-        """Return how many parts are refused at present."""
+        """Return how many parts are refused, with those whose trial is due."""
         return len(self._refused)
 
     def record_crash(
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -294,7 +294,7 @@
 
     def _metrics_page(self) -> tuple[int, bytes]:
         self._metrics.connections_opened.set(self._pool.opened)
-        self._metrics.refused_parts.set(self._state.suspects.refused_parts)
+        self._metrics.refused_parts.set(len(self._state.refused_parts()))
         return 200, self._metrics.page()
 
     async def _drain(self, server: asyncio.Server) -> None:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -94,8 +94,8 @@
     ``order_instances`` holds, for each order, the instance that it expects and the one
     that received it. ``sequence`` counts the orders executed since the last start,
     ``born`` the starts.
-    ``poisoned_part`` crashes the engine ``crash_after_s`` after the head of an answer to
-    a request whose prompt has this part. Then it is down until ``recover``, as
+    ``poisoned_part`` crashes the engine ``crash_after_s`` after the head of an answer
+    to a request whose prompt has this part. Then it is down until ``recover``, as
     ``is_stopped`` says, and ``crashes`` counts this. While ``is_frozen``, it answers no
     report.
     ``has_crashed`` is set when an order would load more adapters than there are slots.
--- a/tests/steps/crash_suspects_steps.py
+++ b/tests/steps/crash_suspects_steps.py
@@ -154,7 +154,8 @@
 
     All requests have a popular first part and one of the popular or rare second parts.
     The poisoned ones have one part more. A request begins its answer some time after it
-    was sent; a poisoned one ends its engine then. A failure domain ends at a random time.
+    was sent; a poisoned one ends its engine then. A failure domain ends at a random
+    time.
     """
 
     def __init__(self, seed):
