Heed what targets say of themselves: that they leave, or want no work for a while

EntryState.usable_targets asks the list and the notices, before an adapter is acquired and again after it. The head of a stream counts at once; a 421 comes from another target and doesn't. If all targets want none, callers are refused at once and told to come back no earlier than the first opens, plus the usual random time.

Not merged into one module with the list (TargetDirectory) in this change: the list orders records without a clock, notices need one. Slow, silent and crashed targets still have their own modules.

--- a/lentiltally/direct/attempt_preparation.py
+++ b/lentiltally/direct/attempt_preparation.py
@@ -158,7 +158,7 @@
     def _choose(self) -> Candidate | None:
         """Return the best target that is not excluded."""
         now_s = self._clock.monotonic_s()
-        records = self._state.directory.usable(self._service.name)
+        records = self._state.usable_targets(self._service.name)
         choice = self._state.choice
         excluded = self._tries.excluded
         if self._service.engine is None:
@@ -216,7 +216,7 @@
             if grant is not None and not grant.is_granted:
                 self._declined(record, grant)
                 return None
-            if not self._state.directory.is_usable(record.target_id):
+            if not self._state.is_usable(record):
                 self._drained_meanwhile(record)
                 return None
             if not self._may_be_sent():
@@ -240,7 +240,7 @@
         self._log.step("adapter declined", record.target_id, reason=grant.reason)
 
     def _drained_meanwhile(self, record: TargetRecord) -> None:
-        """Exclude a target that began to drain while its agent loaded the adapter."""
+        """Exclude a target that takes no work any more since its agent was asked."""
         self._exclude(record, "the target leaves", is_unreachable=False)
         self._log.step(
             "target draining or removed", record.target_id, reason="leaves or is gone"
--- a/lentiltally/direct/entry_metrics.py
+++ b/lentiltally/direct/entry_metrics.py
@@ -40,6 +40,18 @@
             registry=self._registry,
         )
 
+        self._closed_targets = Gauge(
+            "lentiltally_closed_targets",
+            "Targets that get no work because of what they said of themselves",
+            ["reason"],
+            registry=self._registry,
+        )
+
+    def targets_closed(self, leaving: int, paused: int) -> None:
+        """Record how many targets leave, and how many want no work now."""
+        self._closed_targets.labels("leaving").set(leaving)
+        self._closed_targets.labels("paused").set(paused)
+
     def ended(self, kind: str, outcome: str, took_s: float) -> None:
         """Record the outcome and the duration of a request."""
         self._request_duration.labels(kind, outcome).observe(took_s)
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -295,6 +295,9 @@
     def _metrics_page(self) -> tuple[int, bytes]:
         self._metrics.connections_opened.set(self._pool.opened)
         self._metrics.refused_parts.set(len(self._state.refused_parts()))
+        self._metrics.targets_closed(
+            *self._state.notices.closed(self._clock.monotonic_s())
+        )
         return 200, self._metrics.page()
 
     async def _drain(self, server: asyncio.Server) -> None:
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -16,6 +16,7 @@
 from lentiltally.decisions.target_choice import TargetChoice
 from lentiltally.decisions.target_crashes import TargetCrashes, start_name
 from lentiltally.decisions.target_directory import TargetDirectory
+from lentiltally.decisions.target_notices import TargetNotices
 from lentiltally.direct.messages import CrashReport, EngineState
 from lentiltally.direct.model import (
     AdapterNotice,
@@ -25,6 +26,7 @@
     TargetRecord,
     TargetStage,
 )
+from lentiltally.direct.request import AnswerHead
 from lentiltally.direct.settings import HostBounds, HostSettings
 
 __all__ = ["EntryState"]
@@ -56,6 +58,7 @@
         self.table: RouteTable | None = None
         self.directory = TargetDirectory()
         self.choice = TargetChoice(settings.failure_domain)
+        self.notices = TargetNotices()
         self.suspects = CrashSuspects(stagger)
         self.entry_count = ASSUMED_ENTRIES
         self.on_target_list_stale: Callable[[], None] = _do_nothing
@@ -145,6 +148,48 @@
             self.target_ended(target_id, known.started_ms, "engine started anew")
         self.choice.state_received(target_id, state, self._clock.monotonic_s())
 
+    def usable_targets(self, service: str) -> list[TargetRecord]:
+        """Return the targets of a service that may get a request now."""
+        now_s = self._clock.monotonic_s()
+        return [
+            record
+            for record in self.directory.usable(service)
+            if self.notices.may_get_work(record, now_s)
+        ]
+
+    def is_usable(self, record: TargetRecord) -> bool:
+        """Return whether a target may get a request now."""
+        return self.directory.is_usable(record.target_id) and self.notices.may_get_work(
+            record, self._clock.monotonic_s()
+        )
+
+    def opens_in_s(self, service: str) -> float:
+        """Return how long until a service takes work again, 0 if it does now."""
+        return self.notices.opens_in_s(
+            self.directory.usable(service), self._clock.monotonic_s()
+        )
+
+    def answer_received(self, record: TargetRecord, head: AnswerHead) -> None:
+        """Apply what a target says of itself in the head of an answer."""
+        if head.is_misdirected:
+            # Another target has answered.
+            return
+        if head.is_leaving and self.notices.leaves(record):
+            _log.info("target says that it leaves", extra={"target": record.target_id})
+        if head.unread_pause:
+            _log.warning(
+                "pause of a target not read",
+                extra={"target": record.target_id, "text": head.unread_pause},
+            )
+        if head.pause_s is None:
+            return
+        until_s = self._clock.monotonic_s() + head.pause_s
+        if self.notices.pauses(record, until_s):
+            _log.info(
+                "target wants no work",
+                extra={"target": record.target_id, "pause_s": head.pause_s},
+            )
+
     def mark_unreachable(self, target_id: str, until_s: float) -> None:
         """Avoid a target until a time, and reread the list in case it was removed."""
         self.choice.avoid(target_id, until_s)
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -318,6 +318,7 @@
         ``detail`` is the reason unless an attempt has failed before.
         """
         failure, peer = self._preparation.last_failure
+        opens_in_s = self._state.opens_in_s(self._service.name)
         detail = failure or detail or "no target can run the request now"
         if self._answer.is_started:
             self._log.step("stream aborted", peer, reason=detail)
@@ -340,7 +341,7 @@
                 detail,
                 step="send",
                 peer=peer,
-                retry_after_s=self._context.retry_after_s(),
+                retry_after_s=opens_in_s + self._context.retry_after_s(),
             )
 
     def _record_end(self, outcome: str) -> None:
--- a/lentiltally/direct/request.py
+++ b/lentiltally/direct/request.py
@@ -89,6 +89,10 @@
 class AnswerHead:
     """The head of a target's answer.
 
+    ``is_leaving`` says that the target is about to end. ``pause_s`` is for how long a
+    target that rejects the request wants no work, None if it does not say, and
+    ``unread_pause`` the text of a pause that could not be read.
+
     ``signature`` is None if the target did not sign the answer. ``did_not_run`` is set
     only where the target itself says that it has not run the request, and
     ``is_misdirected`` for status 421: another target listens at the address now.
@@ -110,3 +114,6 @@
     keep_alive_s: float | None
     load: LoadReport | None
     headers: Headers
+    is_leaving: bool = False
+    pause_s: float | None = None
+    unread_pause: str = ""
--- a/lentiltally/direct/target_sender.py
+++ b/lentiltally/direct/target_sender.py
@@ -3,10 +3,10 @@
 from __future__ import annotations
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.target_choice import TargetChoice
 from lentiltally.decisions.target_timeouts import TargetTimeouts
 from lentiltally.direct.adapter_pin import AdapterPin
 from lentiltally.direct.caller_answer import CallerAnswer
+from lentiltally.direct.entry_state import EntryState
 from lentiltally.direct.forwarding import ForwardingContext
 from lentiltally.direct.http_connection import HttpConnection
 from lentiltally.direct.model import Route, RouteKind, TargetRecord
@@ -31,14 +31,15 @@
 
     def __init__(
         self,
-        choice: TargetChoice,
+        state: EntryState,
         clock: Clock,
         pin: AdapterPin,
         request: CallerRequest,
         record: TargetRecord,
     ) -> None:
         """Observe one attempt at a target."""
-        self._choice = choice
+        self._state = state
+        self._choice = state.choice
         self._clock = clock
         self._pin = pin
         self._record = record
@@ -46,7 +47,8 @@
         self._has_begun = False
 
     def head_received(self, head: AnswerHead) -> None:
-        """Record the load that the head reports."""
+        """Record the load that the head reports, and what the target says of itself."""
+        self._state.answer_received(self._record, head)
         if head.load is not None:
             now_s = self._clock.monotonic_s()
             self._choice.load_received(self._record.target_id, head.load, now_s)
@@ -81,6 +83,7 @@
         """Prepare to send a request of a route; answers are written to ``answer``."""
         self._context = context
         self._clock = context.clock
+        self._state = context.state
         self._choice = context.state.choice
         self._request = request
         self._route = route
@@ -112,7 +115,7 @@
         ``replacements`` has found another one.
         """
         observer = _AnswerObserver(
-            self._choice, self._clock, self._pin, self._request, record
+            self._state, self._clock, self._pin, self._request, record
         )
         exchange = TargetExchange(
             self._context.header_codec,
@@ -124,6 +127,7 @@
             replacements=replacements,
         )
         self._choice.sent(record.target_id, self._request.prompt_tokens)
+        self._state.notices.sent(record, self._clock.monotonic_s())
         is_stream = self._route.kind is RouteKind.STREAM
         result: ExchangeResult | None = None
         try:
--- a/lentiltally/platform/http_headers.py
+++ b/lentiltally/platform/http_headers.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 import re
 from collections.abc import Iterable
 
@@ -22,6 +23,10 @@
 # processes can't contain those of more than 64 bits.
 MAX_NUMBER = 1e12
 
+# No target means a longer pause, and a log line quotes no longer text of one.
+MAX_PAUSE_S = 3_600.0
+MAX_QUOTED = 64
+
 _REQUEST_ID = b"x-request-id"
 _DEADLINE = b"x-deadline-milliseconds"
 _LAST_EVENT_ID = b"last-event-id"
@@ -67,7 +72,9 @@
     }
 )
 # Headers of a target's answer that are meant for this system, not for callers.
-_INTERNAL_HEADERS = frozenset({b"x-server-load", b"x-not-executed", b"x-instance-id"})
+_INTERNAL_HEADERS = frozenset(
+    {b"x-server-load", b"x-not-executed", b"x-instance-id", b"server-leaving"}
+)
 
 RawHeaders = Iterable[tuple[bytes, bytes]]
 
@@ -145,6 +152,7 @@
     request_id = fields.get(_REQUEST_ID)
     signature = fields.get(b"x-response-signature")
     is_misdirected = status == 421
+    pause_s, unread_pause = _pause(pairs) if status == 503 else (None, "")
     return AnswerHead(
         status=status,
         request_id=None if request_id is None else request_id.decode("latin-1"),
@@ -157,6 +165,9 @@
         keep_alive_s=_keep_alive_s(fields.get(b"keep-alive", b"")),
         load=_load(fields.get(b"x-server-load", b"")),
         headers=tuple(pair for pair in pairs if pair[0].lower() not in dropped),
+        is_leaving=fields.get(b"server-leaving", b"").strip() == b"1",
+        pause_s=pause_s,
+        unread_pause=unread_pause,
     )
 
 
@@ -228,6 +239,20 @@
     return None
 
 
+def _pause(pairs: tuple[tuple[bytes, bytes], ...]) -> tuple[float | None, str]:
+    """Parse ``Retry-After`` in seconds; return its text too if it is not valid."""
+    values = [value for name, value in pairs if name.lower() == b"retry-after"]
+    if not values:
+        return None, ""
+    try:
+        (pause_s,) = map(float, values)
+    except ValueError:
+        pause_s = math.nan
+    if 0 <= pause_s <= MAX_PAUSE_S:
+        return pause_s, ""
+    return None, b", ".join(values)[:MAX_QUOTED].decode("latin-1")
+
+
 def _load(value: bytes) -> LoadReport | None:
     """Parse ``RUNNING,WAITING,LIMIT[,SLOWNESS]``; None if it is malformed.
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -53,6 +53,8 @@
     answer. The other steps:
 
     - ``full``: refuses with 503 and X-Not-Executed, does not execute
+    - ``pausing``: the same, and wants no work for 2 s
+    - ``leaving``: a regular answer that says that the engine leaves
     - ``lost``: executes, then closes the connection without an answer
     - ``hang``: executes and never answers
     - ``error``: executes and answers 500, with a signature
@@ -232,12 +234,14 @@
         )
         if expected != self.name or is_not_loaded or is_other_version:
             return answer(421, headers={"X-Instance-Id": self.name})
-        if step != "full":
+        if step not in ("full", "pausing"):
             return None
         headers = {
             "X-Not-Executed": "1",
             "X-Request-Id": request.headers["x-request-id"],
         }
+        if step == "pausing":
+            headers["Retry-After"] = "2"
         return answer(503, headers=headers)
 
     async def _send_raw(
@@ -275,6 +279,8 @@
         signature = {SIGNATURE_HEADER: f"proof-{self.name}"}
         headers = {"X-Request-Id": request_id, **signature, **self.answer_headers}
         body = b"body of " + request_id.encode()
+        if step == "leaving":
+            headers["Server-Leaving"] = "1"
         if step == "unproved":
             headers.pop(SIGNATURE_HEADER)
         if step == "stray":
@@ -304,9 +310,11 @@
         head = (
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
             f"X-Request-Id: {request_id}\r\n{SIGNATURE_HEADER}: proof-{self.name}\r\n"
-            "Transfer-Encoding: chunked\r\n\r\n"
+            "Transfer-Encoding: chunked\r\n"
         )
-        writer.write(head.encode())
+        if step == "leaving":
+            head += "Server-Leaving: 1\r\n"
+        writer.write(f"{head}\r\n".encode())
         if self.poisoned_part and self.poisoned_part in request.headers.get(
             "x-prompt-prefix", ""
         ):
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -118,3 +118,19 @@
       | -1          | 0       |
       | 25 digits   | 0       |
       | 5000 digits | 0       |
+
+  Scenario Outline: Platform codec reads how long a rejecting target wants no work
+    # Guards against an answer that can't be used, or a target that is avoided for ever,
+    # because of one odd value.
+    Then platform codec reads from status <status> with pauses "<values>" the pause "<pause>" and the error "<error>"
+
+    Examples:
+      | status | values                        | pause | error                         |
+      | 503    | 2                             | 2.0   | -                             |
+      | 503    | 0.25                          | 0.25  | -                             |
+      | 429    | 2                             | -     | -                             |
+      | 503    | -1                            | -     | -1                            |
+      | 503    | nan                           | -     | nan                           |
+      | 503    | 1e9                           | -     | 1e9                           |
+      | 503    | Wed, 21 Oct 2026 07:28:00 GMT | -     | Wed, 21 Oct 2026 07:28:00 GMT |
+      | 503    | 1;2                           | -     | 1, 2                          |
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -178,3 +178,14 @@
     report = decode_report(f'{{"models":[{model}]}}'.encode(), None)
     (adapter,) = report.models[0].adapters
     assert (adapter.name, adapter.version) == ("a", version), adapter
+
+
+@then(
+    'platform codec reads from status {status:d} with pauses "{values}" the pause '
+    '"{pause}" and the error "{error}"'
+)
+def reads_pause(context, status, values, pause, error):
+    headers = [(b"Retry-After", value.encode()) for value in values.split(";")]
+    head = decode_answer_head(status, headers)
+    assert head.pause_s == (None if pause == "-" else float(pause)), head
+    assert head.unread_pause == ("" if error == "-" else error), head
