--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -9,11 +9,11 @@
 from dataclasses import dataclass
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.crash_suspects import RequestTraits, suspect_relays
 from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.decisions.target_directory import DirectoryChange
 from lentiltally.direct.agent_client import AgentClient
 from lentiltally.direct.caller_connection import CallerConnection, RawRequest
+from lentiltally.direct.crash_announcements import CrashAnnouncements
 from lentiltally.direct.entry_feeds import (
     ConfigurationDecoder,
     ConfigurationFeed,
@@ -26,9 +26,6 @@
 from lentiltally.direct.forwarding import ForwarderSettings, ForwardingContext
 from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
 from lentiltally.direct.messages import (
-    MAX_FINGERPRINTS,
-    MAX_REFUSALS_PER_MESSAGE,
-    MAX_REQUESTS_PER_REPORT,
     AdapterAnswer,
     CrashReport,
     EngineEnded,
@@ -75,13 +72,6 @@
 # A connection may be accepted this long before its request arrives. When none has been
 # opened for this long, the listener is closed.
 QUIET_BEFORE_CLOSE_S = 0.3
-# The connections of a crashed target end within this time, so that its suspects can be
-# reported together.
-REPORT_DELAY_S = 0.02
-# An entry that has started knows of refused parts after about this time.
-REFUSED_PARTS_INTERVAL_S = 1.0
-# One crash concerns at most a few dozen open requests of an entry.
-MAX_REPORTS_PER_CRASH = 4
 # The settings file may also change without SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 5.0
 
@@ -117,7 +107,6 @@
         self._clock = clock
         self._metrics = EntryMetrics()
         self._state = EntryState(settings, clock, random.random())
-        self._told_refused_parts_at_s = 0.0
         self._pool = TargetPool(clock)
         self._connections: set[CallerConnection] = set()
         self._stopping_since_s: float | None = None
@@ -126,6 +115,7 @@
         self._forwarder: Forwarder
         self._peers = PeerSocket(self._message_received)
         self._agents = AgentClient(self._peers)
+        self._crashes = CrashAnnouncements(self._state, self._peers, clock)
         self._subscriber = StateSubscriber(
             settings.name, self._state, self._peers, clock, random.Random()
         )
@@ -172,10 +162,6 @@
             shared=self._shared_targets,
         )
         self._state.on_target_list_stale = self._targets.request_read
-        self._state.on_suspect = self._suspect_found
-        self._state.on_parts_cleared = self._announce_cleared
-        self._state.on_trial = self._announce_trial
-        self._unannounced: dict[str, list[RequestTraits]] = {}
 
     @property
     def limits(self) -> CallerLimits:
@@ -342,7 +328,7 @@
         self._pool.close_stale()
         for connection in list(self._connections):
             connection.check_timeouts()
-        self._tell_refused_parts()
+        self._crashes.tell_refused_parts()
 
     def _target_changed(self, change: DirectoryChange) -> None:
         record = change.record
@@ -397,58 +383,6 @@
         if self._shared_targets.has_news(self._targets.next_offset):
             self._targets.news_reported()
 
-    def _suspect_found(self, target_start: str, traits: RequestTraits) -> None:
-        """Report a new crash suspect, together with those that follow at once."""
-        if target_start not in self._unannounced:
-            asyncio.get_running_loop().call_later(
-                REPORT_DELAY_S, self._report_crash, target_start
-            )
-        self._unannounced.setdefault(target_start, []).append(traits)
-
-    def _report_crash(self, target_start: str) -> None:
-        """Send the new suspects of a crash to the other entries."""
-        suspects = self._unannounced.pop(target_start)
-        # Those with parts first: they identify a cause that other requests share.
-        suspects.sort(key=lambda traits: not traits.parts)
-        size = MAX_REQUESTS_PER_REPORT
-        for first in range(0, min(len(suspects), MAX_REPORTS_PER_CRASH * size), size):
-            requests = tuple(
-                (traits.content, *traits.parts)[:MAX_FINGERPRINTS]
-                for traits in suspects[first : first + size]
-            )
-            report = CrashReport(target_start, requests)
-            self._send_to_entries(report, requests[0][0])
-
-    def _announce_cleared(self, parts: list[int]) -> None:
-        cleared = PartsCleared(tuple(parts[:MAX_FINGERPRINTS]))
-        self._send_to_entries(cleared, parts[0])
-
-    def _announce_trial(self, parts: list[int]) -> None:
-        trial = PartTrial(tuple(parts[:MAX_FINGERPRINTS]))
-        self._send_to_entries(trial, parts[0])
-
-    def _tell_refused_parts(self) -> None:
-        """Tell of refused parts now and then; all entries do so once a second."""
-        now_s = self._clock.monotonic_s()
-        interval_s = REFUSED_PARTS_INTERVAL_S * self._state.entry_count
-        if now_s - self._told_refused_parts_at_s < interval_s:
-            return
-        self._told_refused_parts_at_s = now_s
-        refused = self._state.refused_parts()[:MAX_REFUSALS_PER_MESSAGE]
-        if refused:
-            parts = [(p, int(1000 * t), int(1000 * w)) for p, t, w in refused]
-            message = RefusedParts(tuple(parts))
-            self._send_to_entries(message, refused[0][0])
-
-    def _send_to_entries(self, message: Message, fingerprint: int) -> None:
-        """Send a message about a fingerprint to all other entries via some agents."""
-        hosts = {
-            record.address.rpartition(":")[0] for record in self._state.engine_targets()
-        }
-        relays = suspect_relays(hosts, fingerprint)
-        port = self._settings.peer_port
-        self._peers.send_all([SocketAddress(ip, port) for ip in relays], message)
-
     async def _every(self, period_s: float, act: Callable[[], None]) -> None:
         """Call ``act`` regularly; failures are logged with its name as the step."""
         while True:
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -68,7 +68,7 @@
     """
     system = context.direct
     system.run(asyncio.sleep(pause_s))
-    system.entry._told_refused_parts_at_s = math.inf
+    system.entry._crashes._told_refused_parts_at_s = math.inf
     data = encode_message(StateSubscription("entry-2"))
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as former:
         former.bind((OTHER_ENTRY_IP, system.peer_port))
@@ -118,7 +118,7 @@
 @when('direct path other entry begins an answer with the prompt part "{part}"')
 def other_entry_answers(context, part):
     """Begin an answer; the first entry doesn't tell of its refused parts meanwhile."""
-    context.direct.entry._told_refused_parts_at_s = math.inf
+    context.direct.entry._crashes._told_refused_parts_at_s = math.inf
     state = context.direct.other_entry._state
     context.direct.call(lambda: state.answer_began((part_fingerprint(part),)))
 
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -589,7 +589,7 @@
     ),
     Mutation(
         "refused parts told by entries",
-        "direct/entry_process.py",
+        "direct/crash_announcements.py",
         "            self._send_to_entries(message, refused[0][0])\n",
         "            pass\n",
         "direct/crashes",
