Stop reading, not answering, when a caller sends too much behind its request

Callers that pipelined more than the body limit behind a request lost the answer under way, though the request had been passed on (LOST): the connection was aborted to bound the buffer. A lowered limit of a new configuration made it likelier.

Change: reading pauses until the request is answered; the bytes behind it then get the answer that they deserve by the limits.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -106,6 +106,7 @@
         # Since when the connection waits for a request or for the rest of one.
         self._waiting_since_s = clock.monotonic_s()
         self._has_partial_head = False
+        self._is_reading_paused = False
         self._can_write = asyncio.Event()
         self._can_write.set()
         self.is_disconnected = False
@@ -143,7 +144,9 @@
             self._process_input()
         # Limits the pipelined data that is buffered while a request is handled.
         elif len(self._http.trailing_data[0]) > self._handler.limits.body_bytes:
-            self.abort()
+            self._is_reading_paused = True
+            assert self._transport is not None
+            self._transport.pause_reading()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed."""
@@ -343,6 +346,7 @@
         if self.is_disconnected:
             return
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
+            self._resume_reading()
             self._http.start_next_cycle()
             self._process_input()
         elif self._http.our_state in (h11.MUST_CLOSE, h11.CLOSED):
@@ -350,6 +354,12 @@
         else:
             self.abort()
 
+    def _resume_reading(self) -> None:
+        if self._is_reading_paused:
+            self._is_reading_paused = False
+            assert self._transport is not None
+            self._transport.resume_reading()
+
     def _reject(self, status: int, reason: str, detail: str) -> None:
         """Refuse a malformed or late request, and close."""
         _log.info(
--- a/tests/direct/platform.feature
+++ b/tests/direct/platform.feature
@@ -73,6 +73,13 @@
     Then direct path answered that request with 200
     And direct path entry had not exited before the answer
 
+  Scenario: Direct path keeps an answer whose caller sends too much behind its request
+    # Guards against an answer that is cut off because the caller's next request exceeds the
+    # limits, which a new configuration may have lowered.
+    Given direct path with a store, a configuration and two plain targets
+    When direct path gets a request of 0.3 s with 200000 bytes behind it
+    Then direct path answered that request with 200
+
   Scenario Outline: Direct path rejects malformed requests and closes the connection
     # Guards against request smuggling: a second request hidden in a body or its framing.
     Given direct path with a store, a configuration and two plain targets
--- a/tests/steps/direct_platform_steps.py
+++ b/tests/steps/direct_platform_steps.py
@@ -7,7 +7,7 @@
 import urllib3
 from behave import then, when
 
-from tests.fakes.direct import configuration, route
+from tests.fakes.direct import HOST, configuration, route
 
 
 @when('direct path reads version 5 without the route "safe", then version 4 with it')
@@ -147,3 +147,15 @@
 def page_of(address):
     answer = urllib3.request("GET", f"http://{address}/metrics", retries=False)
     return answer.data.decode()
+
+
+@when("direct path gets a request of {run_s:g} s with {count:d} bytes behind it")
+def request_with_bytes_behind(context, run_s, count):
+    system = context.direct
+    for engine in system.engines.values():
+        engine.answer_after_s = run_s
+    fields = f"Host: {HOST}\r\nX-Request-Id"
+    first = f"GET /once/x HTTP/1.1\r\n{fields}: r1\r\n\r\n"
+    second = f"POST /once/x HTTP/1.1\r\n{fields}: r2\r\nContent-Length: {count}\r\n\r\n"
+    data = (first + second).encode() + b"x" * count
+    context.answer = system.run(system.raw(data))
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -902,4 +902,12 @@
         "platform/adapter",
         "how long a rejecting target",
     ),
+    Mutation(
+        "answer before too much pipelined data",
+        "direct/caller_connection.py",
+        "            self._transport.pause_reading()\n",
+        "            self.abort()\n",
+        "direct/platform",
+        "sends too much behind its request",
+    ),
 )
