Seek a replacement for a silent engine at other hosts only

A stream whose silent engine was listed anew under another id was moved to that id, and then aborted: the agent of a host has one pin for each request, so the end of the first attempt released the pin of the second, and the connection of a sound engine was given up.

Evidence: the new row of tests/direct/silence.feature failed before (events missing) and passes now; mutation "replacement at another host" is red.

--- a/lentiltally/direct/attempt_preparation.py
+++ b/lentiltally/direct/attempt_preparation.py
@@ -88,6 +88,7 @@
         self._log = log
         self._may_be_sent = may_be_sent
         self._tries = _Tries()
+        self._last_sent: TargetRecord | None = None
 
     @property
     def last_failure(self) -> tuple[str, str]:
@@ -109,10 +110,11 @@
     async def replacement(self, attempts: int) -> PreparedAttempt | None:
         """Return an attempt that may replace the one under way, like ``next``.
 
-        Targets that don't take the request now may be tried again later.
+        Targets that don't take the request now may be tried again later. Targets at the
+        host of the one under way are left out: its agent has one pin for each request.
         """
         before = self._tries
-        self._tries = replace(before, excluded=set(before.excluded))
+        self._tries = replace(before, excluded=before.excluded | self._same_host_ids())
         try:
             return await self.next(attempts)
         finally:
@@ -121,6 +123,7 @@
     def sent(self, record: TargetRecord) -> None:
         """Exclude a target that the request was sent to."""
         self._tries.excluded.add(record.target_id)
+        self._last_sent = record
 
     def failed(self, record: TargetRecord, detail: str) -> None:
         """Note why the last attempt failed."""
@@ -155,6 +158,14 @@
         since_s = self._clock.monotonic_s() - self._request.arrived_s
         return self._route.objective_s - since_s
 
+    def _same_host_ids(self) -> set[str]:
+        """Return the ids of the engines at the host that the request was sent to."""
+        if self._service.engine is None or self._last_sent is None:
+            return set()
+        host = _host(self._last_sent)
+        records = self._state.directory.all()
+        return {record.target_id for record in records if _host(record) == host}
+
     def _choose(self) -> Candidate | None:
         """Return the best target that is not excluded."""
         now_s = self._clock.monotonic_s()
@@ -272,3 +283,7 @@
     def _spend_retry(self) -> bool:
         budget = self._state.budget(self._service.name)
         return budget.spend(self._state.entry_count, self._clock.monotonic_s())
+
+
+def _host(record: TargetRecord) -> str:
+    return record.address.rpartition(":")[0]
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -19,6 +19,7 @@
       | has left             |
       | has no slot free     |
       | loads for 1.2 s      |
+      | has left, and "e1" is back under another id |
 
   Scenario: Direct path keeps a request whose target is silent before it answers
     # Guards against a failure that is reported before the deadline, although the only target
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -28,6 +28,34 @@
     assert system.wait(lambda: not engines.is_usable(name))
 
 
+@given('direct path engine "{name}" has left, and "{other}" is back under another id')
+def engine_back_under_id(context, name, other):
+    """List a later start at the address of the other engine; its agent is the same."""
+    engine_left(context, name)
+    system = context.direct
+    engine = system.engines[other]
+
+    async def announce():
+        await asyncio.sleep(0.5)
+        system.store.put_json(
+            "keyed.servers",
+            "anew",
+            {
+                "service": engine.service,
+                "address": f"{engine.ip}:{engine.port}",
+                "zone": "z1",
+                "version": "v1",
+                "slots": 8,
+                "state": "ready",
+                "coldRemainingMs": 0,
+                "sequence": 1,
+                "born": engine.born + 1,
+            },
+        )
+
+    asyncio.run_coroutine_threadsafe(announce(), system.loop)
+
+
 @given('direct path engine "{name}" has no slot free')
 def engine_full(context, name):
     """Occupy all slots of the engine with streams that don't end."""
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -910,4 +910,12 @@
         "direct/platform",
         "sends too much behind its request",
     ),
+    Mutation(
+        "replacement at another host",
+        "direct/attempt_preparation.py",
+        "excluded=before.excluded | self._same_host_ids()",
+        "excluded=set(before.excluded)",
+        "direct/silence",
+        "keeps a stream whose engine falls silent",
+    ),
 )
