--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -161,11 +161,13 @@
             asyncio.create_task(self._reader.targets.run()),
             asyncio.create_task(self._run_engine()),
         ]
-        await stop.wait()
-        for task in tasks:
-            task.cancel()
-        pages.close()
-        self._peers.close()
+        try:
+            await stop.wait()
+        finally:
+            for task in tasks:
+                task.cancel()
+            pages.close()
+            self._peers.close()
         _log.info("agent stopped")
         return 0
 
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -230,13 +230,16 @@
                 self._every(SETTINGS_CHECK_INTERVAL_S, self.reload),
             )
         ]
-        await stop.wait()
-        await self._drain(server)
-        for task in tasks:
-            task.cancel()
-        pages.close()
-        self._pool.close()
-        self._peers.close()
+        try:
+            await stop.wait()
+            await self._drain(server)
+        finally:
+            server.close()
+            for task in tasks:
+                task.cancel()
+            pages.close()
+            self._pool.close()
+            self._peers.close()
         _log.info("entry stopped", extra={"open_requests": self._open_requests()})
         await asyncio.sleep(0.05)
         return 0
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -97,9 +97,10 @@
     that received it. ``sequence`` counts the orders executed since the last start,
     ``born`` the starts.
     ``poisoned_part`` crashes the engine ``crash_after_s`` after the head of an answer
-    to a request whose prompt has this part. Then it is down until ``recover``, as
-    ``is_stopped`` says, and ``crashes`` counts this. While ``is_frozen``, it answers no
-    report.
+    to a request whose prompt has this part. A body of ``poisoned_bodies`` crashes it
+    ``crash_after_s`` after it has begun to run the request, also if the caller has left
+    by then. It is down until ``recover``, as ``is_stopped`` says, and ``crashes``
+    counts this. While ``is_frozen``, it answers no report.
     ``has_crashed`` is set when an order would load more adapters than there are slots.
     """
 
@@ -132,6 +133,7 @@
     born: int = 1
     has_crashed: bool = False
     poisoned_part: str = ""
+    poisoned_bodies: frozenset[bytes] = frozenset()
     crash_after_s: float = 0.15
     crashes: int = 0
     is_stopped: bool = False
@@ -155,6 +157,11 @@
         self.is_stopped = True
         self.stop()
 
+    def _crash_start(self, born: int) -> None:
+        """Crash if the start that began to run a request has not ended meanwhile."""
+        if self.born == born and not self.is_stopped:
+            self.crash()
+
     async def recover(self) -> None:
         """Start anew at the same address, without adapters."""
         self.is_stopped = False
@@ -206,6 +213,10 @@
                 request.body,
             )
         )
+        if request.body in self.poisoned_bodies:
+            loop = asyncio.get_running_loop()
+            loop.call_later(self.crash_after_s, self._crash_start, self.born)
+            await asyncio.sleep(3600)
         if step == "hang":
             await asyncio.sleep(3600)
         if step in ("lost", "raw"):
--- a/tests/fakes/direct.py
+++ b/tests/fakes/direct.py
@@ -30,6 +30,7 @@
 NETWORK = f"127.{64 + os.getpid() // 256 % 64}.{os.getpid() % 256}"
 ENTRY_IP = f"{NETWORK}.1"
 OTHER_ENTRY_IP = f"{NETWORK}.2"
+MAX_ENTRIES = 9
 
 
 def engine_ip(number):
@@ -109,6 +110,7 @@
         self.agent_metrics = []
         self._sequence = 0
         self._started = []
+        self._tasks = {}
         self._failure = None
         self.peer_port = free_port(ENTRY_IP)
         self.entry_address = None
@@ -152,9 +154,11 @@
     def configure(self, document):
         self.call(lambda: self.store.put_json("keyed.op", "config", document))
 
-    def add_target(self, name, service="plain", **more):
+    def add_target(
+        self, name, service="plain", engine_type=PlatformEngineStandIn, **more
+    ):
         """Start a target on its own loopback address and announce it."""
-        engine = PlatformEngineStandIn(name, **more)
+        engine = engine_type(name, **more)
         ip = engine_ip(len(self.engines))
         self.run(engine.start(ip))
         engine.ip = ip
@@ -164,6 +168,10 @@
         return engine
 
     def announce(self, name, **more):
+        self.call(lambda: self.put_record(name, **more))
+
+    def put_record(self, name, **more):
+        """Write the record of a target; called on the event loop."""
         engine = self.engines[name]
         self._sequence += 1
         record = {
@@ -178,7 +186,7 @@
             "born": engine.born,
             **more,
         }
-        self.call(lambda: self.store.put_json("keyed.servers", name, record))
+        self.store.put_json("keyed.servers", name, record)
 
     def withdraw(self, name):
         self.call(lambda: self.store.put("keyed.servers", name, None))
@@ -219,7 +227,29 @@
         self.other_entry = self._start_entry(settings)
         assert self.wait(lambda: self._sees_all_targets(self.other_entry))
 
-    def _start_entry(self, settings):
+    def start_numbered_entry(self, number, clock):
+        """Start one of several entries, at an address of its own."""
+        assert number <= MAX_ENTRIES
+        ip = f"{NETWORK}.{number}"
+        settings = self.settings(
+            f"entry-{number}",
+            ip,
+            callers=SocketAddress(ip, free_port(ip)),
+            readiness=SocketAddress(ip, free_port(ip)),
+        )
+        return self._start_entry(settings, clock), settings.callers
+
+    def kill(self, process):
+        """End a process without a farewell; its sockets are closed."""
+
+        async def cancel():
+            task = self._tasks.pop(process)
+            task.cancel()
+            await asyncio.gather(task, return_exceptions=True)
+
+        self.run(cancel())
+
+    def _start_entry(self, settings, clock=None):
         async def start():
             platform = EntryPlatform(
                 header_codec=http_headers,
@@ -229,7 +259,7 @@
                 decode_target=decode_target_record,
                 readiness_path=http_headers.READINESS_PATH,
             )
-            entry = EntryProcess(settings, platform, SystemClock())
+            entry = EntryProcess(settings, platform, clock or SystemClock())
             self._run_process(entry)
             return entry
 
@@ -263,6 +293,7 @@
         task = asyncio.ensure_future(process.run(stop))
         task.add_done_callback(self._ended)
         self._started.append((stop, task))
+        self._tasks[process] = task
 
     def _ended(self, task):
         if not task.cancelled() and task.exception() is not None:
@@ -311,11 +342,10 @@
         head = ("\r\n".join(lines) + "\r\n\r\n").encode()
         return await self.raw(head + body, **more)
 
-    async def raw(self, data, disconnect_after_s=None, read_s=5.0):
+    async def raw(self, data, disconnect_after_s=None, read_s=5.0, address=None):
         """Send bytes and read one answer; disconnect early if a delay is given."""
-        reader, writer = await asyncio.open_connection(
-            self.entry_address.ip, self.entry_address.port
-        )
+        address = address or self.entry_address
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
         try:
             writer.write(data)
             return await asyncio.wait_for(
