Try refused contents again one at a time, at longer and longer intervals

A request that came once in two minutes was never refused at all.

Class of fault: a refusal that ends by time alone. A trial counts as failed from its start, because the entry that made it may end before it learns of the crash. Three crashes refuse also if they are far apart, or if a refused part explains them.

EntryState is split: entry_suspects.py has what an entry knows of crashes and tells of them. Refusals, trials and releases of contents have log lines, which they had not.

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -1,16 +1,13 @@
 """Refusal of requests that crash the targets that run them.
 
-A request that was running on a target when the target terminated is a suspect. Callers
-retry it under another id, so it is identified by a fingerprint of its content. Once it
-is the suspect of several targets, it is refused for some time, unless a request with
-the same fingerprint has finished recently: if many callers send the same request, it is
-running whenever a target terminates, whatever the cause.
-
-A part of a prompt may crash targets too, in requests that have nothing else in common.
-So the parts that requests share are suspects as well, as long as the answer has not
-begun: a target that has begun an answer has survived all parts of its prompt. An answer
-that begins therefore clears its parts. A part is refused after several crashes, and
-crashes that one refused part explains do not count against other parts or contents.
+A request that was running on a target when the target terminated is a suspect, by its
+whole content (``content_suspects``) and by the parts of its prompt.
+
+A part of a prompt may crash targets in requests that have nothing else in common. So
+the parts that requests share are suspects as long as the answer has not begun: a target
+that has begun an answer has survived all parts of its prompt. An answer that begins
+therefore clears its parts. A part is refused after several crashes, and crashes that
+one refused part explains do not count against other parts or contents.
 """
 
 from __future__ import annotations
@@ -24,6 +21,7 @@
 import xxhash
 
 from lentiltally.decisions._ring import rendezvous_weight
+from lentiltally.decisions.content_suspects import ContentSuspects
 
 __all__ = [
     "CrashSuspects",
@@ -35,9 +33,6 @@
     "suspect_relays",
 ]
 
-# Operators accept the loss of up to three targets to one request; a retry may be under
-# way when the second one ends.
-CRASHES_BEFORE_REFUSAL = 2
 # Many requests have the same part, so it takes more evidence than one content, and of
 # different requests: each of them could crash targets by something else.
 PART_CRASHES_BEFORE_REFUSAL = 3
@@ -147,10 +142,10 @@
 
 
 class CrashSuspects:
-    """Fingerprints of requests, with the target starts that they may have crashed.
+    """Contents and prompt parts, with the target starts that they may have crashed.
 
     A target start is one incarnation of a target: a target that restarted can crash
-    again.
+    again. ``contents`` are the suspects by whole content.
     """
 
     def __init__(self, stagger: float = 0.0) -> None:
@@ -159,9 +154,8 @@
         ``stagger`` from 0 to 1 differs between entries, so that they don't all let a
         refused part through at the same time.
         """
+        self.contents = ContentSuspects(stagger)
         self._stagger = stagger
-        self._crashes: OrderedDict[int, dict[str, float]] = OrderedDict()
-        self._finished_at_s: OrderedDict[int, float] = OrderedDict()
         self._parts: OrderedDict[int, _PartEvidence] = OrderedDict()
         self._answered_at_s: OrderedDict[int, float] = OrderedDict()
         self._refused: OrderedDict[int, _PartRefusal] = OrderedDict()
@@ -179,7 +173,7 @@
         Return True if that was not known for this target start. A content that has
         finished recently is no suspect.
         """
-        is_new = self._record_content(traits.content, target_start, now_s)
+        is_new = self.contents.record_crash(traits.content, target_start, now_s)
         for part in traits.parts:
             is_new |= self._record_part(part, traits.content, target_start, now_s)
         return is_new
@@ -264,23 +258,29 @@
         """Return whether one of the parts is refused, also if its trial is due."""
         return not self._refused.keys().isdisjoint(parts)
 
-    def finished(self, fingerprint: int, now_s: float) -> None:
-        """Clear the content of a request that has finished."""
-        self._crashes.pop(fingerprint, None)
-        self._finished_at_s[fingerprint] = now_s
-        self._finished_at_s.move_to_end(fingerprint)
-        while len(self._finished_at_s) > MAX_FINISHED:
-            self._finished_at_s.popitem(last=False)
-
-    def is_content_refused(self, fingerprint: int, now_s: float) -> bool:
-        """Return whether the content has crashed too many targets recently."""
-        crash_times = self._crashes.get(fingerprint)
-        if crash_times is None:
-            return False
-        recent = {s for s, at_s in crash_times.items() if now_s - at_s < REFUSAL_S}
-        if len(recent) < CRASHES_BEFORE_REFUSAL:
+    def content_refused_for_s(self, content: int, now_s: float) -> float | None:
+        """Return the time until a refused content is tried again, None if it is not.
+
+        It is 0 or less once a trial is due.
+        """
+        if not self.contents.is_suspect(content):
+            return None
+        return self.contents.refused_for_s(content, now_s, self.explained_starts())
+
+    def begin_content_trial(self, content: int, now_s: float) -> bool:
+        """Return whether one request may try a refused content now."""
+        if not self.contents.is_suspect(content):
             return False
-        return len(recent - self._explained_starts()) >= CRASHES_BEFORE_REFUSAL
+        return self.contents.begin_trial(content, now_s, self.explained_starts())
+
+    def explained_starts(self) -> set[str]:
+        """Return the crashes that refused parts explain."""
+        return {
+            start
+            for part in self._refused
+            if part in self._parts
+            for start in self._parts[part].crashes
+        }
 
     def refused_part(
         self, parts: Iterable[int], now_s: float, on_trial: Collection[int] = ()
@@ -325,20 +325,6 @@
         is_cause_open = not others.isdisjoint(self._refused)
         return is_cause_open and now_s >= refusal.tied_until_s
 
-    def _record_content(
-        self, fingerprint: int, target_start: str, now_s: float
-    ) -> bool:
-        if now_s - self._finished_at_s.get(fingerprint, -math.inf) < REFUSAL_S:
-            return False
-        crash_times = self._crashes.setdefault(fingerprint, {})
-        is_new = target_start not in crash_times
-        if is_new:
-            crash_times[target_start] = now_s
-        self._crashes.move_to_end(fingerprint)
-        while len(self._crashes) > MAX_SUSPECTS:
-            self._crashes.popitem(last=False)
-        return is_new
-
     def _record_part(
         self, part: int, content: int, target_start: str, now_s: float
     ) -> bool:
@@ -425,12 +411,3 @@
 
     def _was_answered(self, part: int, now_s: float) -> bool:
         return now_s - self._answered_at_s.get(part, -math.inf) < REFUSAL_S
-
-    def _explained_starts(self) -> set[str]:
-        """Return the crashes that refused parts explain."""
-        return {
-            start
-            for part in self._refused
-            if part in self._parts
-            for start in self._parts[part].crashes
-        }
--- a/lentiltally/direct/crash_announcements.py
+++ b/lentiltally/direct/crash_announcements.py
@@ -44,9 +44,9 @@
         self._clock = clock
         self._told_refused_parts_at_s = 0.0
         self._unreported: dict[str, list[RequestTraits]] = {}
-        state.on_suspect = self._suspect_found
-        state.on_parts_cleared = self._announce_cleared
-        state.on_trial = self._announce_trial
+        state.suspects.on_suspect = self._suspect_found
+        state.suspects.on_parts_cleared = self._announce_cleared
+        state.suspects.on_trial = self._announce_trial
 
     def tell_refused_parts(self) -> None:
         """Tell of refused parts now and then; all entries do so once a second."""
@@ -55,7 +55,7 @@
         if now_s - self._told_refused_parts_at_s < interval_s:
             return
         self._told_refused_parts_at_s = now_s
-        refused = self._state.refused_parts()[:MAX_REFUSALS_PER_MESSAGE]
+        refused = self._state.suspects.refused_parts()[:MAX_REFUSALS_PER_MESSAGE]
         if refused:
             parts = [(p, int(1000 * t), int(1000 * w)) for p, t, w in refused]
             message = RefusedParts(tuple(parts))
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -283,7 +283,7 @@
 
     def _metrics_page(self) -> tuple[int, bytes]:
         self._metrics.connections_opened.set(self._pool.opened)
-        self._metrics.refused_parts.set(len(self._state.refused_parts()))
+        self._metrics.refused_parts.set(len(self._state.suspects.refused_parts()))
         self._metrics.targets_closed(
             *self._state.notices.closed(self._clock.monotonic_s())
         )
@@ -336,12 +336,12 @@
     def _target_changed(self, change: DirectoryChange) -> None:
         record = change.record
         if change.kind == "appeared":
-            self._state.target_ended(
+            self._state.suspects.target_ended(
                 change.target_id, record.started_ms - 1, "started anew"
             )
             self._subscriber.renew()
         elif change.kind == "gone":
-            self._state.target_ended(
+            self._state.suspects.target_ended(
                 change.target_id,
                 record.started_ms,
                 "gone",
@@ -360,16 +360,15 @@
         elif isinstance(message, EngineEnded):
             self._state.engine_ended(sender.ip, message.started_ms)
         elif isinstance(message, CrashReport):
-            self._state.crash_reported(message)
+            self._state.suspects.crash_reported(message)
         elif isinstance(message, PartsCleared):
-            self._state.parts_cleared(message.parts)
+            self._state.suspects.parts_cleared(message.parts)
         elif isinstance(message, RefusedParts):
-            self._state.parts_refused_elsewhere(
+            self._state.suspects.parts_refused_elsewhere(
                 [(p, left / 1000, wait / 1000) for p, left, wait in message.parts]
             )
         elif isinstance(message, PartTrial):
-            now_s = self._clock.monotonic_s()
-            self._state.suspects.trials_begun(message.parts, now_s)
+            self._state.suspects.trials_begun(message.parts)
 
     def _store_reported(self, report: StoreReport) -> None:
         """Note what an agent has read; read the list of targets if it has news."""
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -3,28 +3,22 @@
 from __future__ import annotations
 
 import logging
-from collections.abc import Callable, Iterable
+from collections.abc import Callable
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.crash_suspects import (
-    CrashSuspects,
-    RequestTraits,
-    fingerprint_texts,
-)
 from lentiltally.decisions.route_table import RouteTable
 from lentiltally.decisions.service_retry_budget import ServiceRetryBudget
 from lentiltally.decisions.target_choice import TargetChoice
-from lentiltally.decisions.target_crashes import TargetCrashes, start_name
 from lentiltally.decisions.target_directory import TargetDirectory
 from lentiltally.decisions.target_notices import TargetNotices
-from lentiltally.direct.messages import CrashReport, EngineState
+from lentiltally.direct.entry_suspects import EntrySuspects
+from lentiltally.direct.messages import EngineState
 from lentiltally.direct.model import (
     AdapterNotice,
     CallerLimits,
     DesiredState,
     Service,
     TargetRecord,
-    TargetStage,
 )
 from lentiltally.direct.request import AnswerHead
 from lentiltally.direct.settings import HostBounds, HostSettings
@@ -59,16 +53,12 @@
         self.directory = TargetDirectory()
         self.choice = TargetChoice(settings.failure_domain)
         self.notices = TargetNotices()
-        self.suspects = CrashSuspects(stagger)
+        self.suspects = EntrySuspects(self.directory, clock, stagger)
         self.entry_count = ASSUMED_ENTRIES
         self.on_target_list_stale: Callable[[], None] = _do_nothing
-        self.on_suspect: Callable[[str, RequestTraits], None] = _do_nothing
-        self.on_parts_cleared: Callable[[list[int]], None] = _do_nothing
-        self.on_trial: Callable[[list[int]], None] = _do_nothing
         self._clock = clock
         self._budgets: dict[str, ServiceRetryBudget] = {}
         self._newest_versions: dict[str, tuple[int, float]] = {}
-        self._crashes: TargetCrashes[RequestTraits] = TargetCrashes()
 
     @property
     def limits(self) -> CallerLimits:
@@ -145,7 +135,9 @@
             return
         known = self.choice.view(target_id).state
         if known is not None and known.started_ms < state.started_ms:
-            self.target_ended(target_id, known.started_ms, "engine started anew")
+            self.suspects.target_ended(
+                target_id, known.started_ms, "engine started anew"
+            )
         self.choice.state_received(target_id, state, self._clock.monotonic_s())
 
     def usable_targets(self, service: str) -> list[TargetRecord]:
@@ -201,8 +193,8 @@
         record = None if target_id is None else self.directory.get(target_id)
         if record is None or record.started_ms != started_ms:
             return
-        if not self._crashes.has_ended(record.target_id, started_ms):
-            self.target_ended(record.target_id, started_ms, "engine ended")
+        if not self.suspects.has_ended(record.target_id, started_ms):
+            self.suspects.target_ended(record.target_id, started_ms, "engine ended")
         until_s = self._clock.monotonic_s() + ENDED_COOLDOWN_S
         self.mark_unreachable(record.target_id, until_s)
 
@@ -211,157 +203,8 @@
 
         If connections to it were lost before, it has ended.
         """
-        if self._crashes.has_losses(record.target_id):
-            self.target_ended(record.target_id, record.started_ms, "refuses")
-
-    def connection_lost(self, record: TargetRecord, traits: RequestTraits) -> None:
-        """Note a request whose connection was lost; its target may have crashed.
-
-        ``traits`` has no parts if the request's answer has begun.
-        """
-        if self._is_draining(record.target_id):
-            return
-        now_s = self._clock.monotonic_s()
-        if self._crashes.connection_lost(
-            record.target_id, record.started_ms, traits, now_s
-        ):
-            start = start_name(record.target_id, record.started_ms)
-            self._record_suspects([(start, traits)])
-
-    def target_ended(
-        self,
-        target_id: str,
-        started_ms: int,
-        reason: str,
-        *,
-        was_draining: bool = False,
-    ) -> None:
-        """Note that the starts of a target up to ``started_ms`` have ended.
-
-        Requests whose connections to it were lost shortly before become crash suspects,
-        unless it was draining: such a target may end its connections.
-        """
-        now_s = self._clock.monotonic_s()
-        lost = self._crashes.ended(target_id, started_ms, now_s)
-        if was_draining or self._is_draining(target_id):
-            lost = []
-        new = self._record_suspects(lost)
-        _log.info(
-            "target removed or restarted",
-            extra={
-                "target": target_id,
-                "started_ms": started_ms,
-                "reason": reason,
-                "suspects": fingerprint_texts(traits.content for traits in new),
-                "parts": fingerprint_texts({p for traits in new for p in traits.parts}),
-            },
-        )
-
-    def crash_reported(self, report: CrashReport) -> None:
-        """Record the suspects that another entry has reported."""
-        now_s = self._clock.monotonic_s()
-        new = [
-            traits
-            for content, *parts in report.requests
-            if self.suspects.record_crash(
-                traits := RequestTraits(content, tuple(parts)),
-                report.target_start,
-                now_s,
-            )
-        ]
-        if new:
-            _log.info(
-                "crash suspects reported",
-                extra={
-                    "start": report.target_start,
-                    "suspects": fingerprint_texts(t.content for t in new),
-                    "parts": fingerprint_texts({p for t in new for p in t.parts}),
-                },
-            )
-            self._judge_parts()
-
-    def answer_began(self, parts: tuple[int, ...]) -> None:
-        """Clear the prompt parts of an answer that has begun."""
-        cleared = self._clear_parts(parts, "answered")
-        if cleared:
-            self.on_parts_cleared(cleared)
-
-    def parts_cleared(self, parts: tuple[int, ...]) -> None:
-        """Clear the prompt parts of an answer that has begun at another entry."""
-        self._clear_parts(parts, "answered at another entry")
-
-    def begin_trials(self, parts: tuple[int, ...]) -> list[int]:
-        """Return the refused parts that a request may try now, and announce them."""
-        on_trial = self.suspects.begin_trials(parts, self._clock.monotonic_s())
-        if on_trial:
-            _log.info(
-                "prompt part tried again", extra={"parts": fingerprint_texts(on_trial)}
-            )
-            self.on_trial(on_trial)
-        return on_trial
-
-    def refused_parts(self) -> list[tuple[int, float, float]]:
-        """Return the refused parts, as ``CrashSuspects.refusals`` does."""
-        return self.suspects.refusals(self._clock.monotonic_s())
-
-    def parts_refused_elsewhere(self, refusals: list[tuple[int, float, float]]) -> None:
-        """Refuse the parts that another entry refuses, unless answered lately here."""
-        adopted, refuted = self.suspects.adopt_refusals(
-            refusals, self._clock.monotonic_s()
-        )
-        if adopted:
-            self._log_refused(adopted, "another entry refuses it")
-        if refuted:
-            self.on_parts_cleared(refuted)
-
-    def _clear_parts(self, parts: tuple[int, ...], reason: str) -> list[int]:
-        released = [p for p in parts if self.suspects.are_any_refused((p,))]
-        cleared = self.suspects.parts_answered(parts, self._clock.monotonic_s())
-        if released:
-            self._log_released(released, reason)
-        return cleared
-
-    def _judge_parts(self) -> None:
-        """Refuse the prompt parts that explain the crashes known so far."""
-        changes = self.suspects.judge_parts(self._clock.monotonic_s())
-        if changes.refused:
-            self._log_refused(
-                changes.refused, "targets ended before answers with it began"
-            )
-        if changes.released:
-            self._log_released(changes.released, "another part explains the crashes")
-
-    @staticmethod
-    def _log_refused(parts: Iterable[int], reason: str) -> None:
-        _log.warning(
-            "prompt part refused",
-            extra={"parts": fingerprint_texts(parts), "reason": reason},
-        )
-
-    @staticmethod
-    def _log_released(parts: Iterable[int], reason: str) -> None:
-        _log.info(
-            "prompt part no longer refused",
-            extra={"parts": fingerprint_texts(parts), "reason": reason},
-        )
-
-    def _record_suspects(
-        self, lost: list[tuple[str, RequestTraits]]
-    ) -> list[RequestTraits]:
-        """Record suspects by start, and return those that were not known."""
-        now_s = self._clock.monotonic_s()
-        new = []
-        for start, traits in lost:
-            if self.suspects.record_crash(traits, start, now_s):
-                new.append(traits)
-                self.on_suspect(start, traits)
-        if new:
-            self._judge_parts()
-        return new
-
-    def _is_draining(self, target_id: str) -> bool:
-        record = self.directory.get(target_id)
-        return record is not None and record.stage is TargetStage.DRAINING
+        if self.suspects.has_losses(record.target_id):
+            self.suspects.target_ended(record.target_id, record.started_ms, "refuses")
 
 
 def _do_nothing(*_: object) -> None:
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -52,6 +52,7 @@
         """Prepare to answer a request of a route on its caller's connection."""
         self._context = context
         self._state = context.state
+        self._suspects = context.state.suspects
         self._settings = context.settings
         self._clock = context.clock
         self._request = request
@@ -63,6 +64,7 @@
         self._sender = TargetSender(context, request, route, self._answer, self._pin)
         self._traits = _traits_of(request)
         self._on_trial: list[int] = []
+        self._is_content_on_trial = False
         self._answer.on_started = self._answer_began
         self._log = HandlingLog(request, route.name, self._traits, context.clock)
         timeout_s = request.timeout_s or route.timeout_s
@@ -123,17 +125,21 @@
 
     def _check_suspect(self) -> None:
         """Raise Refusal if the content has crashed targets, and begin due trials."""
-        if self._state.suspects.is_content_refused(
-            self._traits.content, self._clock.monotonic_s()
-        ):
-            raise Refusal(
-                503,
-                "crash-suspect",
-                "targets ended while they ran this request",
-                step="suspects",
-                retry_after_s=self._context.retry_after_s(),
-            )
-        self._on_trial = self._state.begin_trials(self._traits.parts)
+        content = self._traits.content
+        self._is_content_on_trial = self._suspects.begin_content_trial(content)
+        left_s = self._suspects.content_refused_for_s(content)
+        if left_s is not None and not self._is_content_on_trial:
+            raise self._content_refusal(left_s)
+        self._on_trial = self._suspects.begin_trials(self._traits.parts)
+
+    def _content_refusal(self, left_s: float) -> Refusal:
+        return Refusal(
+            503,
+            "crash-suspect",
+            "targets ended while they ran this request",
+            step="suspects",
+            retry_after_s=max(left_s, self._context.retry_after_s()),
+        )
 
     def _refused_part(self) -> tuple[int, float] | None:
         """Return a refused part of the prompt and for how long, None if none is.
@@ -142,9 +148,7 @@
         """
         if self._answer.is_started:
             return None
-        return self._state.suspects.refused_part(
-            self._traits.parts, self._clock.monotonic_s(), self._on_trial
-        )
+        return self._suspects.refused_part(self._traits.parts, self._on_trial)
 
     def _may_be_sent(self) -> bool:
         return self._refused_part() is None
@@ -166,7 +170,7 @@
         )
 
     def _answer_began(self) -> None:
-        self._state.answer_began(self._traits.parts)
+        self._suspects.answer_began(self._traits.parts)
 
     async def _send_until_answered(self) -> None:
         try:
@@ -256,8 +260,7 @@
         outcome = result.outcome
         self._is_in_flight = False
         if outcome is ExchangeOutcome.DELIVERED:
-            now_s = self._clock.monotonic_s()
-            self._state.suspects.finished(self._traits.content, now_s)
+            self._suspects.request_finished(self._traits.content)
             self._answer_began()
             return True
         self._preparation.failed(record, result.detail)
@@ -286,7 +289,7 @@
             traits = self._traits
             if self._answer.is_started:
                 traits = RequestTraits(traits.content)
-            self._state.connection_lost(record, traits)
+            self._suspects.connection_lost(record, traits)
         if result.outcome is ExchangeOutcome.ANSWERED:
             self._failed_answer = result
         is_idempotent = self._route.is_idempotent
--- a/tests/steps/crash_suspects_steps.py
+++ b/tests/steps/crash_suspects_steps.py
@@ -52,7 +52,8 @@
 @then('crash suspects {verb} at {now_s:g} the content "{name}"')
 def refuses_content(context, verb, now_s, name):
     content = part_fingerprint(name)
-    is_refused = context.suspects.is_content_refused(content, now_s)
+    left_s = context.suspects.content_refused_for_s(content, now_s)
+    is_refused = left_s is not None
     assert is_refused == (verb == "refuse")
 
 
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -120,19 +120,19 @@
     """Begin an answer; the first entry doesn't tell of its refused parts meanwhile."""
     context.direct.entry._crashes._told_refused_parts_at_s = math.inf
     state = context.direct.other_entry._state
-    context.direct.call(lambda: state.answer_began((part_fingerprint(part),)))
+    context.direct.call(lambda: state.suspects.answer_began((part_fingerprint(part),)))
 
 
 @then('direct path other entry refuses the prompt part "{part}" within {within_s:g} s')
 def other_entry_refuses(context, part, within_s):
-    suspects = context.direct.other_entry._state.suspects
+    suspects = context.direct.other_entry._state.suspects.decisions
     parts = (part_fingerprint(part),)
     assert context.direct.wait(lambda: suspects.are_any_refused(parts), within_s)
 
 
 @then("direct path entry suspects no prompt part")
 def suspects_no_part(context):
-    assert not context.direct.entry._state.suspects._parts
+    assert not context.direct.entry._state.suspects.decisions._parts
 
 
 @when('direct path gets {count:d} streams with the prompt parts "{parts}"')
@@ -202,8 +202,8 @@
 
 
 def has_ended(context, engine):
-    crashes = context.direct.entry._state._crashes
-    return crashes.has_ended(engine.name, engine.born)
+    suspects = context.direct.entry._state.suspects
+    return suspects.has_ended(engine.name, engine.born)
 
 
 @then("direct path engines crashed {times:d} times")
@@ -223,5 +223,5 @@
 @when('direct path trial of the prompt part "{part}" is due')
 def trial_due(context, part):
     entry = context.direct.entry
-    refusal = entry._state.suspects._refused[part_fingerprint(part)]
+    refusal = entry._state.suspects.decisions._refused[part_fingerprint(part)]
     context.direct.call(lambda: setattr(refusal, "until_s", 0.0))
--- a/tests/steps/direct_limits_steps.py
+++ b/tests/steps/direct_limits_steps.py
@@ -158,29 +158,27 @@
 def refuses(context):
     context.suspects = CrashSuspects()
     for start in ("t1@1", "t1@1", "t2@1"):
-        assert not context.suspects.is_content_refused(example_fingerprint(), NOW_S)
+        assert not context.suspects.contents.is_refused(example_fingerprint())
         record_crashes(context.suspects, example_fingerprint(), start)
-    assert context.suspects.is_content_refused(example_fingerprint(), NOW_S)
+    assert context.suspects.contents.is_refused(example_fingerprint())
 
 
 @then("crash suspects do not refuse another body or the same for another adapter")
 def refuses_only_it(context):
-    assert not context.suspects.is_content_refused(example_fingerprint(b"other"), NOW_S)
-    assert not context.suspects.is_content_refused(
-        example_fingerprint(adapter="m/b"), NOW_S
-    )
+    assert not context.suspects.contents.is_refused(example_fingerprint(b"other"))
+    assert not context.suspects.contents.is_refused(example_fingerprint(adapter="m/b"))
 
 
 @then("crash suspects clear a request that finished")
 def clears_finished(context):
-    context.suspects.finished(example_fingerprint(), NOW_S)
-    assert not context.suspects.is_content_refused(example_fingerprint(), NOW_S)
+    context.suspects.contents.finished(example_fingerprint(), NOW_S)
+    assert not context.suspects.contents.is_refused(example_fingerprint())
 
 
 @given("crash suspects of an entry on which a request finished {age_s:g} s ago")
 def equal_finished(context, age_s):
     context.suspects = CrashSuspects()
-    context.suspects.finished(example_fingerprint(), NOW_S - age_s)
+    context.suspects.contents.finished(example_fingerprint(), NOW_S - age_s)
 
 
 @when("crash suspects record that 2 targets terminated while running equal requests")
@@ -190,7 +188,7 @@
 
 @then("crash suspects {verb} another equal request")
 def refuses_equal_request(context, verb):
-    is_refused = context.suspects.is_content_refused(example_fingerprint(), NOW_S)
+    is_refused = context.suspects.contents.is_refused(example_fingerprint())
     assert is_refused == (verb == "refuse")
 
 
