Tell all entries which requests are refused, again and again

A crash was announced once, through three agents chosen from the list of targets.

Class of fault: state that several processes must share is sent once, without repetition. A new refusal of a content is now told at once and on the next three ticks, each time through other agents; all refusals are told once a second in total (RefusedContents). Agents keep them for entries that subscribe anew (refusal_relay.py). An answer that ends a refusal is told, too (ContentsCleared). Relays are agents that have sent a state lately, then others, among them those whose engines the list has dropped. Trials are told as refusals with one trial more.

If no agent lives, entries tell each other nothing, as before.

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -21,7 +21,7 @@
 import xxhash
 
 from lentiltally.decisions._ring import rendezvous_weight
-from lentiltally.decisions.content_suspects import ContentSuspects
+from lentiltally.decisions.content_suspects import ContentRefusal, ContentSuspects
 
 __all__ = [
     "CrashSuspects",
@@ -85,15 +85,18 @@
     return [f"{fingerprint:016x}" for fingerprint in fingerprints]
 
 
-def suspect_relays(agents: Iterable[str], fingerprint: int) -> list[str]:
+def suspect_relays(
+    agents: Iterable[str], fingerprint: int, answering: Collection[str] = ()
+) -> list[str]:
     """Return the agents through which a suspect is announced to the other entries.
 
-    All entries choose the same ones, and each suspect has others.
+    Those that are ``answering`` come first. Apart from that all entries choose the same
+    ones, and each suspect has others.
     """
     return nlargest(
         RELAYS_PER_SUSPECT,
         agents,
-        key=lambda agent: rendezvous_weight(fingerprint, agent),
+        key=lambda agent: (agent in answering, rendezvous_weight(fingerprint, agent)),
     )
 
 
@@ -273,6 +276,10 @@
             return False
         return self.contents.begin_trial(content, now_s, self.explained_starts())
 
+    def content_refusals(self, now_s: float) -> list[ContentRefusal]:
+        """Return the refused contents, the last suspected first."""
+        return self.contents.refusals(now_s, self.explained_starts())
+
     def explained_starts(self) -> set[str]:
         """Return the crashes that refused parts explain."""
         return {
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -28,12 +28,14 @@
     AcquireAdapter,
     AdapterAnswer,
     AdapterDecision,
+    ContentsCleared,
     CrashReport,
     EngineEnded,
     Message,
     PartsCleared,
     PartTrial,
     PrefillFinished,
+    RefusedContents,
     RefusedParts,
     ReleaseAdapter,
     StateSubscription,
@@ -42,6 +44,7 @@
 from lentiltally.direct.pages import METRICS_PATH, PageServer
 from lentiltally.direct.peer_socket import PeerSocket
 from lentiltally.direct.platform_interfaces import EngineControl
+from lentiltally.direct.refusal_relay import RefusalRelay
 from lentiltally.direct.settings import HostSettings, SocketAddress
 from lentiltally.direct.state_publisher import StatePublisher
 from lentiltally.direct.stop_signal import StopSignal
@@ -58,12 +61,18 @@
 BUSY_REPORT_INTERVAL_S = 0.015
 # Times that entries are told of the end of an engine's start: a datagram may be lost.
 END_ANNOUNCEMENTS = 3
-# Entries tell of refused parts about once a second in total, by different agents.
-REFUSED_PARTS_RETENTION_S = 10.0
 # An entry that has started subscribes a few times within this time. Its former
 # subscription may still be valid.
 NEW_ENTRY_MS = 3_000
-
+# What entries tell each other through agents.
+SUSPECT_MESSAGES = (
+    CrashReport,
+    PartsCleared,
+    PartTrial,
+    RefusedParts,
+    RefusedContents,
+    ContentsCleared,
+)
 
 _DECISIONS = {
     AdapterRequestState.GRANTED: AdapterDecision.GRANTED,
@@ -108,8 +117,7 @@
         self._identified_start_ms: int | None = None
         self._last_start_ms: int | None = None
         self._end_announcements_left = 0
-        self._refused_parts: RefusedParts | None = None
-        self._refused_parts_at_s = 0.0
+        self._refusals = RefusalRelay()
         self._health_path = ""
         # Adapter requests carry the newest version that their entry knows, so an agent
         # may read of it late.
@@ -199,10 +207,14 @@
     def _message_received(self, message: Message, sender: SocketAddress) -> None:
         now_s = self._clock.monotonic_s()
         if isinstance(message, StateSubscription):
-            if self._publisher.subscribe(sender, message.interval_ms / 1000, now_s):
+            is_new = self._publisher.subscribe(
+                sender, message.interval_ms / 1000, now_s
+            )
+            if is_new:
                 self._wake.set()
-            if message.age_ms < NEW_ENTRY_MS:
-                self._tell_refused_parts(sender, now_s)
+            if is_new or message.age_ms < NEW_ENTRY_MS:
+                for refusals in self._refusals.messages(now_s):
+                    self._peers.send(sender, refusals)
             self._reader.version_seen(message.config_version)
         elif isinstance(message, AcquireAdapter):
             self._acquire_requested(message, sender, now_s)
@@ -213,17 +225,9 @@
         elif isinstance(message, PrefillFinished):
             self._slots.prefill_finished(message.request_id, now_s)
             self._answer_requests()
-        elif isinstance(message, CrashReport | PartsCleared | PartTrial):
+        elif isinstance(message, SUSPECT_MESSAGES):
+            self._refusals.received(message, now_s)
             self._publisher.forward(message, sender)
-        elif isinstance(message, RefusedParts):
-            self._refused_parts, self._refused_parts_at_s = message, now_s
-            self._publisher.forward(message, sender)
-
-    def _tell_refused_parts(self, entry: SocketAddress, now_s: float) -> None:
-        """Tell an entry that has started lately which parts others refuse."""
-        is_recent = now_s - self._refused_parts_at_s < REFUSED_PARTS_RETENTION_S
-        if self._refused_parts is not None and is_recent:
-            self._peers.send(entry, self._refused_parts)
 
     def _acquire_requested(
         self, message: AcquireAdapter, sender: SocketAddress, now_s: float
--- a/lentiltally/direct/crash_announcements.py
+++ b/lentiltally/direct/crash_announcements.py
@@ -5,19 +5,24 @@
 import asyncio
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.content_suspects import ContentRefusal
 from lentiltally.decisions.crash_suspects import RequestTraits, suspect_relays
+from lentiltally.decisions.known_agents import KnownAgents
 from lentiltally.direct.agent_client import MessageSender
 from lentiltally.direct.entry_state import EntryState
 from lentiltally.direct.messages import (
     MAX_FINGERPRINTS,
     MAX_REFUSALS_PER_MESSAGE,
     MAX_REQUESTS_PER_REPORT,
+    ContentsCleared,
     CrashReport,
     Message,
     PartsCleared,
     PartTrial,
+    RefusedContents,
     RefusedParts,
 )
+from lentiltally.direct.model import TargetRecord
 from lentiltally.direct.settings import SocketAddress
 
 __all__ = ["CrashAnnouncements"]
@@ -25,8 +30,11 @@
 # The connections of a crashed target end within this time, so that its suspects can be
 # reported together.
 REPORT_DELAY_S = 0.02
-# An entry that has started knows of refused parts after about this time.
-REFUSED_PARTS_INTERVAL_S = 1.0
+# An entry that has started, or that missed a message, knows of all refusals after about
+# this time.
+REFUSALS_INTERVAL_S = 1.0
+# A new refusal is told again this often, each time through other agents.
+NEW_REFUSAL_REPEATS = 3
 # One crash concerns at most a few dozen open requests of an entry.
 MAX_REPORTS_PER_CRASH = 4
 
@@ -42,25 +50,80 @@
         self._state = state
         self._peers = peers
         self._clock = clock
-        self._told_refused_parts_at_s = 0.0
+        self._told_refusals_at_s = 0.0
+        self._repeats_left = 0
+        self._agents = KnownAgents()
         self._unreported: dict[str, list[RequestTraits]] = {}
         state.suspects.on_suspect = self._suspect_found
         state.suspects.on_parts_cleared = self._announce_cleared
         state.suspects.on_trial = self._announce_trial
+        state.suspects.on_content_refused = self._content_refused
+        state.suspects.on_contents_cleared = self._announce_cleared_contents
 
-    def tell_refused_parts(self) -> None:
-        """Tell of refused parts now and then; all entries do so once a second."""
+    def tell_refusals(self) -> None:
+        """Tell of refusals now and then, and of new ones several times at once.
+
+        Together the entries tell of all refusals once a second.
+        """
         now_s = self._clock.monotonic_s()
-        interval_s = REFUSED_PARTS_INTERVAL_S * self._state.entry_count
-        if now_s - self._told_refused_parts_at_s < interval_s:
+        self._agents.seen(self._agent_hosts(), now_s)
+        if self._repeats_left > 0:
+            self._repeats_left -= 1
+            self._tell_refused_contents(self._repeats_left)
+        interval_s = REFUSALS_INTERVAL_S * self._state.entry_count
+        if now_s - self._told_refusals_at_s < interval_s:
             return
-        self._told_refused_parts_at_s = now_s
+        self._told_refusals_at_s = now_s
+        self._tell_refused_parts()
+        self._tell_refused_contents(int(now_s))
+
+    def message_received(self, message: Message) -> None:
+        """Apply what another entry has told; other messages are ignored."""
+        suspects = self._state.suspects
+        if isinstance(message, CrashReport):
+            suspects.crash_reported(message)
+        elif isinstance(message, PartsCleared):
+            suspects.parts_cleared(message.parts)
+        elif isinstance(message, RefusedParts):
+            suspects.parts_refused_elsewhere(
+                [(p, left / 1000, wait / 1000) for p, left, wait in message.parts]
+            )
+        elif isinstance(message, PartTrial):
+            suspects.trials_begun(message.parts)
+        elif isinstance(message, RefusedContents):
+            suspects.contents_refused_elsewhere(
+                [
+                    ContentRefusal(content, left / 1000, trials)
+                    for content, left, trials in message.contents
+                ]
+            )
+        elif isinstance(message, ContentsCleared):
+            suspects.contents_cleared(message.contents)
+
+    def _tell_refused_parts(self) -> None:
         refused = self._state.suspects.refused_parts()[:MAX_REFUSALS_PER_MESSAGE]
         if refused:
             parts = [(p, int(1000 * t), int(1000 * w)) for p, t, w in refused]
             message = RefusedParts(tuple(parts))
             self._send_to_entries(message, refused[0][0])
 
+    def _content_refused(self) -> None:
+        """Tell of a new refusal or trial at once; ``tell_refusals`` repeats it."""
+        self._repeats_left = NEW_REFUSAL_REPEATS
+        self._tell_refused_contents(self._repeats_left)
+
+    def _tell_refused_contents(self, number: int) -> None:
+        """Tell of the contents refused last; another ``number`` takes other agents."""
+        refused = self._state.suspects.refused_contents()[:MAX_REFUSALS_PER_MESSAGE]
+        if refused:
+            contents = [(r.content, int(1000 * r.left_s), r.trials) for r in refused]
+            message = RefusedContents(tuple(contents))
+            self._send_to_entries(message, refused[0].content + number)
+
+    def _announce_cleared_contents(self, contents: list[int]) -> None:
+        cleared = ContentsCleared(tuple(contents[:MAX_FINGERPRINTS]))
+        self._send_to_entries(cleared, contents[0])
+
     def _suspect_found(self, target_start: str, traits: RequestTraits) -> None:
         """Report a new crash suspect, together with those that follow at once."""
         if target_start not in self._unreported:
@@ -92,9 +155,27 @@
         self._send_to_entries(trial, parts[0])
 
     def _send_to_entries(self, message: Message, fingerprint: int) -> None:
-        hosts = {
-            record.address.rpartition(":")[0] for record in self._state.engine_targets()
-        }
-        relays = suspect_relays(hosts, fingerprint)
+        """Send a message through agents that answer, as far as there are enough."""
+        now_s = self._clock.monotonic_s()
+        self._agents.seen(self._agent_hosts(), now_s)
+        hosts, answering = self._agents.hosts(), self._answering_hosts(now_s)
+        relays = suspect_relays(hosts, fingerprint, answering)
         port = self._state.peer_port
         self._peers.send_all([SocketAddress(ip, port) for ip in relays], message)
+
+    def _agent_hosts(self) -> set[str]:
+        return {_host(record) for record in self._state.engine_targets()}
+
+    def _answering_hosts(self, now_s: float) -> set[str]:
+        """Return the hosts whose agents have sent a state lately."""
+        choice = self._state.choice
+        return {
+            _host(record)
+            for record in self._state.engine_targets()
+            if now_s - choice.view(record.target_id).state_received_s
+            <= choice.state_max_age_s
+        }
+
+
+def _host(record: TargetRecord) -> str:
+    return record.address.rpartition(":")[0]
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -27,13 +27,9 @@
 from lentiltally.direct.keyed_feed import KeyedFeed, KeyedTopic
 from lentiltally.direct.messages import (
     AdapterAnswer,
-    CrashReport,
     EngineEnded,
     EngineState,
     Message,
-    PartsCleared,
-    PartTrial,
-    RefusedParts,
     StoreReport,
 )
 from lentiltally.direct.model import CallerLimits, TargetStage
@@ -331,7 +327,7 @@
         self._pool.close_stale()
         for connection in list(self._connections):
             connection.check_timeouts()
-        self._crashes.tell_refused_parts()
+        self._crashes.tell_refusals()
 
     def _target_changed(self, change: DirectoryChange) -> None:
         record = change.record
@@ -359,16 +355,8 @@
                 self._store_reported(message.store)
         elif isinstance(message, EngineEnded):
             self._state.engine_ended(sender.ip, message.started_ms)
-        elif isinstance(message, CrashReport):
-            self._state.suspects.crash_reported(message)
-        elif isinstance(message, PartsCleared):
-            self._state.suspects.parts_cleared(message.parts)
-        elif isinstance(message, RefusedParts):
-            self._state.suspects.parts_refused_elsewhere(
-                [(p, left / 1000, wait / 1000) for p, left, wait in message.parts]
-            )
-        elif isinstance(message, PartTrial):
-            self._state.suspects.trials_begun(message.parts)
+        else:
+            self._crashes.message_received(message)
 
     def _store_reported(self, report: StoreReport) -> None:
         """Note what an agent has read; read the list of targets if it has news."""
--- a/lentiltally/direct/entry_suspects.py
+++ b/lentiltally/direct/entry_suspects.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable, Iterable
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.content_suspects import ContentRefusal
 from lentiltally.decisions.crash_suspects import (
     CrashSuspects,
     RequestTraits,
@@ -35,6 +36,8 @@
         self.on_suspect: Callable[[str, RequestTraits], None] = _do_nothing
         self.on_parts_cleared: Callable[[list[int]], None] = _do_nothing
         self.on_trial: Callable[[list[int]], None] = _do_nothing
+        self.on_content_refused: Callable[[], None] = _do_nothing
+        self.on_contents_cleared: Callable[[list[int]], None] = _do_nothing
         self._directory = directory
         self._clock = clock
         self._crashes: TargetCrashes[RequestTraits] = TargetCrashes()
@@ -122,14 +125,33 @@
         is_due = self.decisions.begin_content_trial(content, self._clock.monotonic_s())
         if is_due:
             _log.info("request content tried again", extra=_suspects_field([content]))
+            self.on_content_refused()
         return is_due
 
     def request_finished(self, content: int) -> None:
         """Clear the content of a request that has finished."""
         if self.decisions.contents.finished(content, self._clock.monotonic_s()):
-            _log.info(
-                "request content no longer refused", extra=_suspects_field([content])
-            )
+            self._log_contents_released([content], "answered")
+            self.on_contents_cleared([content])
+
+    def refused_contents(self) -> list[ContentRefusal]:
+        """Return the refused contents, the last suspected first."""
+        return self.decisions.content_refusals(self._clock.monotonic_s())
+
+    def contents_refused_elsewhere(self, refusals: list[ContentRefusal]) -> None:
+        """Refuse what another entry refuses, unless it has finished here lately."""
+        now_s = self._clock.monotonic_s()
+        adopted, refuted = self.decisions.contents.adopt(refusals, now_s)
+        if adopted:
+            self._log_content_refused(adopted, "another entry refuses it")
+        if refuted:
+            self.on_contents_cleared(refuted)
+
+    def contents_cleared(self, contents: tuple[int, ...]) -> None:
+        """Clear contents that have finished at another entry."""
+        released = self.decisions.contents.clear(contents)
+        if released:
+            self._log_contents_released(released, "answered at another entry")
 
     def refused_part(
         self, parts: Iterable[int], on_trial: list[int]
@@ -225,15 +247,22 @@
         was_refused = self.decisions.contents.is_refused(traits.content)
         is_new = self.decisions.record_crash(traits, start, now_s)
         if not was_refused and self.decisions.contents.is_refused(traits.content):
-            _log.warning(
-                "request content refused",
-                extra={
-                    **_suspects_field([traits.content]),
-                    "reason": "targets ended while they ran it",
-                },
+            self._log_content_refused(
+                [traits.content], "targets ended while they ran it"
             )
+            self.on_content_refused()
         return is_new
 
+    @staticmethod
+    def _log_content_refused(contents: Iterable[int], reason: str) -> None:
+        extra = {**_suspects_field(contents), "reason": reason}
+        _log.warning("request content refused", extra=extra)
+
+    @staticmethod
+    def _log_contents_released(contents: Iterable[int], reason: str) -> None:
+        extra = {**_suspects_field(contents), "reason": reason}
+        _log.info("request content no longer refused", extra=extra)
+
     def _is_draining(self, target_id: str) -> bool:
         record = self._directory.get(target_id)
         return record is not None and record.stage is TargetStage.DRAINING
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -18,12 +18,14 @@
     "AcquireAdapter",
     "AdapterAnswer",
     "AdapterDecision",
+    "ContentsCleared",
     "CrashReport",
     "EngineEnded",
     "EngineState",
     "Message",
     "PartTrial",
     "PartsCleared",
+    "RefusedContents",
     "RefusedParts",
     "PrefillFinished",
     "ReleaseAdapter",
@@ -219,6 +221,28 @@
     ]
 
 
+class RefusedContents(Struct, tag=13, array_like=True, frozen=True):
+    """Contents of requests that an entry refuses, or that it tries again now.
+
+    Each content has its fingerprint, the time in ms to its next trial and the number of
+    its trials so far. Agents forward it to all entries, and to each that subscribes
+    anew.
+    """
+
+    contents: Annotated[
+        tuple[tuple[int, int, int], ...], Meta(max_length=MAX_REFUSALS_PER_MESSAGE)
+    ]
+
+
+class ContentsCleared(Struct, tag=14, array_like=True, frozen=True):
+    """Requests with these contents, which were refused, have finished.
+
+    Agents forward it to all entries.
+    """
+
+    contents: Fingerprints
+
+
 class EngineEnded(Struct, tag=8, array_like=True, frozen=True):
     """The start of an agent's engine that began at ``started_ms`` has ended.
 
@@ -239,6 +263,8 @@
     | PartsCleared
     | PartTrial
     | RefusedParts
+    | RefusedContents
+    | ContentsCleared
     | EngineEnded
     | PrefillFinished
 )
--- a/tests/decisions/direct_limits.feature
+++ b/tests/decisions/direct_limits.feature
@@ -97,3 +97,13 @@
   Scenario: Crash suspects are announced through few agents
     # Guards against datagrams that grow with the product of entries, agents and entries.
     Then crash suspects of 40 requests go through 3 of 59 agents each and over 20 in total
+
+  # Load pattern: a failure domain has ended, and with it the agents there.
+  Scenario: Crash suspects are announced through agents that answer
+    # Guards against announcements that reach nobody, because all their relays are down.
+    Then crash suspects go through 3 of 4 answering agents, of 59 in all
+    And crash suspects go through 2 answering agents and another one, of 59 in all
+
+  Scenario: Known agents outlast the entries of their engines in the list
+    # Guards against announcements without relays when a request has ended all engines.
+    Then known agents keep a host 59 s after its engine was listed, and not 61 s after
--- a/tests/direct/crashes.feature
+++ b/tests/direct/crashes.feature
@@ -90,3 +90,31 @@
     And direct path trial of the prompt part "dead" is due
     And direct path gets a stream from "/stream/three" with the prompt parts "f0,dead,4"
     Then direct path engines crashed 5 times
+
+  # Guards against three more targets for each entry that starts.
+  Scenario: Direct path entry that starts learns which requests are refused
+    Given direct path engines crash on the body "dead"
+    When direct path gets a stream with the body "dead"
+    And direct path crashed engines are back
+    And direct path restarts another entry 2 s later
+    Then direct path other entry refuses the body "dead" within 0.5 s
+
+  # Guards against more targets for each entry that has missed the one message about a crash.
+  Scenario: Direct path entry that was cut off learns which requests are refused
+    Given direct path has another entry
+    And direct path engines crash on the body "dead"
+    And direct path other entry is cut off from the agents
+    When direct path gets a stream with the body "dead"
+    And direct path other entry is cut off no longer
+    Then direct path other entry refuses the body "dead" within 3 s
+
+  # Guards against a request that stays refused elsewhere after a trial has served it.
+  Scenario: Direct path entries learn that a refused request has finished
+    Given direct path has another entry
+    And direct path engines crash on the body "dead"
+    When direct path gets a stream with the body "dead"
+    Then direct path other entry refuses the body "dead" within 0.5 s
+    When direct path crashed engines are sound and back
+    And direct path trial of the body "dead" is due
+    Then direct path serves a stream with the body "dead"
+    And direct path other entry accepts the body "dead" within 0.5 s
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -9,9 +9,13 @@
 
 from behave import given, then, when
 
-from lentiltally.decisions.crash_suspects import part_fingerprint
+from lentiltally.decisions.crash_suspects import (
+    part_fingerprint,
+    request_fingerprint,
+)
+from lentiltally.direct.agent_process import NEW_ENTRY_MS
 from lentiltally.direct.messages import StateSubscription, encode_message
-from tests.fakes.direct import OTHER_ENTRY_IP
+from tests.fakes.direct import HOST, OTHER_ENTRY_IP
 
 PAUSE_S = 0.05
 
@@ -68,7 +72,7 @@
     """
     system = context.direct
     system.run(asyncio.sleep(pause_s))
-    system.entry._crashes._told_refused_parts_at_s = math.inf
+    system.entry._crashes._told_refusals_at_s = math.inf
     data = encode_message(StateSubscription("entry-2"))
     with socket.socket(socket.AF_INET, socket.SOCK_DGRAM) as former:
         former.bind((OTHER_ENTRY_IP, system.peer_port))
@@ -103,6 +107,7 @@
 def sound_engines_back(context):
     for engine in engines(context):
         engine.poisoned_part = ""
+        engine.poisoned_bodies = frozenset()
     engines_back(context)
 
 
@@ -118,7 +123,7 @@
 @when('direct path other entry begins an answer with the prompt part "{part}"')
 def other_entry_answers(context, part):
     """Begin an answer; the first entry doesn't tell of its refused parts meanwhile."""
-    context.direct.entry._crashes._told_refused_parts_at_s = math.inf
+    context.direct.entry._crashes._told_refusals_at_s = math.inf
     state = context.direct.other_entry._state
     context.direct.call(lambda: state.suspects.answer_began((part_fingerprint(part),)))
 
@@ -225,3 +230,62 @@
     entry = context.direct.entry
     refusal = entry._state.suspects.decisions._refused[part_fingerprint(part)]
     context.direct.call(lambda: setattr(refusal, "until_s", 0.0))
+
+
+def content_of(body):
+    """Return the fingerprint of the request that ``send_body`` sends."""
+    return request_fingerprint(HOST, b"/stream/x", "m/a1", body.encode())
+
+
+def send_body(context, body):
+    headers = {"X-Model": "m/a1", "X-Token-Counts": "300,5"}
+    return context.direct.send("/stream/x", headers=headers, body=body.encode())
+
+
+@given('direct path engines crash on the body "{body}"')
+def engines_crash_on_body(context, body):
+    for engine in engines(context):
+        engine.poisoned_bodies = frozenset({body.encode()})
+
+
+@when('direct path gets a stream with the body "{body}"')
+def gets_body(context, body):
+    context.answer = send_body(context, body)
+
+
+@then('direct path serves a stream with the body "{body}"')
+def serves_body(context, body):
+    answer = send_body(context, body)
+    assert answer.status == 200 and answer.is_complete, (answer.status, answer.body)
+
+
+@then('direct path other entry {verb} the body "{body}" within {within_s:g} s')
+def other_entry_refuses_body(context, verb, body, within_s):
+    contents = context.direct.other_entry._state.suspects.decisions.contents
+    expected = verb == "refuses"
+    assert context.direct.wait(
+        lambda: contents.is_refused(content_of(body)) == expected, within_s
+    )
+
+
+@when('direct path trial of the body "{body}" is due')
+def body_trial_due(context, body):
+    contents = context.direct.entry._state.suspects.decisions.contents
+    suspect = contents._suspects[content_of(body)]
+    context.direct.call(lambda: setattr(suspect, "refused_until_s", 0.0))
+
+
+@given("direct path other entry is cut off from the agents")
+def other_entry_cut_off(context):
+    peers = context.direct.other_entry._peers
+    context.datagrams = peers.send_all, peers.datagram_received
+    peers.send_all = lambda addresses, message: None
+    peers.datagram_received = lambda data, addr: None
+
+
+@when("direct path other entry is cut off no longer")
+def other_entry_healed(context):
+    """Heal the cut once all messages for new refusals and new entries are lost."""
+    context.direct.run(asyncio.sleep(NEW_ENTRY_MS / 1000 + 0.5))
+    peers = context.direct.other_entry._peers
+    peers.send_all, peers.datagram_received = context.datagrams
--- a/tests/steps/direct_limits_steps.py
+++ b/tests/steps/direct_limits_steps.py
@@ -12,6 +12,7 @@
     request_fingerprint,
     suspect_relays,
 )
+from lentiltally.decisions.known_agents import KnownAgents
 from lentiltally.decisions.route_table import RouteTable
 from lentiltally.decisions.service_retry_budget import ServiceRetryBudget
 from lentiltally.decisions.target_directory import TargetDirectory
@@ -203,3 +204,34 @@
     assert chosen == again
     assert all(len(set(agents_of_one)) == relays for agents_of_one in chosen)
     assert len({name for names in chosen for name in names}) > total
+
+
+@then("crash suspects go through 3 of 4 answering agents, of {agents:d} in all")
+def relayed_by_answering(context, agents):
+    names = [f"10.0.0.{n}" for n in range(agents)]
+    for fingerprint in range(20):
+        relays = suspect_relays(names, fingerprint, set(names[10:14]))
+        assert len(relays) == 3 and set(relays) < set(names[10:14])
+
+
+@then(
+    "crash suspects go through 2 answering agents and another one, of {agents:d} in all"
+)
+def relayed_by_others_too(context, agents):
+    names = [f"10.0.0.{n}" for n in range(agents)]
+    for fingerprint in range(20):
+        relays = suspect_relays(names, fingerprint, set(names[10:12]))
+        assert len(set(relays)) == 3 and set(relays) > set(names[10:12])
+
+
+@then(
+    "known agents keep a host {kept_s:g} s after its engine was listed, and not "
+    "{dropped_s:g} s after"
+)
+def keeps_hosts(context, kept_s, dropped_s):
+    agents = KnownAgents()
+    agents.seen(["10.0.0.1"], 0.0)
+    agents.seen([], kept_s)
+    assert agents.hosts() == {"10.0.0.1"}
+    agents.seen([], dropped_s)
+    assert agents.hosts() == set()
