Check before each attempt whether a request is refused by now

The content of a request was checked when it arrived only, not after it had waited for an adapter and not before a retry; parts of prompts were.

Class of fault: a decision that is made once and acted on later. The check before each attempt covers contents now, and a trial of a content is one attempt whatever its outcome. A request that may have run is answered 502, as for parts.

Evidence: two scenarios of direct/crashes fail on the code before: the request is sent although refused, and the trial ends two engines.

--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -127,16 +127,28 @@
         """Raise Refusal if the content has crashed targets, and begin due trials."""
         content = self._traits.content
         self._is_content_on_trial = self._suspects.begin_content_trial(content)
-        left_s = self._suspects.content_refused_for_s(content)
-        if left_s is not None and not self._is_content_on_trial:
-            raise self._content_refusal(left_s)
+        left_s = self._content_refused_for_s()
+        if left_s is not None:
+            self._give_up_refused_content(left_s)
         self._on_trial = self._suspects.begin_trials(self._traits.parts)
 
-    def _content_refusal(self, left_s: float) -> Refusal:
-        return Refusal(
+    def _content_refused_for_s(self) -> float | None:
+        """Return how long the content is refused, None if it may be sent."""
+        if self._is_content_on_trial:
+            return None
+        return self._suspects.content_refused_for_s(self._traits.content)
+
+    def _give_up_refused_content(self, left_s: float) -> None:
+        """Refuse the request because of its content; "not run" only if that is true."""
+        detail = "targets ended while they ran this request"
+        if self._executions > 0 or self._answer.is_started:
+            self._preparation.ended(detail)
+            self._give_up(502)
+            return
+        raise Refusal(
             503,
             "crash-suspect",
-            "targets ended while they ran this request",
+            detail,
             step="suspects",
             retry_after_s=max(left_s, self._context.retry_after_s()),
         )
@@ -151,7 +163,7 @@
         return self._suspects.refused_part(self._traits.parts, self._on_trial)
 
     def _may_be_sent(self) -> bool:
-        return self._refused_part() is None
+        return self._content_refused_for_s() is None and self._refused_part() is None
 
     def _give_up_refused_part(self, part: int, left_s: float) -> None:
         """Refuse the request because of a part; "not run" only if that is true."""
@@ -178,14 +190,21 @@
                 result = await self._send(prepared)
                 if self._process_result(prepared.record, result):
                     return
-            refused = self._refused_part()
-            if refused is not None:
-                self._give_up_refused_part(*refused)
-            else:
-                self._give_up(502)
+            self._give_up_unsent()
         finally:
             self.dismiss_replacement()
 
+    def _give_up_unsent(self) -> None:
+        """Give up because no further attempt is made; may raise Refusal."""
+        content_left_s = self._content_refused_for_s()
+        refused_part = self._refused_part()
+        if content_left_s is not None:
+            self._give_up_refused_content(content_left_s)
+        elif refused_part is not None:
+            self._give_up_refused_part(*refused_part)
+        else:
+            self._give_up(502)
+
     async def _next_attempt(self) -> PreparedAttempt | None:
         prepared, self._replacement = self._replacement, None
         if prepared is not None and not self._may_be_sent():
@@ -215,6 +234,8 @@
     async def _send(self, prepared: PreparedAttempt) -> ExchangeResult:
         """Send to a prepared target and read its answer."""
         record = prepared.record
+        # A trial of a content is one attempt, whatever its outcome.
+        self._is_content_on_trial = False
         self._attempts += 1
         self._is_in_flight = True
         self._preparation.sent(record)
--- a/tests/direct/crashes.feature
+++ b/tests/direct/crashes.feature
@@ -118,3 +118,21 @@
     And direct path trial of the body "dead" is due
     Then direct path serves a stream with the body "dead"
     And direct path other entry accepts the body "dead" within 0.5 s
+
+  # Guards against a request that is sent although it was refused while it waited.
+  Scenario: Direct path checks before each attempt whether the request is refused by now
+    Given direct path engines take 0.6 s to load an adapter
+    When direct path learns that the body "dead" is refused while it waits for "a2"
+    Then direct path refused the last request for "crash-suspect"
+    And direct path engines ran nothing
+
+  # Guards against a trial of a refused request that ends as many targets as its route allows
+  # attempts.
+  Scenario: Direct path lets a trial of a refused request reach one engine only
+    Given direct path engines crash on the body "dead"
+    When direct path gets a stream with the body "dead"
+    And direct path crashed engines are back
+    And direct path trial of the body "dead" is due
+    And direct path gets a stream with the body "dead"
+    Then direct path engines crashed 3 times
+    And direct path answers 502 with execution unknown
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -9,6 +9,7 @@
 
 from behave import given, then, when
 
+from lentiltally.decisions.content_suspects import ContentRefusal
 from lentiltally.decisions.crash_suspects import (
     part_fingerprint,
     request_fingerprint,
@@ -232,16 +233,39 @@
     context.direct.call(lambda: setattr(refusal, "until_s", 0.0))
 
 
-def content_of(body):
+def content_of(body, adapter="a1"):
     """Return the fingerprint of the request that ``send_body`` sends."""
-    return request_fingerprint(HOST, b"/stream/x", "m/a1", body.encode())
+    return request_fingerprint(HOST, b"/stream/x", f"m/{adapter}", body.encode())
 
 
-def send_body(context, body):
-    headers = {"X-Model": "m/a1", "X-Token-Counts": "300,5"}
+def send_body(context, body, adapter="a1"):
+    headers = {"X-Model": f"m/{adapter}", "X-Token-Counts": "300,5"}
     return context.direct.send("/stream/x", headers=headers, body=body.encode())
 
 
+@when(
+    'direct path learns that the body "{body}" is refused while it waits for '
+    '"{adapter}"'
+)
+def learns_while_waiting(context, body, adapter):
+    system = context.direct
+    refusal = ContentRefusal(content_of(body, adapter), 60.0, 0)
+    suspects = system.entry._state.suspects
+
+    async def act():
+        await asyncio.sleep(0.3)
+        suspects.contents_refused_elsewhere([refusal])
+
+    learning = asyncio.run_coroutine_threadsafe(act(), system.loop)
+    context.answer = send_body(context, body, adapter)
+    learning.result(1.0)
+
+
+@then("direct path engines ran nothing")
+def ran_nothing(context):
+    assert not any(engine.runs for engine in engines(context))
+
+
 @given('direct path engines crash on the body "{body}"')
 def engines_crash_on_body(context, body):
     for engine in engines(context):
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -225,6 +225,22 @@
         "decisions/direct_limits",
         "announced through agents that answer",
     ),
+    Mutation(
+        "refused contents before each attempt",
+        "direct/handling.py",
+        "return self._content_refused_for_s() is None and self._refused_part() is None",
+        "return self._refused_part() is None",
+        "direct/crashes",
+        "checks before each attempt",
+    ),
+    Mutation(
+        "one attempt for a trial of a content",
+        "direct/handling.py",
+        "        self._is_content_on_trial = False\n        self._attempts += 1\n",
+        "        self._attempts += 1\n",
+        "direct/crashes",
+        "trial of a refused request reach one",
+    ),
     Mutation(
         "crashing requests",
         "decisions/content_suspects.py",
