Suspect requests that were given up before their target ended

A request that ended a target after its caller had left, or after it was moved away for its silence, left no evidence: the attempt was cancelled, and only lost connections were remembered. So it came again and ended the next target. A loss was also forgotten after 5 s, although the list of targets tells of an end later while the store is away.

Class of fault: evidence is collected only where the outcome is seen. An attempt that is given up is remembered as a loss now, by its content only: its parts are those of many sound requests. Losses are kept for 15 s; a loss after a known end counts for 5 s as before.

The row 'lost at 0, ended at 5.1: no suspect' of decisions/target_crashes fixed the 5 s. It is replaced by two rows around the new limit, 14.9 and 15.1 s; the row for the other order stays.

Evidence: the scenario of a caller that leaves (direct/crashes) and the row of 14.9 s fail on the code before; the mutation 'requests whose caller has left' is red.

--- a/lentiltally/decisions/target_crashes.py
+++ b/lentiltally/decisions/target_crashes.py
@@ -14,8 +14,12 @@
 
 __all__ = ["TargetCrashes", "start_name"]
 
-# The list of targets keeps a target that has crashed for a few seconds.
-LOSS_RETENTION_S = 5.0
+# The list of targets keeps a target that has crashed for a few seconds, and for longer
+# while the store is away.
+LOSS_RETENTION_S = 15.0
+# A connection to a target that has ended is lost within this time, also if the target's
+# host does not answer any more.
+LATE_LOSS_S = 5.0
 # Each entry has far fewer open requests, and each host far fewer starts within the time
 # above.
 MAX_LOSSES = 2_000
@@ -55,7 +59,7 @@
         """
         ended = self._ended.get(target_id)
         if ended is not None and self.has_ended(target_id, started_ms):
-            return now_s - ended[1] < LOSS_RETENTION_S
+            return now_s - ended[1] < LATE_LOSS_S
         losses = self._losses.setdefault(target_id, [])
         self._losses.move_to_end(target_id)
         losses.append(_Loss(started_ms, request, now_s))
--- a/lentiltally/direct/entry_suspects.py
+++ b/lentiltally/direct/entry_suspects.py
@@ -64,6 +64,14 @@
             start = start_name(record.target_id, record.started_ms)
             self._record_suspects([(start, traits)])
 
+    def attempt_abandoned(self, record: TargetRecord, content: int) -> None:
+        """Note a request that its target may still have been running.
+
+        Its caller has left, or it took too long. Should the target end, it is a suspect
+        by its content; it says little about parts, which many requests have.
+        """
+        self.connection_lost(record, RequestTraits(content))
+
     def target_ended(
         self,
         target_id: str,
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -241,12 +241,16 @@
         self._preparation.sent(record)
         self._log.sent(prepared.candidate, self._left_s, self._attempts)
         attempt = self._target_attempt(record, prepared.grant)
+        result: ExchangeResult | None = None
         try:
-            return await self._sender.send(
+            result = await self._sender.send(
                 record, prepared.connection, attempt, self._timeouts(), self
             )
+            return result
         finally:
             self._preparation.release(record)
+            if result is None or result.outcome is ExchangeOutcome.SLOW:
+                self._suspects.attempt_abandoned(record, self._traits.content)
 
     def _target_attempt(
         self, record: TargetRecord, grant: AcquireResult | None
--- a/tests/decisions/target_crashes.feature
+++ b/tests/decisions/target_crashes.feature
@@ -14,7 +14,8 @@
       | 0.0 lost 5, 3.5 ended 8              | t@5      |
       | 0.0 lost 5, 0.1 ended 4              | none     |
       | 0.0 ended 4, 0.1 lost 5              | none     |
-      | 0.0 lost 5, 5.1 ended 5              | none     |
+      | 0.0 lost 5, 14.9 ended 5             | t@5      |
+      | 0.0 lost 5, 15.1 ended 5             | none     |
       | 0.0 ended 5, 5.1 lost 5              | none     |
       | 0.0 lost 5, 0.1 ended 5, 0.2 ended 5 | t@5      |
       | 0.0 ended 8, 0.1 lost 5              | t@5      |
--- a/tests/direct/crashes.feature
+++ b/tests/direct/crashes.feature
@@ -136,3 +136,15 @@
     And direct path gets a stream with the body "dead"
     Then direct path engines crashed 3 times
     And direct path answers 502 with execution unknown
+
+  # Guards against a request that ends a target after its caller has left, so that nothing
+  # is known of it when it comes again.
+  Scenario: Direct path suspects a request whose caller left before its engine ended
+    Given direct path engines crash on the body "dead"
+    When direct path gets a stream with the body "dead" whose caller leaves after 0.05 s
+    And direct path crashed engines are back
+    And direct path gets a stream with the body "dead" whose caller leaves after 0.05 s
+    And direct path crashed engines are back
+    And direct path gets a stream with the body "dead"
+    Then direct path engines crashed 2 times
+    And direct path refused the last request for "crash-suspect"
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -313,3 +313,21 @@
     context.direct.run(asyncio.sleep(NEW_ENTRY_MS / 1000 + 0.5))
     peers = context.direct.other_entry._peers
     peers.send_all, peers.datagram_received = context.datagrams
+
+
+@when(
+    'direct path gets a stream with the body "{body}" whose caller leaves after '
+    "{after_s:g} s"
+)
+def caller_leaves(context, body, after_s):
+    """Send a request, leave, and wait until its engine has ended."""
+    system = context.direct
+    headers = {"X-Model": "m/a1", "X-Token-Counts": "300,5"}
+    before = sum(engine.crashes for engine in engines(context))
+    system.send(
+        "/stream/x",
+        headers=headers,
+        body=body.encode(),
+        disconnect_after_s=after_s,
+    )
+    assert system.wait(lambda: sum(e.crashes for e in engines(context)) > before)
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -241,6 +241,14 @@
         "direct/crashes",
         "trial of a refused request reach one",
     ),
+    Mutation(
+        "requests whose caller has left",
+        "direct/handling.py",
+        "self._suspects.attempt_abandoned(record, self._traits.content)",
+        "pass",
+        "direct/crashes",
+        "whose caller left before",
+    ),
     Mutation(
         "crashing requests",
         "decisions/content_suspects.py",
