Keep the limits that targets name, each with one owner among the agents

A target in need names in its answers how many requests a second it takes from all hosts together.

Class of fault: a bound over all processes that each of them can only see in part. Weighed: (a) a share of each limit for each entry: no messages, but limits are 1 to 4 a second, so with 4 entries a share is less than one in a second, and an entry that gets few requests wastes it while another refuses; with 68 entries all of them keep a permit and may use it at one moment. (b) one owner: exact, one datagram more for targets without an agent, none for engines, whose agents are asked for the adapter already.

The agent of an engine reads the limit in its reports and grants adapters only with a permit. Other targets have an owner by rendezvous over the known agents. A request is declined at once if its permit is due after its wait or its objective: a longer queue would use no permit more and make all answers late. The choice adds the wait for a permit to a target's cost; refused callers are told when the first target takes a request.

--- a/lentiltally/decisions/engine_orders.py
+++ b/lentiltally/decisions/engine_orders.py
@@ -44,6 +44,8 @@
     ``is_busy``, the engine gets no orders. ``running`` and ``waiting`` count requests;
     the ``cache`` fields are the used and the total size of the KV cache. ``loading``
     are adapters that are being loaded from the weight store, as ``model/adapter``.
+    ``rate_limit_per_s`` is how many requests a second the engine takes from all hosts
+    together, None if it names no limit.
     """
 
     started_ms: int
@@ -56,6 +58,7 @@
     cache_total_tokens: int
     models: tuple[LoadedModel, ...]
     loading: tuple[str, ...] = ()
+    rate_limit_per_s: float | None = None
 
 
 class EngineOrderKind(enum.Enum):
@@ -123,10 +126,12 @@
     """Outcome of one adapter request.
 
     A granted request pins its adapter until the request is released. ``version`` is
-    that of the loaded adapter, 0 if unknown or not granted.
+    that of the loaded adapter, 0 if unknown or not granted. ``wait_s`` is how long a
+    request that the engine's limit declines would have waited.
     """
 
     request: AdapterRequest
     state: AdapterRequestState
     version: int
     reason: str
+    wait_s: float = 0.0
--- a/lentiltally/decisions/engine_slots.py
+++ b/lentiltally/decisions/engine_slots.py
@@ -20,10 +20,14 @@
     EngineOrderKind,
     EngineReport,
 )
+from lentiltally.decisions.engine_permits import EnginePermits
 from lentiltally.decisions.prefill_pacing import PrefillPacing
 from lentiltally.direct.model import AdapterNotice, EngineSpec, ModelSpec
 
-__all__ = ["EngineSlots", "EngineSlotsSettings"]
+__all__ = ["RATE_LIMIT", "EngineSlots", "EngineSlotsSettings"]
+
+# The reason of requests that the engine's limit declines.
+RATE_LIMIT = "rate limit"
 
 
 @dataclass(frozen=True, slots=True)
@@ -65,6 +69,7 @@
         self._waiting: dict[str, AdapterRequest] = {}
         self._pins: dict[str, AdapterRequest] = {}
         self._pacing = PrefillPacing()
+        self._permits = EnginePermits()
         self._use = AdapterUse(half_life_s=self._settings.use_half_life_s)
         # Adapters in the order in which they were last reported as loaded.
         self._recently_loaded: OrderedDict[str, None] = OrderedDict()
@@ -107,6 +112,15 @@
             return 0
         return self._spec.adapter_slots - len(self.pinned_keys | self._loading_keys())
 
+    @property
+    def rate_limit_per_s(self) -> float | None:
+        """Return the limit that the engine names, None if it names none."""
+        return self._permits.rate_per_s
+
+    def permit_wait_s(self, now_s: float) -> float:
+        """Return how long another request would wait because of the limit."""
+        return self._permits.wait_s("", now_s, len(self._waiting))
+
     def has_request(self, request_id: str) -> bool:
         """Return whether a request waits for an adapter or has pinned one."""
         return request_id in self._pins or request_id in self._waiting
@@ -159,6 +173,7 @@
             # The restart ended the engine's requests and cleared its memory.
             self._pins.clear()
             self._pacing.clear()
+            self._permits = EnginePermits()
             self._recently_loaded.clear()
         self._report = report
         self._models = {model.name for model in report.models}
@@ -196,6 +211,7 @@
     def release(self, request_id: str) -> None:
         """Forget a request that has ended or was sent to another engine."""
         self._pacing.ended(request_id)
+        self._permits.release(request_id)
         self._pins.pop(request_id, None)
         self._waiting.pop(request_id, None)
 
@@ -205,18 +221,23 @@
         Decided requests stop waiting; expired ones are dropped without a result.
         """
         self._expire(now_s)
+        if self._report is not None:
+            self._permits.set_limit(self._report.rate_limit_per_s, now_s)
         results = []
         is_blocked = self._is_blocked()
+        ahead = 0
         for request in self._by_urgency(now_s):
-            result = self._decide(request, is_blocked, now_s)
-            if result is not None:
-                del self._waiting[request.request_id]
-                if result.state is AdapterRequestState.GRANTED:
-                    self._pins[request.request_id] = request
-                    self._pacing.started(
-                        request.request_id, request.prompt_tokens, now_s
-                    )
-                results.append(result)
+            result = self._decide_limited(
+                request, ahead, now_s
+            ) or self._decide_permitted(request, is_blocked, now_s)
+            if result is None:
+                ahead += 1
+                continue
+            del self._waiting[request.request_id]
+            if result.state is AdapterRequestState.GRANTED:
+                self._pins[request.request_id] = request
+                self._pacing.started(request.request_id, request.prompt_tokens, now_s)
+            results.append(result)
         return results
 
     def next_order(self, now_s: float) -> EngineOrder | None:
@@ -254,6 +275,33 @@
             for request_id, request in list(table.items()):
                 if request.expires_s <= now_s:
                     del table[request_id]
+                    self._permits.release(request_id)
+
+    def _decide_limited(
+        self, request: AdapterRequest, ahead: int, now_s: float
+    ) -> AdapterRequestResult | None:
+        """Decline a request at once whose permit would be due too late.
+
+        A queue that is longer than the objective would only make all answers late:
+        the permits are used up either way.
+        """
+        wait_s = self._permits.wait_s(request.request_id, now_s, ahead)
+        latest_s = min(request.wait_deadline_s, request.objective_deadline_s)
+        if wait_s <= max(0.0, latest_s - now_s):
+            return None
+        return AdapterRequestResult(
+            request, AdapterRequestState.DECLINED, 0, RATE_LIMIT, wait_s
+        )
+
+    def _decide_permitted(
+        self, request: AdapterRequest, is_blocked: bool, now_s: float
+    ) -> AdapterRequestResult | None:
+        """Decide a request, and take a permit for it if it is granted."""
+        result = self._decide(request, is_blocked, now_s)
+        is_granted = result is not None and result.state is AdapterRequestState.GRANTED
+        if is_granted and not self._permits.take(request.request_id, now_s):
+            return None
+        return result
 
     def _decide(
         self, request: AdapterRequest, is_blocked: bool, now_s: float
--- a/lentiltally/decisions/target_choice.py
+++ b/lentiltally/decisions/target_choice.py
@@ -89,7 +89,8 @@
     prompt tokens of those that have no first byte yet. ``latency_s`` is the smoothed
     time to the first byte; all other fields in seconds are times on the entry's
     monotonic clock. ``failure_rate`` is the smoothed fraction of requests without a
-    proper answer, before its decay since ``last_failure_s``.
+    proper answer, before its decay since ``last_failure_s``. ``permit_at_s`` is when a
+    target that names a limit may get the next request.
     """
 
     in_flight: int = 0
@@ -100,6 +101,7 @@
     failure_rate: float = 0.0
     last_failure_s: float = 0.0
     avoid_until_s: float = 0.0
+    permit_at_s: float = 0.0
     state: EngineState | None = None
     # Hashes of the adapters that the engine has cached in host memory.
     cached: frozenset[int] = frozenset()
@@ -155,6 +157,7 @@
         view.cached = _cached_adapters(view, state)
         view.state = state
         view.state_received_s = now_s
+        view.permit_at_s = now_s + state.permit_wait_ms / 1000
 
     def sent(self, target_id: str, tokens: int) -> None:
         """Count a request that was sent, with the tokens of its prompt."""
@@ -199,6 +202,10 @@
         view = self.view(target_id)
         view.avoid_until_s = max(view.avoid_until_s, until_s)
 
+    def limited(self, target_id: str, permit_at_s: float) -> None:
+        """Note when a target that names a limit may get the next request."""
+        self.view(target_id).permit_at_s = permit_at_s
+
     def rank_service_targets(
         self,
         records: Sequence[TargetRecord],
@@ -345,6 +352,7 @@
             cost_s += settings.remote_domain_penalty_s
         if view.avoid_until_s > now_s:
             cost_s += settings.avoided_penalty_s
+        cost_s += max(0.0, view.permit_at_s - now_s)
         return cost_s + min(1.0, record.slow_start_left_s) * 0.1
 
     @staticmethod
--- a/lentiltally/decisions/target_notices.py
+++ b/lentiltally/decisions/target_notices.py
@@ -1,7 +1,8 @@
 """What targets say of themselves in their answers, and what follows for new work.
 
 A target that leaves says so in its answers, often before the list of targets does. A
-target that rejects a request may ask to get nothing for some time. Both hold for the
+target that rejects a request may ask to get nothing for some time. One in need names
+how many requests a second it takes from all hosts together. All of this holds for the
 start of the target that said it: a target that has restarted under the same id is
 another one. A notice is never undone by an older record of the list.
 """
@@ -27,12 +28,16 @@
 
 @dataclass(slots=True)
 class _Notice:
-    """The notices of one start of a target; ``next_at_s`` paces the return."""
+    """The notices of one start of a target; ``next_at_s`` paces the return.
+
+    ``rate_limit_per_s`` is None while the target names no limit.
+    """
 
     started_ms: int
     is_leaving: bool = False
     paused_until_s: float = -math.inf
     next_at_s: float = -math.inf
+    rate_limit_per_s: float | None = None
 
 
 class TargetNotices:
@@ -61,6 +66,21 @@
             notice.next_at_s = until_s
         return is_longer
 
+    def limits(self, record: TargetRecord, rate_per_s: float | None) -> bool:
+        """Note the limit that a target names now, None if none.
+
+        Return whether that is news.
+        """
+        if rate_per_s == self.rate_limit_per_s(record):
+            return False
+        self._notice(record).rate_limit_per_s = rate_per_s
+        return True
+
+    def rate_limit_per_s(self, record: TargetRecord) -> float | None:
+        """Return the limit that a target has named last, None if none."""
+        notice = self._known(record)
+        return None if notice is None else notice.rate_limit_per_s
+
     def may_get_work(self, record: TargetRecord, now_s: float) -> bool:
         """Return whether a request may be sent to a target now."""
         notice = self._known(record)
--- a/lentiltally/direct/agent_client.py
+++ b/lentiltally/direct/agent_client.py
@@ -46,7 +46,8 @@
 
     ``version`` is the loaded version of the adapter. ``is_timed_out`` is set if the
     agent did not answer, ``is_engine_unresponsive`` if it answered that its engine does
-    not respond.
+    not respond. ``limit_wait_s`` is how long the request would have waited because of
+    the limit that the engine names, 0 if that was not the reason.
     """
 
     is_granted: bool
@@ -54,6 +55,7 @@
     reason: str = ""
     is_timed_out: bool = False
     is_engine_unresponsive: bool = False
+    limit_wait_s: float = 0.0
 
 
 @dataclass(slots=True)
@@ -121,6 +123,7 @@
                         answer.reason,
                         is_engine_unresponsive=answer.decision
                         is AdapterDecision.NO_ENGINE,
+                        limit_wait_s=answer.wait_ms / 1000,
                     )
             return AcquireResult(False, reason="agent silent", is_timed_out=True)
         finally:
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -16,6 +16,7 @@
     EngineReport,
 )
 from lentiltally.decisions.engine_slots import EngineSlots
+from lentiltally.decisions.target_limits import TargetLimits
 from lentiltally.direct.agent_metrics import AgentMetrics
 from lentiltally.direct.entry_feeds import (
     ConfigurationDecoder,
@@ -26,6 +27,7 @@
 from lentiltally.direct.keyed_feed import KeyedTopic
 from lentiltally.direct.messages import (
     AcquireAdapter,
+    AcquirePermit,
     AdapterAnswer,
     AdapterDecision,
     ContentsCleared,
@@ -34,6 +36,7 @@
     Message,
     PartsCleared,
     PartTrial,
+    PermitAnswer,
     PrefillFinished,
     RefusedContents,
     RefusedParts,
@@ -46,7 +49,7 @@
 from lentiltally.direct.platform_interfaces import EngineControl
 from lentiltally.direct.refusal_relay import RefusalRelay
 from lentiltally.direct.settings import HostSettings, SocketAddress
-from lentiltally.direct.state_publisher import StatePublisher
+from lentiltally.direct.state_publisher import MAX_PERMIT_WAIT_S, StatePublisher
 from lentiltally.direct.stop_signal import StopSignal
 from lentiltally.direct.store_reader import StoreReader, StoreTopics
 from lentiltally.errors import LentiltallyError
@@ -118,6 +121,7 @@
         self._last_start_ms: int | None = None
         self._end_announcements_left = 0
         self._refusals = RefusalRelay()
+        self._limits = TargetLimits()
         self._health_path = ""
         # Adapter requests carry the newest version that their entry knows, so an agent
         # may read of it late.
@@ -225,10 +229,29 @@
         elif isinstance(message, PrefillFinished):
             self._slots.prefill_finished(message.request_id, now_s)
             self._answer_requests()
+        elif isinstance(message, AcquirePermit):
+            self._permit_requested(message, sender, now_s)
         elif isinstance(message, SUSPECT_MESSAGES):
             self._refusals.received(message, now_s)
             self._publisher.forward(message, sender)
 
+    def _permit_requested(
+        self, message: AcquirePermit, sender: SocketAddress, now_s: float
+    ) -> None:
+        """Answer for a target without an agent whose limit this agent owns."""
+        decision = self._limits.request(
+            message.target_start,
+            message.request_id,
+            message.rate_per_s,
+            message.max_wait_ms / 1000,
+            now_s,
+        )
+        wait_ms = int(1000 * min(MAX_PERMIT_WAIT_S, decision.wait_s))
+        answer = PermitAnswer(
+            message.request_id, message.target_start, decision.is_granted, wait_ms
+        )
+        self._peers.send(sender, answer)
+
     def _acquire_requested(
         self, message: AcquireAdapter, sender: SocketAddress, now_s: float
     ) -> None:
@@ -274,6 +297,7 @@
                         _DECISIONS[result.state],
                         result.version,
                         result.reason,
+                        int(1000 * min(MAX_PERMIT_WAIT_S, result.wait_s)),
                     ),
                 )
             _log.info(
--- a/lentiltally/direct/attempt_preparation.py
+++ b/lentiltally/direct/attempt_preparation.py
@@ -6,10 +6,13 @@
 
 from __future__ import annotations
 
+import asyncio
+import math
 from collections.abc import Callable
 from dataclasses import dataclass, field, replace
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.engine_slots import RATE_LIMIT
 from lentiltally.decisions.target_choice import Candidate
 from lentiltally.direct.adapter_pin import AdapterPin
 from lentiltally.direct.agent_client import AcquireResult
@@ -45,12 +48,16 @@
     """Which targets are excluded for a request, and why the last one failed.
 
     ``rejections`` and ``declines`` count the targets that rejected the request and the
-    agents that did not pin its adapter.
+    agents that did not pin its adapter. ``limited`` has the targets without an agent
+    that had no permit left, with the time to their next one, and ``limit_wait_s`` is
+    the shortest such time of all targets.
     """
 
     excluded: set[str] = field(default_factory=set)
     rejections: int = 0
     declines: int = 0
+    limited: dict[str, tuple[Candidate, float]] = field(default_factory=dict)
+    limit_wait_s: float = math.inf
     detail: str = ""
     peer: str = ""
 
@@ -102,10 +109,19 @@
         budget.
         """
         while self._is_allowed(attempts) and (candidate := self._choose()) is not None:
-            prepared = await self._prepare(candidate, attempts)
+            prepared = await self._prepare(candidate, attempts, max_permit_wait_s=0.0)
             if prepared is not None:
                 return prepared
-        return None
+        return await self._wait_for_permit(attempts)
+
+    @property
+    def limit_wait_s(self) -> float:
+        """Return when the first target that names a limit takes a request, 0 if none.
+
+        In seconds from the time at which it declined this one.
+        """
+        wait_s = self._tries.limit_wait_s
+        return wait_s if math.isfinite(wait_s) else 0.0
 
     async def replacement(self, attempts: int) -> PreparedAttempt | None:
         """Return an attempt that may replace the one under way, like ``next``.
@@ -202,13 +218,32 @@
             budget.remaining(self._state.entry_count, self._clock.monotonic_s()) >= 1.0
         )
 
+    async def _wait_for_permit(self, attempts: int) -> PreparedAttempt | None:
+        """Wait for the next permit, because all targets are limited or excluded."""
+        if not self._tries.limited or not self._is_allowed(attempts):
+            return None
+        candidate, wait_s = min(
+            self._tries.limited.values(), key=lambda limited: limited[1]
+        )
+        if wait_s > self._wait_budget_s or not self._state.is_usable(candidate.record):
+            return None
+        return await self._prepare(
+            candidate, attempts, max_permit_wait_s=self._wait_budget_s
+        )
+
+    @property
+    def _wait_budget_s(self) -> float:
+        """Return how long the request may wait for a permit."""
+        share_s = self._settings.acquire_wait_share * self._left_s
+        return max(0.0, min(share_s, self._objective_left_s))
+
     async def _prepare(
-        self, candidate: Candidate, attempts: int
+        self, candidate: Candidate, attempts: int, *, max_permit_wait_s: float
     ) -> PreparedAttempt | None:
         """Acquire all that an attempt needs; return None if the target lacks some."""
         prepared: PreparedAttempt | None = None
         try:
-            prepared = await self._acquire(candidate, attempts)
+            prepared = await self._acquire(candidate, attempts, max_permit_wait_s)
             return prepared
         finally:
             if prepared is None:
@@ -216,7 +251,7 @@
                 self.release(candidate.record)
 
     async def _acquire(
-        self, candidate: Candidate, attempts: int
+        self, candidate: Candidate, attempts: int, max_permit_wait_s: float
     ) -> PreparedAttempt | None:
         record = candidate.record
         grant: AcquireResult | None = None
@@ -227,11 +262,11 @@
             if grant is not None and not grant.is_granted:
                 self._declined(record, grant)
                 return None
-            if not self._state.is_usable(record):
-                self._drained_meanwhile(record)
-                return None
-            if not self._may_be_sent():
-                return None
+        # The agent of an engine has checked the limit that its engine names.
+        if grant is None and not await self._has_permit(candidate, max_permit_wait_s):
+            return None
+        if not self._is_still_allowed(record):
+            return None
         connection = await self._connect(record)
         if connection is None:
             return None
@@ -242,9 +277,42 @@
             return None
         return PreparedAttempt(candidate, grant, connection)
 
+    def _is_still_allowed(self, record: TargetRecord) -> bool:
+        """Return whether the request may still go to a target after all waits."""
+        if not self._state.is_usable(record):
+            self._drained_meanwhile(record)
+            return False
+        return self._may_be_sent()
+
+    async def _has_permit(self, candidate: Candidate, max_wait_s: float) -> bool:
+        """Return whether a target's limit allows the request; wait for its turn."""
+        record = candidate.record
+        if self._state.notices.rate_limit_per_s(record) is None:
+            return True
+        permit = await self._context.permits.acquire(
+            record, self._request.request_id, max_wait_s
+        )
+        if permit.is_granted:
+            await asyncio.sleep(permit.wait_s)
+            return True
+        self._tries.limited[record.target_id] = candidate, permit.wait_s
+        self._limited(record, permit.wait_s)
+        self._exclude(record, RATE_LIMIT, is_unreachable=False)
+        self._log.step(
+            "permit declined", record.target_id, wait_s=round(permit.wait_s, 3)
+        )
+        return False
+
+    def _limited(self, record: TargetRecord, wait_s: float) -> None:
+        """Note when a target that names a limit takes the next request."""
+        self._tries.limit_wait_s = min(self._tries.limit_wait_s, wait_s)
+        self._state.choice.limited(record.target_id, self._clock.monotonic_s() + wait_s)
+
     def _declined(self, record: TargetRecord, grant: AcquireResult) -> None:
         """Exclude a target whose agent did not grant the adapter."""
         self._tries.declines += 1
+        if grant.limit_wait_s > 0.0:
+            self._limited(record, grant.limit_wait_s)
         detail = f"adapter not held: {grant.reason}"
         is_unreachable = grant.is_timed_out or grant.is_engine_unresponsive
         self._exclude(record, detail, is_unreachable=is_unreachable)
--- a/lentiltally/direct/crash_announcements.py
+++ b/lentiltally/direct/crash_announcements.py
@@ -7,7 +7,6 @@
 from lentiltally.clock import Clock
 from lentiltally.decisions.content_suspects import ContentRefusal
 from lentiltally.decisions.crash_suspects import RequestTraits, suspect_relays
-from lentiltally.decisions.known_agents import KnownAgents
 from lentiltally.direct.agent_client import MessageSender
 from lentiltally.direct.entry_state import EntryState
 from lentiltally.direct.messages import (
@@ -52,7 +51,6 @@
         self._clock = clock
         self._told_refusals_at_s = 0.0
         self._repeats_left = 0
-        self._agents = KnownAgents()
         self._unreported: dict[str, list[RequestTraits]] = {}
         state.suspects.on_suspect = self._suspect_found
         state.suspects.on_parts_cleared = self._announce_cleared
@@ -66,7 +64,6 @@
         Together the entries tell of all refusals once a second.
         """
         now_s = self._clock.monotonic_s()
-        self._agents.seen(self._agent_hosts(), now_s)
         if self._repeats_left > 0:
             self._repeats_left -= 1
             self._tell_refused_contents(self._repeats_left)
@@ -157,15 +154,11 @@
     def _send_to_entries(self, message: Message, fingerprint: int) -> None:
         """Send a message through agents that answer, as far as there are enough."""
         now_s = self._clock.monotonic_s()
-        self._agents.seen(self._agent_hosts(), now_s)
-        hosts, answering = self._agents.hosts(), self._answering_hosts(now_s)
-        relays = suspect_relays(hosts, fingerprint, answering)
+        answering = self._answering_hosts(now_s)
+        relays = suspect_relays(self._state.agent_hosts(), fingerprint, answering)
         port = self._state.peer_port
         self._peers.send_all([SocketAddress(ip, port) for ip in relays], message)
 
-    def _agent_hosts(self) -> set[str]:
-        return {_host(record) for record in self._state.engine_targets()}
-
     def _answering_hosts(self, now_s: float) -> set[str]:
         """Return the hosts whose agents have sent a state lately."""
         choice = self._state.choice
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -30,11 +30,13 @@
     EngineEnded,
     EngineState,
     Message,
+    PermitAnswer,
     StoreReport,
 )
 from lentiltally.direct.model import CallerLimits, TargetStage
 from lentiltally.direct.pages import METRICS_PATH, PageServer
 from lentiltally.direct.peer_socket import PeerSocket
+from lentiltally.direct.permit_client import PermitClient
 from lentiltally.direct.platform_interfaces import HeaderCodec
 from lentiltally.direct.settings import HostSettings, SocketAddress
 from lentiltally.direct.settings_watch import SettingsWatch
@@ -112,6 +114,7 @@
         self._forwarder: Forwarder
         self._peers = PeerSocket(self._message_received)
         self._agents = AgentClient(self._peers)
+        self._permits = PermitClient(self._state, self._peers, clock)
         self._crashes = CrashAnnouncements(self._state, self._peers, clock)
         self._subscriber = StateSubscriber(
             settings.name, self._state, self._peers, clock, random.Random()
@@ -195,6 +198,7 @@
                 metrics=self._metrics,
                 pool=self._pool,
                 probe=TargetProbe(self._pool, self._state),
+                permits=self._permits,
                 clock=self._clock,
                 rng=random.Random(),
                 settings=ForwarderSettings(),
@@ -351,6 +355,8 @@
     def _message_received(self, message: Message, sender: SocketAddress) -> None:
         if isinstance(message, AdapterAnswer):
             self._agents.answer_received(message)
+        elif isinstance(message, PermitAnswer):
+            self._permits.answer_received(message)
         elif isinstance(message, EngineState):
             self._state.engine_state_received(sender.ip, message)
             if message.store is not None:
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.known_agents import KnownAgents
 from lentiltally.decisions.route_table import RouteTable
 from lentiltally.decisions.service_retry_budget import ServiceRetryBudget
 from lentiltally.decisions.target_choice import TargetChoice
@@ -53,6 +54,7 @@
         self.directory = TargetDirectory()
         self.choice = TargetChoice(settings.failure_domain)
         self.notices = TargetNotices()
+        self._known_agents = KnownAgents()
         self.suspects = EntrySuspects(self.directory, clock, stagger)
         self.entry_count = ASSUMED_ENTRIES
         self.on_target_list_stale: Callable[[], None] = _do_nothing
@@ -139,6 +141,14 @@
                 target_id, known.started_ms, "engine started anew"
             )
         self.choice.state_received(target_id, state, self._clock.monotonic_s())
+        if record is not None and not has_other_start:
+            self._limit_named(record, state.rate_limit_per_s)
+
+    def agent_hosts(self) -> set[str]:
+        """Return the hosts of the agents known now or lately."""
+        hosts = {record.address.rpartition(":")[0] for record in self.engine_targets()}
+        self._known_agents.seen(hosts, self._clock.monotonic_s())
+        return self._known_agents.hosts()
 
     def usable_targets(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that may get a request now."""
@@ -173,6 +183,13 @@
                 "pause of a target not read",
                 extra={"target": record.target_id, "text": head.unread_pause},
             )
+        if head.unread_limit:
+            _log.warning(
+                "limit of a target not read",
+                extra={"target": record.target_id, "text": head.unread_limit},
+            )
+        else:
+            self._limit_named(record, head.rate_limit_per_s)
         if head.pause_s is None:
             return
         until_s = self._clock.monotonic_s() + head.pause_s
@@ -182,6 +199,13 @@
                 extra={"target": record.target_id, "pause_s": head.pause_s},
             )
 
+    def _limit_named(self, record: TargetRecord, rate_per_s: float | None) -> None:
+        if self.notices.limits(record, rate_per_s):
+            _log.info(
+                "target names another limit",
+                extra={"target": record.target_id, "rate_limit_per_s": rate_per_s},
+            )
+
     def mark_unreachable(self, target_id: str, until_s: float) -> None:
         """Avoid a target until a time, and reread the list in case it was removed."""
         self.choice.avoid(target_id, until_s)
--- a/lentiltally/direct/forwarding.py
+++ b/lentiltally/direct/forwarding.py
@@ -10,6 +10,7 @@
 from lentiltally.direct.agent_client import AgentClient
 from lentiltally.direct.entry_metrics import EntryMetrics
 from lentiltally.direct.entry_state import EntryState
+from lentiltally.direct.permit_client import PermitClient
 from lentiltally.direct.platform_interfaces import HeaderCodec
 from lentiltally.direct.target_pool import TargetPool
 from lentiltally.direct.target_probe import TargetProbe
@@ -64,6 +65,7 @@
     metrics: EntryMetrics
     pool: TargetPool
     probe: TargetProbe
+    permits: PermitClient
     clock: Clock
     rng: random.Random
     settings: ForwarderSettings
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -349,7 +349,9 @@
         ``detail`` is the reason unless an attempt has failed before.
         """
         failure, peer = self._preparation.last_failure
-        opens_in_s = self._state.opens_in_s(self._service.name)
+        opens_in_s = max(
+            self._state.opens_in_s(self._service.name), self._preparation.limit_wait_s
+        )
         detail = failure or detail or "no target can run the request now"
         if self._answer.is_started:
             self._log.step("stream aborted", peer, reason=detail)
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -16,6 +16,7 @@
 
 __all__ = [
     "AcquireAdapter",
+    "AcquirePermit",
     "AdapterAnswer",
     "AdapterDecision",
     "ContentsCleared",
@@ -25,6 +26,7 @@
     "Message",
     "PartTrial",
     "PartsCleared",
+    "PermitAnswer",
     "RefusedContents",
     "RefusedParts",
     "PrefillFinished",
@@ -94,7 +96,9 @@
     slots that no request has pinned, ``waiting_keys`` the adapters for which requests
     wait, ``entries`` the subscribed entries. ``prefill_tokens`` are the tokens of
     prompts in prefill or waiting for it. ``store`` says what the agent has read from
-    the store, None if it has read nothing yet.
+    the store, None if it has read nothing yet. ``rate_limit_per_s`` is the limit that
+    the engine names, None if it names none, ``permit_wait_ms`` how long a request would
+    wait because of it.
     """
 
     started_ms: int
@@ -111,6 +115,8 @@
     entries: int
     prefill_tokens: int
     store: StoreReport | None = None
+    rate_limit_per_s: float | None = None
+    permit_wait_ms: int = 0
 
 
 class AcquireAdapter(Struct, tag=3, array_like=True, frozen=True):
@@ -148,12 +154,17 @@
 
 
 class AdapterAnswer(Struct, tag=4, array_like=True, frozen=True):
-    """Answers ``AcquireAdapter``; ``version`` is the loaded version if granted."""
+    """Answers ``AcquireAdapter``; ``version`` is the loaded version if granted.
+
+    ``wait_ms`` is how long a declined request would have waited because of the limit
+    that the engine names.
+    """
 
     request_id: str
     decision: AdapterDecision
     version: int = 0
     reason: str = ""
+    wait_ms: int = 0
 
 
 class ReleaseAdapter(Struct, tag=5, array_like=True, frozen=True):
@@ -253,6 +264,32 @@
     started_ms: int
 
 
+class AcquirePermit(Struct, tag=15, array_like=True, frozen=True):
+    """A request needs a permit of a target that names a limit.
+
+    Sent to the owner of the limit of ``target_start``. ``rate_per_s`` is the limit as
+    the entry knows it. The permit is declined if it is due after ``max_wait_ms``.
+    """
+
+    request_id: str
+    target_start: str
+    rate_per_s: float
+    max_wait_ms: int
+
+
+class PermitAnswer(Struct, tag=16, array_like=True, frozen=True):
+    """Answers ``AcquirePermit``.
+
+    A request with a permit is sent ``wait_ms`` from now; one without may ask again
+    then.
+    """
+
+    request_id: str
+    target_start: str
+    is_granted: bool
+    wait_ms: int
+
+
 Message = (
     StateSubscription
     | EngineState
@@ -265,6 +302,8 @@
     | RefusedParts
     | RefusedContents
     | ContentsCleared
+    | AcquirePermit
+    | PermitAnswer
     | EngineEnded
     | PrefillFinished
 )
--- a/lentiltally/direct/request.py
+++ b/lentiltally/direct/request.py
@@ -91,7 +91,9 @@
 
     ``is_leaving`` says that the target is about to end. ``pause_s`` is for how long a
     target that rejects the request wants no work, None if it does not say, and
-    ``unread_pause`` the text of a pause that could not be read.
+    ``unread_pause`` the text of a pause that could not be read. ``rate_limit_per_s`` is
+    how many requests a second the target takes from all hosts together, None if it
+    names no limit, and ``unread_limit`` the text of a limit that could not be read.
 
     ``signature`` is None if the target did not sign the answer. ``did_not_run`` is set
     only where the target itself says that it has not run the request, and
@@ -117,3 +119,5 @@
     is_leaving: bool = False
     pause_s: float | None = None
     unread_pause: str = ""
+    rate_limit_per_s: float | None = None
+    unread_limit: str = ""
--- a/lentiltally/direct/state_publisher.py
+++ b/lentiltally/direct/state_publisher.py
@@ -22,7 +22,7 @@
 )
 from lentiltally.direct.settings import SocketAddress
 
-__all__ = ["StatePublisher"]
+__all__ = ["MAX_PERMIT_WAIT_S", "StatePublisher"]
 
 # Entries renew their subscription every two seconds.
 SUBSCRIPTION_TIMEOUT_S = 5.0
@@ -30,6 +30,8 @@
 # complete list at this interval makes up for lost datagrams and for states that an
 # entry was not sent.
 CACHED_LIST_INTERVAL_S = 2.0
+# The wait of an engine that takes nothing at all is without end.
+MAX_PERMIT_WAIT_S = 60.0
 
 
 @dataclass(slots=True)
@@ -102,7 +104,8 @@
             return
         loaded = tuple(self._slots.usable_keys())
         news = store and (store.config_changed_at, store.targets_changed_at)
-        urgent = (report.started_ms, loaded, report.loading, news)
+        limit_per_s = self._slots.rate_limit_per_s
+        urgent = (report.started_ms, loaded, report.loading, news, limit_per_s)
         load = self._load_values(report)
         with_list: list[SocketAddress] = []
         without_list: list[SocketAddress] = []
@@ -121,10 +124,10 @@
         self._number += 1
         if with_list:
             cached = _hashes(self._slots.cached_keys())
-            state = self._new_state(report, loaded, cached, store)
+            state = self._new_state(report, loaded, cached, store, now_s)
             self._peers.send_all(with_list, state)
         if without_list:
-            state = self._new_state(report, loaded, None, store)
+            state = self._new_state(report, loaded, None, store, now_s)
             self._peers.send_all(without_list, state)
 
     def _expire_subscriptions(self, now_s: float) -> None:
@@ -148,7 +151,9 @@
         loaded: tuple[str, ...],
         cached: tuple[int, ...] | None,
         store: StoreReport | None,
+        now_s: float,
     ) -> EngineState:
+        permit_wait_s = min(MAX_PERMIT_WAIT_S, self._slots.permit_wait_s(now_s))
         return EngineState(
             started_ms=report.started_ms,
             number=self._number,
@@ -164,6 +169,8 @@
             entries=len(self._subscribers),
             prefill_tokens=self._slots.prompt_tokens,
             store=store,
+            rate_limit_per_s=self._slots.rate_limit_per_s,
+            permit_wait_ms=int(1000 * permit_wait_s),
         )
 
 
--- a/lentiltally/platform/engine_control.py
+++ b/lentiltally/platform/engine_control.py
@@ -19,6 +19,7 @@
 from lentiltally.direct.settings import SocketAddress
 from lentiltally.platform._json import Count, UnixMs, decode_json
 from lentiltally.platform.desired_state import StoreValueError
+from lentiltally.platform.http_headers import decode_rate_limit
 
 __all__ = ["EngineControlClient", "decode_report", "encode_order"]
 
@@ -89,7 +90,8 @@
                 step="report",
                 peer=str(self._client.address),
             )
-        return decode_report(answer.body, self._instance_id)
+        rate_limit_per_s, _ = decode_rate_limit(answer.headers.items())
+        return decode_report(answer.body, self._instance_id, rate_limit_per_s)
 
     async def identify(self, health_path: str) -> bool:
         """Fetch the instance id that orders name; return whether the engine gave one.
@@ -124,10 +126,13 @@
         return answer.status
 
 
-def decode_report(body: bytes, instance: str | None) -> EngineReport:
+def decode_report(
+    body: bytes, instance: str | None, rate_limit_per_s: float | None = None
+) -> EngineReport:
     """Decode a report; raises StoreValueError if it is malformed.
 
-    ``instance`` is the instance id of the engine, None if it is unknown.
+    ``instance`` is the instance id of the engine, None if it is unknown, and
+    ``rate_limit_per_s`` the limit that came with the answer, None if none did.
     """
     try:
         report = decode_json(body, _Report)
@@ -151,6 +156,7 @@
             for model in report.models
         ),
         loading=tuple(_drop_version(text) for text in report.coming),
+        rate_limit_per_s=rate_limit_per_s,
     )
 
 
--- a/lentiltally/platform/http_headers.py
+++ b/lentiltally/platform/http_headers.py
@@ -33,6 +33,7 @@
 _MODEL = b"x-model"
 _TOKEN_COUNTS = b"x-token-counts"
 _PROMPT_PARTS = b"x-prompt-prefix"
+_RATE_LIMIT = b"server-limit"
 
 # Prompts have a few parts with short ids. The limit bounds the memory and the datagrams
 # that one request takes as a crash suspect.
@@ -73,7 +74,13 @@
 )
 # Headers of a target's answer that are meant for this system, not for callers.
 _INTERNAL_HEADERS = frozenset(
-    {b"x-server-load", b"x-not-executed", b"x-instance-id", b"server-leaving"}
+    {
+        b"x-server-load",
+        b"x-not-executed",
+        b"x-instance-id",
+        b"server-leaving",
+        _RATE_LIMIT,
+    }
 )
 
 RawHeaders = Iterable[tuple[bytes, bytes]]
@@ -153,6 +160,7 @@
     signature = fields.get(b"x-response-signature")
     is_misdirected = status == 421
     pause_s, unread_pause = _pause(pairs) if status == 503 else (None, "")
+    rate_limit_per_s, unread_limit = decode_rate_limit(pairs)
     return AnswerHead(
         status=status,
         request_id=None if request_id is None else request_id.decode("latin-1"),
@@ -168,9 +176,19 @@
         is_leaving=fields.get(b"server-leaving", b"").strip() == b"1",
         pause_s=pause_s,
         unread_pause=unread_pause,
+        rate_limit_per_s=rate_limit_per_s,
+        unread_limit=unread_limit,
     )
 
 
+def decode_rate_limit(headers: RawHeaders) -> tuple[float | None, str]:
+    """Return the requests a second that a target takes from all hosts together.
+
+    Returns None if it names no limit, and its text too if that is not valid.
+    """
+    return _single_number(headers, _RATE_LIMIT, MAX_NUMBER)
+
+
 def _bad_request(detail: str) -> Refusal:
     return Refusal(400, "bad-request", detail, step="parse")
 
@@ -241,15 +259,25 @@
 
 def _pause(pairs: tuple[tuple[bytes, bytes], ...]) -> tuple[float | None, str]:
     """Parse ``Retry-After`` in seconds; return its text too if it is not valid."""
-    values = [value for name, value in pairs if name.lower() == b"retry-after"]
+    return _single_number(pairs, b"retry-after", MAX_PAUSE_S)
+
+
+def _single_number(
+    headers: RawHeaders, header: bytes, most: float
+) -> tuple[float | None, str]:
+    """Parse a header that holds a number from 0 to ``most``, at most once.
+
+    Returns None without the header, and also the text if that is no such number.
+    """
+    values = [value for name, value in headers if name.lower() == header]
     if not values:
         return None, ""
     try:
-        (pause_s,) = map(float, values)
+        (number,) = map(float, values)
     except ValueError:
-        pause_s = math.nan
-    if 0 <= pause_s <= MAX_PAUSE_S:
-        return pause_s, ""
+        number = math.nan
+    if 0 <= number <= most:
+        return number, ""
     return None, b", ".join(values)[:MAX_QUOTED].decode("latin-1")
 
 
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -84,6 +84,7 @@
     A request for another instance than ``name``, for an adapter that is not loaded or
     for another version of it is refused with 421, whatever the step.
 
+    While ``limit_per_s`` is set, all answers name it, also those to reports and orders.
     ``answer_headers`` are added to each whole answer. ``report_fields`` replace fields
     of the reports by JSON texts; ``reports`` counts the reports.
     A stream has ``events`` events with pauses of ``event_s``; ``answer_after_s`` delays
@@ -116,6 +117,7 @@
     service: str = ""
     script: deque[str] = field(default_factory=deque)
     answer_headers: dict[str, str] = field(default_factory=dict)
+    limit_per_s: float | None = None
     raw_answer: bytes = b""
     raw_ends_with_reset: bool = False
     report_fields: dict[str, str] = field(default_factory=dict)
@@ -180,7 +182,7 @@
         if request.path == "/-/report":
             if self.is_frozen:
                 await asyncio.sleep(3600)
-            return answer(200, self._report_body())
+            return answer(200, self._report_body(), self._limit_headers())
         if request.path == "/-/order":
             expected = request.headers.get("x-expected-instance", "")
             self.order_instances.append((expected, self.name))
@@ -289,6 +291,7 @@
         request_id = request.headers["x-request-id"]
         signature = {SIGNATURE_HEADER: f"proof-{self.name}"}
         headers = {"X-Request-Id": request_id, **signature, **self.answer_headers}
+        headers |= self._limit_headers()
         body = b"body of " + request_id.encode()
         if step == "leaving":
             headers["Server-Leaving"] = "1"
@@ -325,6 +328,8 @@
         )
         if step == "leaving":
             head += "Server-Leaving: 1\r\n"
+        for name, value in self._limit_headers().items():
+            head += f"{name}: {value}\r\n"
         writer.write(f"{head}\r\n".encode())
         if self.poisoned_part and self.poisoned_part in request.headers.get(
             "x-prompt-prefix", ""
@@ -359,6 +364,11 @@
         await writer.drain()
         return True
 
+    def _limit_headers(self) -> dict[str, str]:
+        if self.limit_per_s is None:
+            return {}
+        return {"Server-Limit": str(self.limit_per_s)}
+
     def _report_body(self) -> bytes:
         self.reports += 1
         fields = {name: json.dumps(value) for name, value in self._report().items()}
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -134,3 +134,17 @@
       | 503    | 1e9                           | -     | 1e9                           |
       | 503    | Wed, 21 Oct 2026 07:28:00 GMT | -     | Wed, 21 Oct 2026 07:28:00 GMT |
       | 503    | 1;2                           | -     | 1, 2                          |
+
+  Scenario Outline: Platform codec reads the limit that a target names
+    # Guards against an answer that can't be used, or a target that gets nothing for ever,
+    # because of one odd value.
+    Then platform codec reads from limits "<values>" the limit "<limit>" and the error "<error>"
+
+    Examples:
+      | values | limit | error |
+      | 2.5    | 2.5   | -     |
+      | 0      | 0.0   | -     |
+      | -1     | -     | -1    |
+      | nan    | -     | nan   |
+      | many   | -     | many  |
+      | 1;2    | -     | 1, 2  |
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -189,3 +189,15 @@
     head = decode_answer_head(status, headers)
     assert head.pause_s == (None if pause == "-" else float(pause)), head
     assert head.unread_pause == ("" if error == "-" else error), head
+
+
+@then(
+    'platform codec reads from limits "{values}" the limit "{limit}" and the error '
+    '"{error}"'
+)
+def reads_limit(context, values, limit, error):
+    headers = [(b"Server-Limit", value.encode()) for value in values.split(";")]
+    head = decode_answer_head(200, headers)
+    assert head.rate_limit_per_s == (None if limit == "-" else float(limit)), head
+    assert head.unread_limit == ("" if error == "-" else error), head
+    assert not head.headers
