--- a/tests/direct/stop.feature
+++ b/tests/direct/stop.feature
@@ -44,3 +44,12 @@
     # answers it and its connection is never closed.
     When direct path reads a request on a kept connection while its drain ends
     Then direct path answered the request that was read last
+
+  # Pattern: a request that may run once is sent slowly, so that it is complete only late in
+  # the time of a stop.
+  Scenario: Direct path passes on no request that is complete only late in a stop
+    # Guards against requests that are taken late and cut without an answer at the end.
+    Given direct path with a store, a configuration and two plain targets
+    When direct path is asked to stop during a request of 3.1 s, and "/once/x" is complete 2.8 s later
+    Then direct path answered the long request and refused the late one as not executed
+    And direct path targets ran only the long request and the one before the stop
--- a/tests/steps/direct_stop_steps.py
+++ b/tests/steps/direct_stop_steps.py
@@ -15,6 +15,8 @@
 from tests.fakes.direct import HOST, configuration, route
 from tests.steps.direct_streams_steps import headers
 
+# The body of a late request follows its head by this time.
+BODY_DELAY_S = 0.2
 CALLERS = 24
 REQUESTS_PER_CONNECTION = 4
 
@@ -234,6 +236,19 @@
     "connection sends another {after_s:g} s later"
 )
 def late_request_on_kept_connection(context, run_s, after_s):
+    stop_beside_late_request(context, run_s, after_s, b"GET /safe/x", b"")
+
+
+@when(
+    'direct path is asked to stop during a request of {run_s:g} s, and "{path}" is '
+    "complete {after_s:g} s later"
+)
+def late_body(context, run_s, path, after_s):
+    stop_beside_late_request(context, run_s, after_s, f"POST {path}".encode(), b"b")
+
+
+def stop_beside_late_request(context, run_s, after_s, request_line, body):
+    """Stop beside a long request, and complete another one on a kept connection."""
     system = context.direct
     address = system.entry_address
     routes = [
@@ -242,21 +257,23 @@
     ]
     apply_configuration(system, routes)
 
-    def request(request_id):
-        fields = f"Host: {HOST}\r\nX-Request-Id: {request_id}"
-        return f"GET /safe/x HTTP/1.1\r\n{fields}\r\n\r\n".encode()
+    def head(request_line, request_id, size=0):
+        fields = f"Host: {HOST}\r\nX-Request-Id: {request_id}\r\nContent-Length: {size}"
+        return request_line + f" HTTP/1.1\r\n{fields}\r\n\r\n".encode()
 
     async def act():
         reader, writer = await asyncio.open_connection(address.ip, address.port)
-        writer.write(request("kept"))
+        writer.write(head(b"GET /safe/x", "kept"))
         await reader.readuntil(b"body of kept")
         for engine in system.engines.values():
             engine.answer_after_s = run_s
         long = asyncio.ensure_future(system.request("/once/x", "long", body=b"b"))
         await asyncio.sleep(0.1)
         system._started[0][0].request()
-        await asyncio.sleep(after_s)
-        writer.write(request("late"))
+        await asyncio.sleep(after_s - BODY_DELAY_S)
+        writer.write(head(request_line, "late", len(body)))
+        await asyncio.sleep(BODY_DELAY_S)
+        writer.write(body)
         late = await asyncio.wait_for(reader.read(65_536), 5.0)
         writer.transport.abort()
         return await long, late
@@ -336,3 +353,9 @@
     server.close()
     for connection in list(connections):
         connection.end_request()
+
+
+@then("direct path targets ran only the long request and the one before the stop")
+def ran_only(context):
+    runs = [r.request_id for e in context.direct.engines.values() for r in e.runs]
+    assert sorted(runs) == ["kept", "long"], runs
