Take no outage of the store from one agent that was cut off from it

Cause: one agent, side-cr-central-a-2, had been turned away by the store from 16.5 to 23.5 s, alone. When it could read again at 24.51 s, it told all entries that an outage had ended, and they kept every target that vanished until 26.51 s, as they should after an outage of the store: its targets need two seconds to return. The target's record had been removed at 24.31 s; entries read that in time and dropped the target at 26.48 s.

Class of fault: the experience of one process taken for the state of a shared service. An entry now asks whether other agents have read in the 2.5 s before the agent's return, less the 0.5 s by which agents notice the end of one outage apart. If so, the store was not away.

Evidence: the rows of decisions/shared_reads; the mutation is red.

--- a/lentiltally/decisions/shared_reads.py
+++ b/lentiltally/decisions/shared_reads.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 import math
+from collections import deque
 
 __all__ = ["SharedReads", "turn_interval_s"]
 
@@ -21,6 +22,13 @@
 # Share of the bound after which an entry no longer relies on the last read of agents;
 # the rest is for a read of its own, and for another one if the first is not answered.
 MAX_COVERAGE_SHARE = 0.65
+# A shorter outage of the store loses no records: they lapse after several heartbeats.
+MIN_OUTAGE_S = 2.5
+# Agents notice the end of an outage within this time of each other.
+OUTAGE_END_SPREAD_S = 0.5
+# Agents read every few seconds; an outage is judged by the reads just before its end.
+READS_PER_AGENT = 8
+SAME_READ_S = 0.05
 
 
 def turn_interval_s(agents: int, bound_s: float) -> float:
@@ -35,7 +43,13 @@
     All times are seconds of the entry's monotonic clock.
     """
 
-    __slots__ = ("_covered_until_s", "_max_coverage_s", "_newest_change", "_pause_s")
+    __slots__ = (
+        "_covered_until_s",
+        "_max_coverage_s",
+        "_newest_change",
+        "_pause_s",
+        "_reads_by_agent",
+    )
 
     def __init__(self, bound_s: float, pause_s: float) -> None:
         """Start without reports; ``pause_s`` is the pause between an entry's reads."""
@@ -43,17 +57,35 @@
         self._pause_s = pause_s
         self._covered_until_s = -math.inf
         self._newest_change = -1
+        self._reads_by_agent: dict[str, deque[float]] = {}
 
-    def reported(self, changed_at: int, age_s: float, now_s: float) -> None:
+    def reported(
+        self, changed_at: int, age_s: float, now_s: float, agent: str = ""
+    ) -> None:
         """Note that an agent read the topic ``age_s`` ago.
 
         ``changed_at`` is an offset up to which it has found news.
         """
         if age_s < 0.0:
             return
+        self._note_read(agent, now_s - age_s)
         self._covered_until_s = max(self._covered_until_s, now_s - age_s)
         self._newest_change = max(self._newest_change, changed_at)
 
+    def was_outage(self, returned_at_s: float, agent: str) -> bool:
+        """Return whether the store was away when an agent says that it returned.
+
+        The agent alone may have been cut off from it. Then others have read meanwhile.
+        """
+        first_s = returned_at_s - MIN_OUTAGE_S
+        last_s = returned_at_s - OUTAGE_END_SPREAD_S
+        return not any(
+            first_s <= read_at_s <= last_s
+            for name, reads in self._reads_by_agent.items()
+            if name != agent
+            for read_at_s in reads
+        )
+
     def has_news(self, next_offset: int) -> bool:
         """Return whether there is news from an offset on."""
         return self._newest_change >= next_offset
@@ -80,3 +112,9 @@
             return last_read_s + NEWS_PAUSE_SHARE * self._pause_s
         covered_s = self._covered_until_s + self._max_coverage_s
         return max(last_read_s + self._pause_s, covered_s)
+
+    def _note_read(self, agent: str, read_at_s: float) -> None:
+        """Keep the time of a read; its report is repeated until the next one."""
+        reads = self._reads_by_agent.setdefault(agent, deque(maxlen=READS_PER_AGENT))
+        if not reads or read_at_s > reads[-1] + SAME_READ_S:
+            reads.append(read_at_s)
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -360,24 +360,25 @@
         elif isinstance(message, EngineState):
             self._state.engine_state_received(sender.ip, message)
             if message.store is not None:
-                self._store_reported(message.store)
+                self._store_reported(message.store, sender.ip)
         elif isinstance(message, EngineEnded):
             self._state.engine_ended(sender.ip, message.started_ms)
         else:
             self._crashes.message_received(message)
 
-    def _store_reported(self, report: StoreReport) -> None:
+    def _store_reported(self, report: StoreReport, agent: str) -> None:
         """Note what an agent has read; read the list of targets if it has news."""
         now_s = self._clock.monotonic_s()
         self._shared_configuration.reported(
             report.config_changed_at, report.config_age_ms / 1000, now_s
         )
         self._shared_targets.reported(
-            report.targets_changed_at, report.targets_age_ms / 1000, now_s
+            report.targets_changed_at, report.targets_age_ms / 1000, now_s, agent
         )
         if report.outage_ended_ms >= 0:
             returned_at_s = now_s - report.outage_ended_ms / 1000
-            self._state.directory.store_returned(returned_at_s)
+            if self._shared_targets.was_outage(returned_at_s, agent):
+                self._state.directory.store_returned(returned_at_s)
         if self._shared_targets.has_news(self._targets.next_offset):
             self._targets.news_reported()
 
--- a/tests/decisions/shared_reads.feature
+++ b/tests/decisions/shared_reads.feature
@@ -33,3 +33,19 @@
     Given shared reads of an entry
     When shared reads get news at offset 1000000 and the entry has read up to 7
     Then shared reads have no news for the entry
+
+  Scenario Outline: Shared reads tell an outage of the store from an agent that was cut off
+    # Guards against targets that get work after they were removed, because one agent that
+    # lost its way to the store says that the store was away.
+    Given shared reads of an entry
+    When shared reads have the reads "<reads>" and agent "a" says at 20 s that the store returned
+    Then shared reads take that for an outage: <outage>
+
+    Examples:
+      | reads                              | outage |
+      | a 10, b 11, c 12                   | yes    |
+      | a 10, b 18, c 12                   | no     |
+      | a 10, b 11, c 19.4                 | no     |
+      | a 10, b 11, c 12, b 19.9, c 19.8   | yes    |
+      | a 18, b 11                         | yes    |
+      | a 10, b 17.4, b 20.1               | yes    |
--- a/tests/steps/shared_reads_steps.py
+++ b/tests/steps/shared_reads_steps.py
@@ -146,3 +146,21 @@
 @then("shared reads have no news for the entry")
 def no_news(context):
     assert not context.shared.has_news(context.next_offset)
+
+
+@when(
+    'shared reads have the reads "{reads}" and agent "{agent}" says at {at_s:g} s that '
+    "the store returned"
+)
+def agent_says_returned(context, reads, agent, at_s):
+    """Report reads as agents do: again and again, with a growing age."""
+    for name, read_at_s in (read.split() for read in reads.split(", ")):
+        for later_s in (0.0, 0.3, 0.6):
+            now_s = float(read_at_s) + later_s
+            context.shared.reported(7, later_s, now_s, name)
+    context.was_outage = context.shared.was_outage(at_s, agent)
+
+
+@then("shared reads take that for an outage: {expected}")
+def takes_for_outage(context, expected):
+    assert context.was_outage == (expected == "yes")
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -305,6 +305,14 @@
         "decisions/permits",
         "repeated request no second permit",
     ),
+    Mutation(
+        "outage of the store as others have seen it",
+        "decisions/shared_reads.py",
+        "            if name != agent\n",
+        "            if False\n",
+        "decisions/shared_reads",
+        "tell an outage of the store from an agent",
+    ),
     Mutation(
         "crashing requests",
         "decisions/content_suspects.py",
