Remember agents as relays also while nothing is announced

The hosts of agents were noted only when something was sent. An entry that sent its first announcement after the list had dropped all engines found no relay: a deadly request that has ended every engine is just that case. They are noted on each tick now. The new scenario of direct/crashes fails on the code before (no host known).

--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -330,6 +330,7 @@
 
     def _tick(self) -> None:
         self._target_feed.tick()
+        self._state.note_agent_hosts()
         self._pool.close_stale()
         for connection in list(self._connections):
             connection.check_timeouts()
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -144,10 +144,14 @@
         if record is not None and not has_other_start:
             self._limit_named(record, state.rate_limit_per_s)
 
-    def agent_hosts(self) -> set[str]:
-        """Return the hosts of the agents known now or lately."""
+    def note_agent_hosts(self) -> None:
+        """Remember the hosts of the engines that are listed now."""
         hosts = {record.address.rpartition(":")[0] for record in self.engine_targets()}
         self._known_agents.seen(hosts, self._clock.monotonic_s())
+
+    def agent_hosts(self) -> set[str]:
+        """Return the hosts of the agents known now or lately."""
+        self.note_agent_hosts()
         return self._known_agents.hosts()
 
     def usable_targets(self, service: str) -> list[TargetRecord]:
--- a/tests/direct/crashes.feature
+++ b/tests/direct/crashes.feature
@@ -158,3 +158,9 @@
     And direct path posts the body "dead" to "/safe/x"
     Then direct path engines crashed 2 times
     And direct path refused the last request for "crash-suspect"
+
+  # Guards against announcements without relays when a request has ended all engines, so that
+  # the list has none of them any more.
+  Scenario: Direct path entry knows the agents of engines that the list has dropped
+    When direct path engines are no longer listed
+    Then direct path entry knows the hosts of both agents
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -15,6 +15,7 @@
     request_fingerprint,
 )
 from lentiltally.direct.agent_process import NEW_ENTRY_MS
+from lentiltally.direct.entry_process import TICK_INTERVAL_S
 from lentiltally.direct.messages import StateSubscription, encode_message
 from tests.fakes.direct import HOST, OTHER_ENTRY_IP
 
@@ -348,3 +349,20 @@
 @when('direct path posts the body "{body}" to "{path}"')
 def posts_body(context, body, path):
     context.answer = context.direct.send(path, body=body.encode())
+
+
+@when("direct path engines are no longer listed")
+def no_longer_listed(context):
+    system = context.direct
+    # Let the entry see them in its periodic work first.
+    system.run(asyncio.sleep(2 * TICK_INTERVAL_S))
+    for engine in engines(context):
+        system.withdraw(engine.name)
+    state = system.entry._state
+    assert system.wait(lambda: not state.engine_targets())
+
+
+@then("direct path entry knows the hosts of both agents")
+def knows_agents(context):
+    hosts = context.direct.call(context.direct.entry._state.agent_hosts)
+    assert hosts == {engine.ip for engine in engines(context)}, hosts
