Bound the numbers in messages about permits, and log an odd limit once

A limit or a wait that is no number, negative or endless would have failed in the handler of datagrams; such datagrams are dropped like other malformed ones. A limit that can't be read comes in every answer of a target, so it is logged once for each target.

--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -55,6 +55,7 @@
         self.choice = TargetChoice(settings.failure_domain)
         self.notices = TargetNotices()
         self._known_agents = KnownAgents()
+        self._with_unread_limit: set[str] = set()
         self.suspects = EntrySuspects(self.directory, clock, stagger)
         self.entry_count = ASSUMED_ENTRIES
         self.on_target_list_stale: Callable[[], None] = _do_nothing
@@ -188,10 +189,7 @@
                 extra={"target": record.target_id, "text": head.unread_pause},
             )
         if head.unread_limit:
-            _log.warning(
-                "limit of a target not read",
-                extra={"target": record.target_id, "text": head.unread_limit},
-            )
+            self._log_unread_limit(record, head.unread_limit)
         else:
             self._limit_named(record, head.rate_limit_per_s)
         if head.pause_s is None:
@@ -210,6 +208,16 @@
                 extra={"target": record.target_id, "rate_limit_per_s": rate_per_s},
             )
 
+    def _log_unread_limit(self, record: TargetRecord, text: str) -> None:
+        """Log an odd limit, which comes in all answers of a target, once."""
+        if record.target_id in self._with_unread_limit:
+            return
+        self._with_unread_limit.add(record.target_id)
+        _log.warning(
+            "limit of a target not read",
+            extra={"target": record.target_id, "text": text},
+        )
+
     def mark_unreachable(self, target_id: str, until_s: float) -> None:
         """Avoid a target until a time, and reread the list in case it was removed."""
         self.choice.avoid(target_id, until_s)
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -54,6 +54,11 @@
     return xxhash.xxh32_intdigest(key.encode())
 
 
+# Datagrams may be malformed; what is out of range is dropped with them.
+RatePerS = Annotated[float, Meta(ge=0, le=1e12)]
+WaitMs = Annotated[int, Meta(ge=0, le=3_600_000)]
+
+
 class StateSubscription(Struct, tag=1, array_like=True, frozen=True):
     """Subscribes an entry to the engine states of an agent, and renews this.
 
@@ -115,8 +120,8 @@
     entries: int
     prefill_tokens: int
     store: StoreReport | None = None
-    rate_limit_per_s: float | None = None
-    permit_wait_ms: int = 0
+    rate_limit_per_s: RatePerS | None = None
+    permit_wait_ms: WaitMs = 0
 
 
 class AcquireAdapter(Struct, tag=3, array_like=True, frozen=True):
@@ -164,7 +169,7 @@
     decision: AdapterDecision
     version: int = 0
     reason: str = ""
-    wait_ms: int = 0
+    wait_ms: WaitMs = 0
 
 
 class ReleaseAdapter(Struct, tag=5, array_like=True, frozen=True):
@@ -273,8 +278,8 @@
 
     request_id: str
     target_start: str
-    rate_per_s: float
-    max_wait_ms: int
+    rate_per_s: RatePerS
+    max_wait_ms: WaitMs
 
 
 class PermitAnswer(Struct, tag=16, array_like=True, frozen=True):
@@ -287,7 +292,7 @@
     request_id: str
     target_start: str
     is_granted: bool
-    wait_ms: int
+    wait_ms: WaitMs
 
 
 Message = (
