Forget a limited target once its permit is used, and tell of a lost engine first

A target that had declined for its limit stayed among those worth waiting for after the request had been sent there: a retry could run it at the same target twice. The new scenario of direct/limits fails on the code before ('limited' ran twice). And an agent whose engine was lost declined for the limit, so entries took the engine for responsive; a scenario of decisions/permits covers that.

--- a/lentiltally/decisions/engine_slots.py
+++ b/lentiltally/decisions/engine_slots.py
@@ -287,7 +287,7 @@
         """
         wait_s = self._permits.wait_s(request.request_id, now_s, ahead)
         latest_s = min(request.wait_deadline_s, request.objective_deadline_s)
-        if wait_s <= max(0.0, latest_s - now_s):
+        if self._report is None or wait_s <= max(0.0, latest_s - now_s):
             return None
         return AdapterRequestResult(
             request, AdapterRequestState.DECLINED, 0, RATE_LIMIT, wait_s
--- a/lentiltally/direct/attempt_preparation.py
+++ b/lentiltally/direct/attempt_preparation.py
@@ -227,6 +227,8 @@
         )
         if wait_s > self._wait_budget_s or not self._state.is_usable(candidate.record):
             return None
+        # If it still has none, it is noted again; once sent to, it is not tried twice.
+        del self._tries.limited[candidate.record.target_id]
         return await self._prepare(
             candidate, attempts, max_permit_wait_s=self._wait_budget_s
         )
--- a/tests/decisions/permits.feature
+++ b/tests/decisions/permits.feature
@@ -37,3 +37,9 @@
       | 9.0  | 1.1       | 3        | 2       |
       | 0.4  | 9.0       | 5        | 0       |
       | 9.0  | 9.0       | 0        | 5       |
+
+  Scenario: Engine slots say that an engine is lost also while it names a limit
+    # Guards against entries that keep asking a lost engine, because its limit is the reason.
+    Given engine slots of an engine with a limit of 2.0 a second
+    When engine slots lose their engine and get a request with an objective of 0.1 s
+    Then engine slots decline it because the engine is lost
--- a/tests/direct/limits.feature
+++ b/tests/direct/limits.feature
@@ -45,3 +45,14 @@
     And direct path targets name no limit any more
     Then direct path answers 20 requests to "/safe/x" within 2 s
     And direct path answers 20 requests to "/stream/x" within 2 s
+
+  # Guards against a second run at the same target, because it was remembered as one whose
+  # permit is worth waiting for.
+  Scenario: Direct path retries no request at the limited target that has run it
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has 1 plain targets
+    And direct path targets name a limit of 10.0 requests a second
+    And direct path has learnt the limit of "p0"
+    And direct path target "p0" handles the next 2 requests as "error"
+    When direct path gets a request to "/safe/x" that waits for a permit
+    Then direct path target "p0" ran it once
--- a/tests/steps/direct_limits_of_targets_steps.py
+++ b/tests/steps/direct_limits_of_targets_steps.py
@@ -109,3 +109,25 @@
 
     statuses = system.run(act())
     assert statuses == [200] * count, statuses
+
+
+@given('direct path has learnt the limit of "{name}"')
+def learnt_limit(context, name):
+    assert context.direct.send("/safe/x", request_id="first").status == 200
+    assert context.direct.engines[name].runs
+
+
+@given('direct path target "{name}" handles the next {count:d} requests as "{step}"')
+def handles_as(context, name, count, step):
+    context.direct.engines[name].script.extend([step] * count)
+
+
+@when('direct path gets a request to "{path}" that waits for a permit')
+def waits_for_permit(context, path):
+    context.answer = context.direct.send(path, request_id="limited")
+
+
+@then('direct path target "{name}" ran it once')
+def ran_once(context, name):
+    runs = [run.request_id for run in context.direct.engines[name].runs]
+    assert runs.count("limited") == 1, runs
--- a/tests/steps/permits_steps.py
+++ b/tests/steps/permits_steps.py
@@ -117,3 +117,18 @@
         granted += context.slots.decide_requests(step * STEP_S)
     states = [result.state for result in granted]
     assert states == [AdapterRequestState.GRANTED] * count, granted
+
+
+@when(
+    "engine slots lose their engine and get a request with an objective of "
+    "{objective_s:g} s"
+)
+def lose_engine(context, objective_s):
+    context.slots.mark_unresponsive()
+    get_requests(context, 1, 9.0, objective_s)
+
+
+@then("engine slots decline it because the engine is lost")
+def engine_is_lost(context):
+    (result,) = context.results
+    assert result.state is AdapterRequestState.NO_ENGINE, result
