Identify requests that crash targets by path and body, not by adapter

The fingerprint had the adapter in it, so the same body for another adapter was another request, and none of them collected two crashes. The adapter now only tells requests apart that have no body.

The step 'do not refuse another body or the same for another adapter' of decisions/direct_limits fixed the old identity. It is replaced by two steps: the same body is refused for another adapter, too; another body is not, nor an empty one for another adapter. The first fails on the code before.

Cost: equal bodies for other adapters are refused with it, and one that finishes clears it.

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -65,13 +65,15 @@
 
 
 def request_fingerprint(host: str, path: bytes, adapter: str, body: bytes) -> int:
-    """Return the fingerprint of a request, the same each time a caller sends it."""
+    """Return the fingerprint of a request, the same each time a caller sends it.
+
+    Callers may send it again for another adapter; that only tells requests apart which
+    have no body.
+    """
     digest = xxhash.xxh3_64(host.encode())
     digest.update(path)
     digest.update(b"\0")
-    digest.update(adapter.encode())
-    digest.update(b"\0")
-    digest.update(body)
+    digest.update(body or adapter.encode())
     return digest.intdigest()
 
 
--- a/tests/decisions/direct_limits.feature
+++ b/tests/decisions/direct_limits.feature
@@ -75,7 +75,8 @@
   Scenario: Crash suspects are refused after the second target
     # Guards against one request that crashes target after target.
     Then crash suspects refuse a request after it crashed 2 targets, also under another id
-    And crash suspects do not refuse another body or the same for another adapter
+    And crash suspects refuse the same body also for another adapter
+    And crash suspects do not refuse another body, or none for another adapter
     And crash suspects clear a request that finished
 
   # Load pattern: many callers send equal requests, and targets terminate for other reasons.
--- a/tests/steps/direct_limits_steps.py
+++ b/tests/steps/direct_limits_steps.py
@@ -164,10 +164,18 @@
     assert context.suspects.contents.is_refused(example_fingerprint())
 
 
-@then("crash suspects do not refuse another body or the same for another adapter")
+@then("crash suspects refuse the same body also for another adapter")
+def refuses_body(context):
+    assert context.suspects.contents.is_refused(example_fingerprint(adapter="m/b"))
+
+
+@then("crash suspects do not refuse another body, or none for another adapter")
 def refuses_only_it(context):
     assert not context.suspects.contents.is_refused(example_fingerprint(b"other"))
-    assert not context.suspects.contents.is_refused(example_fingerprint(adapter="m/b"))
+    record_crashes(context.suspects, example_fingerprint(b""), "t1@1", "t2@1")
+    assert context.suspects.contents.is_refused(example_fingerprint(b""))
+    other = example_fingerprint(b"", adapter="m/b")
+    assert not context.suspects.contents.is_refused(other)
 
 
 @then("crash suspects clear a request that finished")
