Give a silent target up only once another one goes on with the answer

What callers saw: a stream whose sound engine paused for more than 1.3 s was aborted, or a safe request answered 502, long before its deadline and although the engine went on 0.7 s later, if the target that was to take over rejected the request, failed, answered without a proof or said nothing.

Cause: the silent target was closed and excluded as soon as another one was prepared (adapter, connection, retry budget). Prepared is not answered: nothing was left when that one did not continue.

Change: attempts run in tasks of their own (OpenAttempts). While all of them have stalled, another one is begun beside them; the first that has a complete event or a whole body for the caller continues the answer and supersedes the others (AttemptRace, pure). Each attempt has its own EventStream, so one that is behind can't write. Non-idempotent requests have no second attempt, as before. Executions are counted when a request is sent and taken back when the target says that it did not run, so `runs` in "request ended" counts the run that answered as well; `target superseded` is a new line.

Ruled out: that two engines on one stream break the rule on work in two places.

--- a/lentiltally/decisions/event_stream.py
+++ b/lentiltally/decisions/event_stream.py
@@ -29,19 +29,19 @@
 
 
 class EventStream:
-    """One stream to a caller, which several targets may produce one after another."""
+    """The part of a stream that one target produces."""
 
-    __slots__ = ("_buffer", "_last_id", "delivered_events")
+    __slots__ = ("_buffer", "_last_id", "complete_events")
 
     def __init__(self, resume_after: int | None) -> None:
-        """Start after the event id from which the caller resumes the stream, if any."""
+        """Start after the last event that the caller has received, if any."""
         self._buffer = bytearray()
         self._last_id = resume_after
-        self.delivered_events = 0
+        self.complete_events = 0
 
     @property
     def last_event_id(self) -> int | None:
-        """Return the id of the last delivered event, or the one to resume after."""
+        """Return the id of the last complete event, or the one to resume after."""
         return self._last_id
 
     @property
@@ -68,10 +68,6 @@
                 self._check(event)
         return complete
 
-    def discard_partial_event(self) -> None:
-        """Drop a partial event, because another target continues the stream."""
-        self._buffer.clear()
-
     def _check(self, event: bytes) -> None:
         number = _parse_event_id(event)
         if number is None:
@@ -80,7 +76,7 @@
         if self._last_id is not None and number != self._last_id + 1:
             raise StreamBroken(f"event {number} follows event {self._last_id}")
         self._last_id = number
-        self.delivered_events += 1
+        self.complete_events += 1
 
 
 def _parse_event_id(event: bytes) -> int | None:
--- a/lentiltally/direct/attempt_preparation.py
+++ b/lentiltally/direct/attempt_preparation.py
@@ -1,14 +1,13 @@
 """Prepares the next attempt of a request: target, adapter, connection, retry budget.
 
-Everything that another target needs before it can take a request is acquired here, so
-that an attempt that is under way has to be given up only once the next one is ready.
+Everything that another target needs before it can take a request is acquired here.
 """
 
 from __future__ import annotations
 
 import asyncio
 import math
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass, field, replace
 
 from lentiltally.clock import Clock
@@ -44,22 +43,22 @@
 
 
 @dataclass(slots=True)
-class _Tries:
-    """Which targets are excluded for a request, and why the last one failed.
-
-    ``rejections`` and ``declines`` count the targets that rejected the request and the
-    agents that did not pin its adapter. ``limited`` has the targets without an agent
-    that had no permit left, with the time to their next one, and ``limit_wait_s`` is
-    the shortest such time of all targets.
+class _Search:
+    """What one search for a target has found out.
+
+    ``declines`` counts the agents that did not pin the adapter. ``limited`` has the
+    targets without an agent that had no permit left, with the time to their next one,
+    and ``limit_wait_s`` is the shortest such time of all targets. ``is_over`` says that
+    no other target may be tried. ``failure`` is why the last target could not be used,
+    and which one it was.
     """
 
     excluded: set[str] = field(default_factory=set)
-    rejections: int = 0
     declines: int = 0
     limited: dict[str, tuple[Candidate, float]] = field(default_factory=dict)
     limit_wait_s: float = math.inf
-    detail: str = ""
-    peer: str = ""
+    is_over: bool = False
+    failure: tuple[str, str] = ("", "")
 
 
 class AttemptPreparation:
@@ -94,13 +93,15 @@
         self._pin = pin
         self._log = log
         self._may_be_sent = may_be_sent
-        self._tries = _Tries()
-        self._last_sent: TargetRecord | None = None
+        self._search = _Search()
+        self._sent_ids: set[str] = set()
+        self._rejections = 0
+        self._failure = ("", "")
 
     @property
     def last_failure(self) -> tuple[str, str]:
         """Return the reason and the target of the last failure, empty if none."""
-        return self._tries.detail, self._tries.peer
+        return self._search.failure if self._search.failure[0] else self._failure
 
     async def next(self, attempts: int) -> PreparedAttempt | None:
         """Return an attempt that is ready to be sent, None if no target is left.
@@ -120,38 +121,43 @@
 
         In seconds from the time at which it declined this one.
         """
-        wait_s = self._tries.limit_wait_s
+        wait_s = self._search.limit_wait_s
         return wait_s if math.isfinite(wait_s) else 0.0
 
-    async def replacement(self, attempts: int) -> PreparedAttempt | None:
-        """Return an attempt that may replace the one under way, like ``next``.
+    async def replacement(
+        self, attempts: int, under_way: Iterable[TargetRecord]
+    ) -> PreparedAttempt | None:
+        """Return an attempt beside those that are under way, like ``next``.
 
         Targets that don't take the request now may be tried again later. Targets at the
-        host of the one under way are left out: its agent has one pin for each request.
+        hosts of those under way are left out: an agent has one pin for each request.
         """
-        before = self._tries
-        self._tries = replace(before, excluded=before.excluded | self._same_host_ids())
+        before = self._search
+        beside = self._same_host_ids(under_way)
+        self._search = replace(before, excluded=before.excluded | beside)
         try:
             return await self.next(attempts)
         finally:
-            self._tries = before
+            self._search = before
 
     def sent(self, record: TargetRecord) -> None:
         """Exclude a target that the request was sent to."""
-        self._tries.excluded.add(record.target_id)
-        self._last_sent = record
+        self._sent_ids.add(record.target_id)
+        self._search.failure = ("", "")
 
     def failed(self, record: TargetRecord, detail: str) -> None:
         """Note why the last attempt failed."""
-        self._tries.detail, self._tries.peer = detail, record.target_id
+        self._failure = detail, record.target_id
+        self._search.failure = ("", "")
 
     def ended(self, detail: str) -> None:
         """Note why no further attempt is made."""
-        self._tries.detail = detail
+        _, peer = self.last_failure
+        self._search.failure = detail, peer
 
     def rejected(self, record: TargetRecord) -> None:
         """Count a rejection without execution, and avoid the target for a while."""
-        self._tries.rejections += 1
+        self._rejections += 1
         until_s = self._clock.monotonic_s() + self._settings.rejection_cooldown_s
         self._state.choice.avoid(record.target_id, until_s)
 
@@ -174,20 +180,20 @@
         since_s = self._clock.monotonic_s() - self._request.arrived_s
         return self._route.objective_s - since_s
 
-    def _same_host_ids(self) -> set[str]:
-        """Return the ids of the engines at the host that the request was sent to."""
-        if self._service.engine is None or self._last_sent is None:
+    def _same_host_ids(self, under_way: Iterable[TargetRecord]) -> set[str]:
+        """Return the ids of the engines at the hosts of some targets."""
+        if self._service.engine is None:
             return set()
-        host = _host(self._last_sent)
+        hosts = {_host(record) for record in under_way}
         records = self._state.directory.all()
-        return {record.target_id for record in records if _host(record) == host}
+        return {record.target_id for record in records if _host(record) in hosts}
 
     def _choose(self) -> Candidate | None:
         """Return the best target that is not excluded."""
         now_s = self._clock.monotonic_s()
         records = self._state.usable_targets(self._service.name)
         choice = self._state.choice
-        excluded = self._tries.excluded
+        excluded = self._search.excluded | self._sent_ids
         if self._service.engine is None:
             candidates = choice.rank_service_targets(records, excluded, now_s)
         else:
@@ -207,9 +213,9 @@
         settings = self._settings
         if not self._may_be_sent():
             return False
-        if self._tries.rejections >= settings.max_rejections:
+        if self._search.is_over or self._rejections >= settings.max_rejections:
             return False
-        if self._tries.declines >= settings.max_declines:
+        if self._search.declines >= settings.max_declines:
             return False
         if attempts == 0:
             return True
@@ -220,15 +226,15 @@
 
     async def _wait_for_permit(self, attempts: int) -> PreparedAttempt | None:
         """Wait for the next permit, because all targets are limited or excluded."""
-        if not self._tries.limited or not self._is_allowed(attempts):
+        if not self._search.limited or not self._is_allowed(attempts):
             return None
         candidate, wait_s = min(
-            self._tries.limited.values(), key=lambda limited: limited[1]
+            self._search.limited.values(), key=lambda limited: limited[1]
         )
         if wait_s > self._wait_budget_s or not self._state.is_usable(candidate.record):
             return None
         # If it still has none, it is noted again; once sent to, it is not tried twice.
-        del self._tries.limited[candidate.record.target_id]
+        del self._search.limited[candidate.record.target_id]
         return await self._prepare(
             candidate, attempts, max_permit_wait_s=self._wait_budget_s
         )
@@ -274,8 +280,7 @@
             return None
         if attempts > 0 and not self._spend_retry():
             connection.close()
-            # No other target may be tried either.
-            self._tries.rejections = self._settings.max_rejections
+            self._search.is_over = True
             return None
         return PreparedAttempt(candidate, grant, connection)
 
@@ -297,7 +302,7 @@
         if permit.is_granted:
             await asyncio.sleep(permit.wait_s)
             return True
-        self._tries.limited[record.target_id] = candidate, permit.wait_s
+        self._search.limited[record.target_id] = candidate, permit.wait_s
         self._limited(record, permit.wait_s)
         self._exclude(record, RATE_LIMIT, is_unreachable=False)
         self._log.step(
@@ -307,12 +312,12 @@
 
     def _limited(self, record: TargetRecord, wait_s: float) -> None:
         """Note when a target that names a limit takes the next request."""
-        self._tries.limit_wait_s = min(self._tries.limit_wait_s, wait_s)
+        self._search.limit_wait_s = min(self._search.limit_wait_s, wait_s)
         self._state.choice.limited(record.target_id, self._clock.monotonic_s() + wait_s)
 
     def _declined(self, record: TargetRecord, grant: AcquireResult) -> None:
         """Exclude a target whose agent did not grant the adapter."""
-        self._tries.declines += 1
+        self._search.declines += 1
         if grant.limit_wait_s > 0.0:
             self._limited(record, grant.limit_wait_s)
         detail = f"adapter not held: {grant.reason}"
@@ -334,8 +339,8 @@
 
         All requests avoid an unreachable target for ``unreachable_cooldown_s``.
         """
-        self._tries.excluded.add(record.target_id)
-        self.failed(record, detail)
+        self._search.excluded.add(record.target_id)
+        self._search.failure = detail, record.target_id
         if is_unreachable:
             until_s = self._clock.monotonic_s() + self._settings.unreachable_cooldown_s
             self._state.mark_unreachable(record.target_id, until_s)
--- a/lentiltally/direct/caller_answer.py
+++ b/lentiltally/direct/caller_answer.py
@@ -9,7 +9,7 @@
 from lentiltally.direct.caller_connection import CallerConnection
 from lentiltally.direct.request import AnswerHead
 
-__all__ = ["CallerAnswer"]
+__all__ = ["AnswerPart", "CallerAnswer"]
 
 
 class CallerAnswer:
@@ -17,7 +17,9 @@
 
     The head of a stream is sent with the first complete event. If a target fails before
     that, the caller has received nothing yet and can still get another answer.
-    ``on_started`` is called when the head of a stream is sent.
+    ``on_started`` is called when the head of a stream is sent. ``last_event_id`` is the
+    last event that the caller has, also from an earlier connection, None if it has
+    none.
     """
 
     __slots__ = (
@@ -25,13 +27,14 @@
         "_connection",
         "_head",
         "_last_at_s",
+        "delivered_events",
         "first_at_s",
         "is_aborted",
         "is_complete",
         "is_started",
+        "last_event_id",
         "longest_gap_s",
         "on_started",
-        "stream",
     )
 
     def __init__(
@@ -44,18 +47,13 @@
         self.first_at_s: float | None = None
         self.longest_gap_s = 0.0
         self._head: AnswerHead | None = None
-        self.stream = EventStream(resume_after)
+        self.last_event_id = resume_after
+        self.delivered_events = 0
         self.is_started = False
         self.is_complete = False
         self.is_aborted = False
         self.on_started: Callable[[], None] = lambda: None
 
-    def head_received(self, head: AnswerHead) -> None:
-        """Keep the head of the first target; others continue the same answer."""
-        if not self.is_started:
-            self._head = head
-        self.stream.discard_partial_event()
-
     def can_continue_with(self, head: AnswerHead) -> bool:
         """Return whether an answer may follow what the caller has received.
 
@@ -67,20 +65,16 @@
             return True
         return (head.status, head.media_type) == (first.status, first.media_type)
 
-    async def data_received(self, data: bytes) -> bool:
-        """Forward the complete events in the data; return whether there were any."""
-        events = self.stream.received(data)
-        if not events:
-            return False
-        self._send_head()
+    async def send_events(self, head: AnswerHead, events: bytes) -> None:
+        """Forward complete events; they begin with the head if they are the first."""
+        self._send_head(head)
         self._record_event_times()
         self._connection.send_data(events)
         await self._connection.drain()
-        return True
 
-    def end_stream(self) -> None:
+    def end_stream(self, head: AnswerHead) -> None:
         """Complete the stream."""
-        self._send_head()
+        self._send_head(head)
         self._connection.end_answer()
         self.is_complete = True
 
@@ -102,10 +96,61 @@
             self.longest_gap_s = max(self.longest_gap_s, now_s - self._last_at_s)
         self._last_at_s = now_s
 
-    def _send_head(self) -> None:
-        if not self.is_started and self._head is not None:
-            self.is_started = True
-            self.on_started()
-            headers = list(self._head.headers)
-            headers.append((b"Transfer-Encoding", b"chunked"))
-            self._connection.start_answer(self._head.status, headers)
+    def _send_head(self, head: AnswerHead) -> None:
+        if self.is_started:
+            return
+        self._head = head
+        self.is_started = True
+        self.on_started()
+        headers = [*head.headers, (b"Transfer-Encoding", b"chunked")]
+        self._connection.start_answer(head.status, headers)
+
+
+class AnswerPart:
+    """What one target contributes to the answer to a caller.
+
+    Several targets may be under way, but only one may write: ``continue_answer`` is
+    called right before each write, and ends the attempts at all others.
+    """
+
+    __slots__ = ("_answer", "_continue_answer", "_stream")
+
+    def __init__(
+        self, answer: CallerAnswer, continue_answer: Callable[[], None]
+    ) -> None:
+        """Continue the answer after what the caller has received so far."""
+        self._answer = answer
+        self._continue_answer = continue_answer
+        self._stream = EventStream(answer.last_event_id)
+
+    @property
+    def has_partial_event(self) -> bool:
+        """Return whether the target has sent an event only in part."""
+        return self._stream.has_partial_event
+
+    def can_continue_with(self, head: AnswerHead) -> bool:
+        """Return whether the target's answer may follow what the caller has."""
+        return self._answer.can_continue_with(head)
+
+    async def data_received(self, head: AnswerHead, data: bytes) -> bool:
+        """Forward the complete events in the data; return whether there were any."""
+        events_before = self._stream.complete_events
+        events = self._stream.received(data)
+        if not events:
+            return False
+        self._continue_answer()
+        answer = self._answer
+        answer.last_event_id = self._stream.last_event_id
+        answer.delivered_events += self._stream.complete_events - events_before
+        await answer.send_events(head, events)
+        return True
+
+    def end_stream(self, head: AnswerHead) -> None:
+        """Complete the stream."""
+        self._continue_answer()
+        self._answer.end_stream(head)
+
+    def send_whole(self, head: AnswerHead, body: bytes) -> None:
+        """Write an answer that was received completely."""
+        self._continue_answer()
+        self._answer.send_whole(head, body)
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -22,6 +22,7 @@
 from lentiltally.direct.forwarding import ForwardingContext
 from lentiltally.direct.handling_log import HandlingLog
 from lentiltally.direct.model import Route, RouteKind, Service, TargetRecord
+from lentiltally.direct.open_attempts import AttemptTurn, OpenAttempts
 from lentiltally.direct.request import CallerRequest, TargetAttempt
 from lentiltally.direct.target_exchange import (
     ExchangeOutcome,
@@ -80,11 +81,10 @@
             log=self._log,
             may_be_sent=self._may_be_sent,
         )
-        self._replacement: PreparedAttempt | None = None
+        self._open = OpenAttempts(self._begin_another, self._superseded)
         # Requests sent to targets, and those of them that may have been executed.
         self._attempts = 0
         self._executions = 0
-        self._is_in_flight = False
         self._failed_answer: ExchangeResult | None = None
 
     @property
@@ -93,7 +93,7 @@
 
     @property
     def _may_have_run(self) -> bool:
-        return self._executions > 0 or self._is_in_flight
+        return self._executions > 0
 
     async def run(self) -> None:
         """Answer the request.
@@ -186,15 +186,27 @@
 
     async def _send_until_answered(self) -> None:
         try:
-            while (prepared := await self._next_attempt()) is not None:
-                result = await self._send(prepared)
-                if self._process_result(prepared.record, result):
+            while await self._has_open_attempt():
+                record, result = await self._open.next_result()
+                if self._process_result(record, result):
                     return
                 # A target that has ended counts before the next attempt.
-                await self._context.probe.settled(prepared.record)
+                await self._context.probe.settled(record)
             self._give_up_unsent()
         finally:
-            self.dismiss_replacement()
+            await self._open.close()
+
+    async def _has_open_attempt(self) -> bool:
+        """Return whether an attempt is under way; begin one if there is none."""
+        if self._open.is_empty:
+            await self._open.end_search()
+        # The search may have begun one.
+        if self._open.is_empty:
+            prepared = await self._preparation.next(self._attempts)
+            if prepared is None:
+                return False
+            self._begin(prepared)
+        return True
 
     def _give_up_unsent(self) -> None:
         """Give up because no further attempt is made; may raise Refusal."""
@@ -207,46 +219,55 @@
         else:
             self._give_up(502)
 
-    async def _next_attempt(self) -> PreparedAttempt | None:
-        prepared, self._replacement = self._replacement, None
-        if prepared is not None and not self._may_be_sent():
-            self._preparation.dismiss(prepared)
-            return None
-        return prepared or await self._preparation.next(self._attempts)
-
-    async def find_replacement(self) -> None:
-        """Prepare an attempt that replaces a stalled one; return once there is one.
+    async def _begin_another(self) -> None:
+        """Begin an attempt beside those that have stalled, as soon as one is allowed.
 
-        The stalled target may go on meanwhile, so it is not given up before.
+        The stalled targets may go on meanwhile, so they are not given up. A trial is
+        one attempt, so none is made beside it.
         """
         self._log.stalled(self._attempts)
-        while True:
-            prepared = await self._preparation.replacement(self._attempts)
+        while self._may_repeat and not self._on_trial:
+            prepared = await self._preparation.replacement(
+                self._attempts, self._open.records
+            )
             if prepared is not None:
-                self._replacement = prepared
+                self._begin(prepared)
                 return
             await asyncio.sleep(self._settings.replacement_interval_s)
 
-    def dismiss_replacement(self) -> None:
-        """Give up a replacement that is not needed any more."""
-        prepared, self._replacement = self._replacement, None
-        if prepared is not None:
-            self._preparation.dismiss(prepared)
+    @property
+    def _may_repeat(self) -> bool:
+        """Return whether the request may be sent to one more target."""
+        is_idempotent = self._route.is_idempotent
+        return is_idempotent and self._executions < self._route.max_targets
 
-    async def _send(self, prepared: PreparedAttempt) -> ExchangeResult:
-        """Send to a prepared target and read its answer."""
+    def _superseded(self, record: TargetRecord) -> None:
+        """Log that another target has answered, so that this one is given up."""
+        self._log.step("target superseded", record.target_id)
+
+    def _begin(self, prepared: PreparedAttempt) -> None:
+        """Begin an attempt at a prepared target."""
         record = prepared.record
         # A trial of a content is one attempt, whatever its outcome.
         self._is_content_on_trial = False
         self._attempts += 1
-        self._is_in_flight = True
+        self._executions += 1
         self._preparation.sent(record)
         self._log.sent(prepared.candidate, self._left_s, self._attempts)
+        self._open.begin(
+            self._attempts, record, lambda turn: self._send(prepared, turn)
+        )
+
+    async def _send(
+        self, prepared: PreparedAttempt, turn: AttemptTurn
+    ) -> ExchangeResult:
+        """Send to a prepared target and read its answer."""
+        record = prepared.record
         attempt = self._target_attempt(record, prepared.grant)
         result: ExchangeResult | None = None
         try:
             result = await self._sender.send(
-                record, prepared.connection, attempt, self._timeouts(), self
+                record, prepared.connection, attempt, self._timeouts(), turn
             )
             return result
         finally:
@@ -265,15 +286,12 @@
             left_s=max(0.001, self._left_s - self._settings.deadline_margin_s),
             priority=priority if is_engine else None,
             adapter_version=self._pin.expected_version(grant),
-            resume_after=self._answer.stream.last_event_id if is_resumed else None,
+            resume_after=self._answer.last_event_id if is_resumed else None,
         )
 
     def _timeouts(self) -> TargetTimeouts:
         """Return the timeouts of an attempt; none unless a retry is still allowed."""
-        can_retry_elsewhere = (
-            self._route.is_idempotent and self._executions + 1 < self._route.max_targets
-        )
-        if not can_retry_elsewhere:
+        if not self._may_repeat:
             return TargetTimeouts()
         return TargetTimeouts.for_route(
             self._route.objective_s,
@@ -285,11 +303,13 @@
     def _process_result(self, record: TargetRecord, result: ExchangeResult) -> bool:
         """Process the result of an attempt; return whether the request is answered."""
         outcome = result.outcome
-        self._is_in_flight = False
         if outcome is ExchangeOutcome.DELIVERED:
             self._suspects.request_finished(self._traits.content)
             self._answer_began()
             return True
+        if outcome is ExchangeOutcome.SLOW:
+            # Another attempt continues the answer.
+            return False
         self._preparation.failed(record, result.detail)
         self._log.step(
             "attempt failed",
@@ -298,6 +318,7 @@
             outcome=outcome.value,
         )
         if outcome is ExchangeOutcome.NOT_RUN:
+            self._executions -= 1
             self._preparation.rejected(record)
             return False
         return self._finish_unless_retryable(record, result)
@@ -305,11 +326,10 @@
     def _finish_unless_retryable(
         self, record: TargetRecord, result: ExchangeResult
     ) -> bool:
-        """Count a possible execution and give up if no retry is allowed.
+        """Give up if no retry is allowed and no other attempt is under way.
 
         Returns whether it gave up.
         """
-        self._executions += 1
         # A trial is one attempt: a retry would end another target.
         self._on_trial = []
         if result.was_reset:
@@ -320,8 +340,7 @@
             self._context.probe.begin(record)
         if result.outcome is ExchangeOutcome.ANSWERED:
             self._failed_answer = result
-        is_idempotent = self._route.is_idempotent
-        if is_idempotent and self._executions < self._route.max_targets:
+        if self._may_repeat or not self._open.is_empty:
             return False
         self._give_up(502)
         return True
--- a/lentiltally/direct/handling_log.py
+++ b/lentiltally/direct/handling_log.py
@@ -76,7 +76,7 @@
                 if first_at_s is None
                 else round(first_at_s - arrived_s, 3),
                 "longest_gap_s": round(answer.longest_gap_s, 3),
-                "events": answer.stream.delivered_events,
+                "events": answer.delivered_events,
             },
         )
         return took_s
--- a/lentiltally/direct/target_exchange.py
+++ b/lentiltally/direct/target_exchange.py
@@ -5,8 +5,9 @@
 import asyncio
 import contextlib
 import enum
+from collections.abc import Iterator
 from dataclasses import dataclass
-from typing import Any, Protocol, TypeVar
+from typing import Protocol
 
 import h11
 
@@ -14,7 +15,7 @@
 from lentiltally.decisions.answer_progress import AnswerProgress
 from lentiltally.decisions.event_stream import StreamBroken
 from lentiltally.decisions.target_timeouts import TargetTimeouts
-from lentiltally.direct.caller_answer import CallerAnswer
+from lentiltally.direct.caller_answer import AnswerPart
 from lentiltally.direct.http_connection import Event, HttpConnection, PeerError
 from lentiltally.direct.platform_interfaces import HeaderCodec
 from lentiltally.direct.request import AnswerHead, CallerRequest, TargetAttempt
@@ -23,7 +24,8 @@
     "ExchangeListener",
     "ExchangeOutcome",
     "ExchangeResult",
-    "ReplacementSearch",
+    "ExchangeTurn",
+    "SupersededError",
     "TargetExchange",
 ]
 
@@ -33,7 +35,9 @@
 MAX_UNRELATED_BODY_BYTES = 256 * 1024
 MAX_ANSWER_BODY_BYTES = 16 * 1024 * 1024
 
-_T = TypeVar("_T")
+
+class SupersededError(Exception):
+    """Another target has continued the answer."""
 
 
 class ExchangeListener(Protocol):
@@ -51,15 +55,20 @@
         ...
 
 
-class ReplacementSearch(Protocol):
-    """Looks for a target that can take over from a silent one."""
+class ExchangeTurn(Protocol):
+    """Tells whether an attempt may go on, and learns when it stalls."""
+
+    @property
+    def is_superseded(self) -> bool:
+        """Return whether another target has continued the answer."""
+        ...
 
-    async def find_replacement(self) -> None:
-        """Return once another target is ready; it is cancelled if none is needed."""
+    def check(self) -> None:
+        """Raise SupersededError if the attempt has been given up."""
         ...
 
-    def dismiss_replacement(self) -> None:
-        """Give up a target that was found, because the silent one goes on."""
+    def stalled(self) -> None:
+        """Note that the target has made no progress for too long."""
         ...
 
 
@@ -70,7 +79,7 @@
     with an error, which the result keeps. ``NOT_RUN``: the target says that it has not
     executed the request. ``UNKNOWN``: the target may have executed it. ``BROKEN``: the
     target executed it, but the answer is incomplete or invalid. ``SLOW``: the target
-    may still be executing it, but an answer did not arrive within the timeouts.
+    may still be executing it, but it stalled and another one continued the answer.
     """
 
     DELIVERED = "delivered"
@@ -108,7 +117,7 @@
         timeouts: TargetTimeouts,
         *,
         listener: ExchangeListener,
-        replacements: ReplacementSearch,
+        turn: ExchangeTurn,
     ) -> None:
         """Prepare an attempt on a connection that nothing else uses."""
         self._header_codec = header_codec
@@ -117,22 +126,27 @@
         self._request = request
         self._timeouts = timeouts
         self._listener = listener
-        self._silence = _Silence(replacements)
+        self._turn = turn
         self._has_begun = False
         self.head: AnswerHead | None = None
         self.sent_at_s = 0.0
 
     async def run(
-        self, attempt: TargetAttempt, answer: CallerAnswer, *, is_stream: bool
+        self, attempt: TargetAttempt, answer: AnswerPart, *, is_stream: bool
     ) -> ExchangeResult:
         """Send the request and read its answer; a failure is returned, not raised."""
         try:
+            self._turn.check()
             return await self._exchange(attempt, answer, is_stream)
-        finally:
-            await self._silence.end()
+        except SupersededError:
+            return self._superseded()
+        except asyncio.CancelledError:
+            if not self._turn.is_superseded:
+                raise
+            return self._superseded()
 
     async def _exchange(
-        self, attempt: TargetAttempt, answer: CallerAnswer, is_stream: bool
+        self, attempt: TargetAttempt, answer: AnswerPart, is_stream: bool
     ) -> ExchangeResult:
         request = self._request
         self.sent_at_s = self._clock.monotonic_s()
@@ -143,27 +157,16 @@
                 self._header_codec.encode_headers(request, attempt),
                 request.body,
             )
-            head = await self._timely_head()
+            with self._stall_notice(self._timeouts.first_byte_s):
+                head = await self._own_head()
         except PeerError as error:
             return self._failed(ExchangeOutcome.UNKNOWN, str(error), was_reset=True)
-        except TimeoutError:
-            return self._failed(ExchangeOutcome.SLOW, "no answer in time")
         self.head = head
         self._listener.head_received(head)
         try:
             return await self._read_answer(head, answer, is_stream)
         except (PeerError, StreamBroken) as error:
             return self._failed(ExchangeOutcome.BROKEN, str(error), was_reset=True)
-        except TimeoutError:
-            return self._failed(ExchangeOutcome.SLOW, "the answer stopped")
-
-    async def _timely_head(self) -> AnswerHead:
-        """Return the head; raises TimeoutError if it is late and there is a target."""
-        first_byte_s = self._timeouts.first_byte_s
-        if first_byte_s is None:
-            return await self._own_head()
-        head = asyncio.ensure_future(self._own_head())
-        return await self._silence.outlast(head, first_byte_s)
 
     async def _own_head(self) -> AnswerHead:
         """Return the head of this request's answer; skip answers to other requests.
@@ -189,7 +192,7 @@
         raise self._protocol_error("answers to other requests only")
 
     async def _read_answer(
-        self, head: AnswerHead, answer: CallerAnswer, is_stream: bool
+        self, head: AnswerHead, answer: AnswerPart, is_stream: bool
     ) -> ExchangeResult:
         """Read the rest of an answer and send it to the caller.
 
@@ -216,17 +219,16 @@
         answer.send_whole(head, body)
         return ExchangeResult(ExchangeOutcome.DELIVERED, "", head)
 
-    async def _relay(self, head: AnswerHead, answer: CallerAnswer) -> ExchangeResult:
+    async def _relay(self, head: AnswerHead, answer: AnswerPart) -> ExchangeResult:
         """Forward the events of a stream to the caller as they arrive."""
-        answer.head_received(head)
         progress = AnswerProgress(self._timeouts, self._clock.monotonic_s())
         while isinstance(event := await self._next_event(progress), h11.Data):
             self._record_begin()
-            if await answer.data_received(bytes(event.data)):
+            if await answer.data_received(head, bytes(event.data)):
                 progress.event_completed(self._clock.monotonic_s())
-        if answer.stream.has_partial_event:
+        if answer.has_partial_event:
             return self._failed(ExchangeOutcome.BROKEN, "ended within an event")
-        answer.end_stream()
+        answer.end_stream(head)
         return ExchangeResult(ExchangeOutcome.DELIVERED, "", head)
 
     async def _read_body(self) -> bytes:
@@ -249,28 +251,36 @@
                 raise self._protocol_error("unrelated answer too large")
 
     async def _next_event(self, progress: AnswerProgress) -> Event:
-        """Return the next event.
-
-        Raises TimeoutError if the answer has stalled and another target is ready.
-        """
+        """Return the next event, and tell if the answer stalls before it comes."""
         stalled_at_s = progress.stalled_at_s
-        if stalled_at_s is None:
+        now_s = self._clock.monotonic_s()
+        with self._stall_notice(None if stalled_at_s is None else stalled_at_s - now_s):
             return await self._connection.next_event()
-        left_s = stalled_at_s - self._clock.monotonic_s()
-        if left_s > 0:
-            await self._silence.resumed()
-            with contextlib.suppress(TimeoutError):
-                async with asyncio.timeout(left_s):
-                    return await self._connection.next_event()
-        return await self._silence.outlast(
-            asyncio.ensure_future(self._connection.next_event())
-        )
+
+    @contextlib.contextmanager
+    def _stall_notice(self, after_s: float | None) -> Iterator[None]:
+        """Tell that the target has stalled if the body takes longer than a time.
+
+        The target is not given up for that.
+        """
+        if after_s is None:
+            yield
+            return
+        loop = asyncio.get_running_loop()
+        timer = loop.call_later(max(0.0, after_s), self._turn.stalled)
+        try:
+            yield
+        finally:
+            timer.cancel()
 
     def _record_begin(self) -> None:
         if not self._has_begun:
             self._has_begun = True
             self._listener.answer_began(self._clock.monotonic_s() - self.sent_at_s)
 
+    def _superseded(self) -> ExchangeResult:
+        return self._failed(ExchangeOutcome.SLOW, "another target answered first")
+
     def _failed(
         self, outcome: ExchangeOutcome, detail: str, *, was_reset: bool = False
     ) -> ExchangeResult:
@@ -281,58 +291,5 @@
         return PeerError(detail, step="answer", peer=str(self._connection.address))
 
 
-class _Silence:
-    """The time in which an answer has stalled, while a replacement is sought.
-
-    The target is given up only for another one that is ready: a sound target may be
-    silent for a moment, and nothing would be left if the others are full.
-    """
-
-    def __init__(self, replacements: ReplacementSearch) -> None:
-        """Start while the target is not silent."""
-        self._replacements = replacements
-        self._search: asyncio.Task[None] | None = None
-
-    async def outlast(self, work: asyncio.Future[_T], grace_s: float = 0.0) -> _T:
-        """Return the result of ``work`` unless a replacement is ready before.
-
-        No replacement is sought in the first ``grace_s``. Raises TimeoutError if there
-        is one; ``work`` is cancelled then.
-        """
-        try:
-            await asyncio.wait({work}, timeout=grace_s)
-            if not work.done():
-                await self._wait(work)
-            return await work
-        finally:
-            work.cancel()
-
-    async def resumed(self) -> None:
-        """End the search, because the target goes on."""
-        if self._search is not None:
-            await self.end()
-            self._search = None
-            self._replacements.dismiss_replacement()
-
-    async def end(self) -> None:
-        """Stop searching; a target that was found is kept.
-
-        Returns once the search has released what it held: the next attempt may ask the
-        same agents for the same request.
-        """
-        if self._search is not None:
-            self._search.cancel()
-            await asyncio.wait({self._search})
-
-    async def _wait(self, work: asyncio.Future[_T]) -> None:
-        if self._search is None:
-            self._search = asyncio.ensure_future(self._replacements.find_replacement())
-        pending: set[asyncio.Future[Any]] = {work, self._search}
-        await asyncio.wait(pending, return_when=asyncio.FIRST_COMPLETED)
-        if not work.done():
-            self._search.result()
-            raise TimeoutError
-
-
 def _is_signed_and_unencoded(head: AnswerHead) -> bool:
     return head.signature is not None and not head.is_encoded
--- a/lentiltally/direct/target_sender.py
+++ b/lentiltally/direct/target_sender.py
@@ -5,16 +5,16 @@
 from lentiltally.clock import Clock
 from lentiltally.decisions.target_timeouts import TargetTimeouts
 from lentiltally.direct.adapter_pin import AdapterPin
-from lentiltally.direct.caller_answer import CallerAnswer
+from lentiltally.direct.caller_answer import AnswerPart, CallerAnswer
 from lentiltally.direct.entry_state import EntryState
 from lentiltally.direct.forwarding import ForwardingContext
 from lentiltally.direct.http_connection import HttpConnection
 from lentiltally.direct.model import Route, RouteKind, TargetRecord
+from lentiltally.direct.open_attempts import AttemptTurn
 from lentiltally.direct.request import AnswerHead, CallerRequest, TargetAttempt
 from lentiltally.direct.target_exchange import (
     ExchangeOutcome,
     ExchangeResult,
-    ReplacementSearch,
     TargetExchange,
 )
 
@@ -107,12 +107,12 @@
         connection: HttpConnection,
         attempt: TargetAttempt,
         timeouts: TargetTimeouts,
-        replacements: ReplacementSearch,
+        turn: AttemptTurn,
     ) -> ExchangeResult:
         """Send to a target and read its answer.
 
-        A target that is silent for longer than ``timeouts`` is given up once
-        ``replacements`` has found another one.
+        If the target is silent for longer than ``timeouts``, ``turn`` learns of it; the
+        target is given up once another one continues the answer.
         """
         observer = _AnswerObserver(
             self._state, self._clock, self._pin, self._request, record
@@ -124,14 +124,15 @@
             self._request,
             timeouts,
             listener=observer,
-            replacements=replacements,
+            turn=turn,
         )
         self._choice.sent(record.target_id, self._request.prompt_tokens)
         self._state.notices.sent(record, self._clock.monotonic_s())
         is_stream = self._route.kind is RouteKind.STREAM
         result: ExchangeResult | None = None
         try:
-            result = await exchange.run(attempt, self._answer, is_stream=is_stream)
+            part = AnswerPart(self._answer, turn.continue_answer)
+            result = await exchange.run(attempt, part, is_stream=is_stream)
             return result
         finally:
             observer.ended(result)
--- a/tests/direct/crashes.feature
+++ b/tests/direct/crashes.feature
@@ -91,6 +91,20 @@
     And direct path gets a stream from "/stream/three" with the prompt parts "f0,dead,4"
     Then direct path engines crashed 4 times
 
+  # Guards against the same where the engine of the trial is silent, so that another one is
+  # sought beside it.
+  Scenario: Direct path sends no trial of a refused part to a second engine during a pause
+    Given direct path engines crash on the prompt part "dead"
+    And direct path has served a stream with the prompt parts "f0,5a,1"
+    When direct path gets a stream from "/stream/one" with the prompt parts "f0,dead,2"
+    And direct path crashed engines are back
+    And direct path gets a stream from "/stream/two" with the prompt parts "f0,dead,3"
+    And direct path crashed engines are back
+    And direct path trial of the prompt part "dead" is due
+    And direct path engines are silent at the next request
+    And direct path gets a stream from "/stream/three" with the prompt parts "f0,dead,4"
+    Then direct path engines ran "/stream/three" 1 time
+
   # Guards against three more targets for each entry that starts.
   Scenario: Direct path entry that starts learns which requests are refused
     Given direct path engines crash on the body "dead"
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -21,6 +21,113 @@
       | loads for 1.2 s      |
       | has left, and "e1" is back under another id |
 
+  Scenario Outline: Direct path keeps a stream whose engine pauses when its replacement answers "<step>"
+    # Guards against a stream whose sound engine is given up for one that was only prepared,
+    # so that it is aborted when that one does not continue it.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" handles the next request as "pause"
+    And direct path engine "e2" handles the next request as "<step>"
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path ran request "r1" <runs>
+
+    Examples:
+      | step     | runs    |
+      | full     | 1 time  |
+      | error    | 2 times |
+      | unproved | 2 times |
+      | lost     | 2 times |
+      | hang     | 2 times |
+
+  Scenario Outline: Direct path keeps a stream whose engine pauses when its replacement sends <answer>
+    # Guards against the same where the other engine begins an answer that can't continue it.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" handles the next request as "pause"
+    And direct path next target answers the resumed stream with <answer>
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path delivered nothing but events
+
+    Examples:
+      | answer                              |
+      | 200 and JSON with a proof           |
+      | 200 and an empty page with a proof  |
+      | events from the first on            |
+      | an event in part                    |
+      | a head that is cut off              |
+
+  Scenario: Direct path gives the replacement up when the paused engine goes on
+    # Guards against two engines that both continue one stream, or both work on it.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" handles the next request as "pause"
+    And direct path engine "e1" pauses for 1.6 s and takes 0.2 s per event
+    And direct path engine "e2" answers after 0.6 s
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path ran request "r1" 2 times
+    And direct path request "r1" is cancelled at engine "e2"
+    And direct path agent of "e2" has released the request "r1"
+
+  Scenario: Direct path keeps the adapter of a silent engine whose host is listed anew
+    # Guards against a replacement at the same host, whose end releases the adapter that the
+    # silent engine still uses.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e2" has left, and "e1" is back under another id
+    And direct path engine "e1" handles the next request as "pause"
+    When direct path gets a stream for adapter "a1" and looks at the agent of "e1" 1.7 s later
+    Then direct path agent had pinned the adapter of the request
+    And direct path delivered the events 1 to 5 completely
+
+  Scenario: Direct path goes on at the replacement when the silent engine ends
+    # Guards against a second search, or a stream that is aborted, although another engine is
+    # working on the request already.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" handles the next request as "stall"
+    And direct path engine "e1" ends 1.55 s later
+    And direct path engine "e2" answers after 0.5 s
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path ran request "r1" 2 times
+
+  Scenario Outline: Direct path keeps a request whose target pauses when its replacement answers "<step>"
+    # Guards against a failure of the other target that ends a request whose first target is
+    # about to answer.
+    Given direct path with a store, a configuration and two plain targets
+    And direct path first target of the next request answers after 1.9 s, the other one as "<step>"
+    When direct path gets a GET to "/safe/x"
+    Then direct path answers 200 with the target's body and signature
+    And direct path ran request "r1" <runs>
+
+    Examples:
+      | step     | runs    |
+      | full     | 1 time  |
+      | error    | 2 times |
+      | unproved | 2 times |
+      | lost     | 2 times |
+      | hang     | 2 times |
+
+  Scenario: Direct path sends no stream that may run once to a second engine during a pause
+    # Guards against non-idempotent work that runs twice because its target was silent.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path engines have "a1" loaded
+    And direct path engines handle the next request as "pause"
+    When direct path gets a stream from "/stream-once/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path ran request "r1" 1 time
+
+  Scenario: Direct path sends no request that may run once to a second target during a pause
+    # Guards against the same for requests of plain services.
+    Given direct path with a store, a configuration and two plain targets
+    And direct path targets answer after 1.9 s
+    When direct path gets a POST to "/once/x" with body "b"
+    Then direct path answers 200 with the target's body and signature
+    And direct path ran request "r1" 1 time
+
   Scenario: Direct path keeps a request whose target is silent before it answers
     # Guards against a failure that is reported before the deadline, although the only target
     # was about to answer.
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -220,6 +220,18 @@
     ]
 
 
+@when("direct path engines are silent at the next request")
+def engines_silent(context):
+    for engine in engines(context):
+        engine.script.append("hang")
+
+
+@then('direct path engines ran "{path}" {times:d} time')
+def engines_ran(context, path, times):
+    runs = [run for e in engines(context) for run in e.runs if run.path == path]
+    assert len(runs) == times, runs
+
+
 @then('direct path refused the last request for "{reason}"')
 def refused_for(context, reason):
     answer = context.answer
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -3,8 +3,9 @@
 from __future__ import annotations
 
 import asyncio
+from collections import deque
 
-from behave import given, then
+from behave import given, then, when
 
 from lentiltally.direct.messages import adapter_key_hash
 from tests.steps.direct_streams_steps import headers
@@ -88,6 +89,7 @@
 
 
 @then('direct path ran request "{request_id}" {times:d} time')
+@then('direct path ran request "{request_id}" {times:d} times')
 def ran_times(context, request_id, times):
     engines = context.direct.engines.values()
     runs = [run for e in engines for run in e.runs if run.request_id == request_id]
@@ -117,3 +119,94 @@
 @given('direct path engine "{name}" answers after {after_s:g} s')
 def engine_answers_after(context, name, after_s):
     context.direct.engines[name].answer_after_s = after_s
+
+
+@given('direct path engines handle the next request as "{step}"')
+def script_engines(context, step):
+    for engine in context.direct.engines.values():
+        engine.script.append(step)
+
+
+@given("direct path targets answer after {after_s:g} s")
+def targets_answer_after(context, after_s):
+    for engine in context.direct.engines.values():
+        engine.answer_after_s = after_s
+
+
+class _StepOfSecond(deque):
+    """The script of two targets: the second of them to get a request takes its step.
+
+    The second answers at once.
+    """
+
+    def __init__(self, step, engines):
+        super().__init__([step])
+        self._engines = engines
+        self._is_first = True
+
+    def __bool__(self):
+        is_second = not self._is_first and len(self) > 0
+        self._is_first = False
+        return is_second
+
+    def popleft(self):
+        for engine in self._engines:
+            engine.answer_after_s = 0.0
+        return super().popleft()
+
+
+@given(
+    "direct path first target of the next request answers after {after_s:g} s, "
+    'the other one as "{step}"'
+)
+def first_target_pauses(context, after_s, step):
+    targets_answer_after(context, after_s)
+    engines = list(context.direct.engines.values())
+    script = _StepOfSecond(step, engines)
+    for engine in engines:
+        engine.script = script
+
+
+@then('direct path request "{request_id}" is cancelled at engine "{name}"')
+def cancelled_at(context, request_id, name):
+    engine = context.direct.engines[name]
+    assert context.direct.wait(lambda: request_id in engine.abandoned_requests)
+
+
+@then('direct path agent of "{name}" has released the request "{request_id}"')
+def released(context, name, request_id):
+    slots = context.direct.agents[name]._slots
+    assert context.direct.wait(lambda: not slots.has_request(request_id))
+
+
+@given(
+    'direct path engine "{name}" pauses for {pause_s:g} s and takes {event_s:g} s per '
+    "event"
+)
+def engine_pauses(context, name, pause_s, event_s):
+    engine = context.direct.engines[name]
+    engine.pause_s = pause_s
+    engine.event_s = event_s
+
+
+@when(
+    'direct path gets a stream for adapter "{adapter}" and looks at the agent of '
+    '"{name}" {after_s:g} s later'
+)
+def looks_at_agent(context, adapter, name, after_s):
+    system = context.direct
+    slots = system.agents[name]._slots
+
+    async def act():
+        stream = system.request("/stream/x", headers=headers(adapter))
+        answer = asyncio.ensure_future(stream)
+        await asyncio.sleep(after_s)
+        context.pinned_keys = slots.pinned_keys
+        return await answer
+
+    context.answer = system.run(act())
+
+
+@then("direct path agent had pinned the adapter of the request")
+def had_pinned(context):
+    assert context.pinned_keys, context.pinned_keys
