Keep an answer that is complete when the deadline passes

Since attempts run in tasks of their own, the deadline could pass between the end of an attempt and the moment in which the request learns of it. The request was logged as "stream aborted" and its connection was aborted, although the answer had been written whole; what a slow caller had not read yet would have been lost.

Evidence: the scenario (the end of an attempt noticed 0.6 s late, deadline 0.4 s) failed before with a closed connection.

--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -113,16 +113,22 @@
             async with asyncio.timeout(limit_s):
                 await self._send_until_answered()
         except TimeoutError:
-            self._give_up(504, "the deadline passed")
+            self._end_late()
         except (asyncio.CancelledError, CallerDisconnectedError):
             if self._connection.is_disconnected:
                 self._record_end("caller gone")
                 raise
-            self._record_end("stopped")
-            self._end_stopped()
-            return
+            if not self._answer.is_complete:
+                self._record_end("stopped")
+                self._end_stopped()
+                return
         self._record_end("broken off" if self._answer.is_aborted else "answered")
 
+    def _end_late(self) -> None:
+        """Give up at the deadline, unless an attempt has just completed the answer."""
+        if not self._answer.is_complete:
+            self._give_up(504, "the deadline passed")
+
     def _check_suspect(self) -> None:
         """Raise Refusal if the content has crashed targets, and begin due trials."""
         content = self._traits.content
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -166,3 +166,11 @@
     And direct path engine "e1" answers after 1.45 s
     When direct path gets a stream from "/stream/x" for adapter "a1"
     Then direct path delivered the events 1 to 5 completely
+
+  Scenario: Direct path keeps an answer that is complete right before the deadline
+    # Guards against a complete answer that is cut off, because the deadline passes before the
+    # entry has noticed that the attempt has ended.
+    Given direct path with a store, a configuration and two plain targets
+    And direct path notices the end of an attempt 0.6 s late
+    When direct path gets two requests to "/safe/x" with a deadline of 0.4 s on one connection
+    Then direct path answered both requests on the connection
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -8,6 +8,8 @@
 from behave import given, then, when
 
 from lentiltally.direct.messages import adapter_key_hash
+from lentiltally.direct.open_attempts import OpenAttempts
+from tests.fakes.direct import HOST
 from tests.steps.direct_streams_steps import headers
 
 
@@ -210,3 +212,48 @@
 @then("direct path agent had pinned the adapter of the request")
 def had_pinned(context):
     assert context.pinned_keys, context.pinned_keys
+
+
+@given("direct path notices the end of an attempt {late_s:g} s late")
+def notices_late(context, late_s):
+    next_result = OpenAttempts.next_result
+
+    async def late(attempts):
+        result = await next_result(attempts)
+        await asyncio.sleep(late_s)
+        return result
+
+    context.add_cleanup(setattr, OpenAttempts, "next_result", next_result)
+    OpenAttempts.next_result = late
+
+
+@when(
+    'direct path gets two requests to "{path}" with a deadline of {deadline_s:g} s on '
+    "one connection"
+)
+def two_requests(context, path, deadline_s):
+    system = context.direct
+    deadline_ms = int(1000 * deadline_s)
+
+    async def act():
+        address = system.entry_address
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
+        heads = []
+        for number in (1, 2):
+            writer.write(
+                f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r{number}\r\n"
+                f"X-Deadline-Milliseconds: {deadline_ms}\r\n\r\n".encode()
+            )
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+            await reader.readexactly(len(b"body of r1"))
+            # The first request is over once its deadline has passed.
+            await asyncio.sleep(2 * deadline_s)
+        writer.transport.abort()
+        return heads
+
+    context.heads = system.run(act())
+
+
+@then("direct path answered both requests on the connection")
+def answered_both(context):
+    assert all(head.startswith(b"HTTP/1.1 200 ") for head in context.heads)
