Give a target's record the address of its host

The host was cut out of the address in seven places with the same code. No behaviour changes; the features of the directory, of crashes, of streams and of odd records pass.

--- a/lentiltally/decisions/target_directory.py
+++ b/lentiltally/decisions/target_directory.py
@@ -87,7 +87,7 @@
         """
         ids = self._ids_at_host.get(ip, ())
         known = [record for i in ids if (record := self.get(i)) is not None]
-        at_ip = [r for r in known if r.address.rpartition(":")[0] == ip]
+        at_ip = [r for r in known if r.ip == ip]
         same_start = [r for r in at_ip if r.started_ms == started_ms]
         last = max(same_start or at_ip, key=_record_order, default=None)
         return last.target_id if last is not None else None
@@ -172,8 +172,7 @@
         known = self._newest_at_address.get(record.address)
         if known is None or start > known:
             self._newest_at_address[record.address] = start
-        ip = record.address.rpartition(":")[0]
-        self._ids_at_host.setdefault(ip, set()).add(record.target_id)
+        self._ids_at_host.setdefault(record.ip, set()).add(record.target_id)
 
     def _is_last_at_address(self, record: TargetRecord) -> bool:
         """Return whether no other existing target started later at the address."""
@@ -193,8 +192,7 @@
     def _remove(self, target_id: str, known: _KnownTarget) -> DirectoryChange:
         known.is_removed = True
         known.missing_since_s = None
-        ip = known.record.address.rpartition(":")[0]
-        self._ids_at_host[ip].discard(target_id)
+        self._ids_at_host[known.record.ip].discard(target_id)
         return DirectoryChange(target_id, "gone", known.record)
 
 
--- a/lentiltally/direct/adapter_pin.py
+++ b/lentiltally/direct/adapter_pin.py
@@ -92,5 +92,4 @@
         return newest is not None and newest[1] > due_s
 
     def _agent(self, record: TargetRecord) -> SocketAddress:
-        ip = record.address.rpartition(":")[0]
-        return SocketAddress(ip, self._state.peer_port)
+        return SocketAddress(record.ip, self._state.peer_port)
--- a/lentiltally/direct/crash_announcements.py
+++ b/lentiltally/direct/crash_announcements.py
@@ -21,7 +21,6 @@
     RefusedContents,
     RefusedParts,
 )
-from lentiltally.direct.model import TargetRecord
 from lentiltally.direct.settings import SocketAddress
 
 __all__ = ["CrashAnnouncements"]
@@ -163,12 +162,8 @@
         """Return the hosts whose agents have sent a state lately."""
         choice = self._state.choice
         return {
-            _host(record)
+            record.ip
             for record in self._state.engine_targets()
             if now_s - choice.view(record.target_id).state_received_s
             <= choice.state_max_age_s
         }
-
-
-def _host(record: TargetRecord) -> str:
-    return record.address.rpartition(":")[0]
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -147,7 +147,7 @@
 
     def note_agent_hosts(self) -> None:
         """Remember the hosts of the engines that are listed now."""
-        hosts = {record.address.rpartition(":")[0] for record in self.engine_targets()}
+        hosts = {record.ip for record in self.engine_targets()}
         self._known_agents.seen(hosts, self._clock.monotonic_s())
 
     def agent_hosts(self) -> set[str]:
--- a/lentiltally/direct/model.py
+++ b/lentiltally/direct/model.py
@@ -175,3 +175,8 @@
     started_ms: int
     sequence: int
     slow_start_left_s: float = 0.0
+
+    @property
+    def ip(self) -> str:
+        """Return the IP number of the target's host, at which its agent listens too."""
+        return self.address.rpartition(":")[0]
--- a/lentiltally/direct/state_subscriber.py
+++ b/lentiltally/direct/state_subscriber.py
@@ -75,5 +75,4 @@
         return RENEWAL_INTERVAL_S * (1.0 - RENEWAL_JITTER * self._rng.random())
 
     def _agent(self, record: TargetRecord) -> SocketAddress:
-        ip = record.address.rpartition(":")[0]
-        return SocketAddress(ip, self._state.peer_port)
+        return SocketAddress(record.ip, self._state.peer_port)
