Answer 500 when the handling of a request fails

Callers of a request whose handling ended with an exception, without an answer or by being cancelled saw their connection closed, with neither an answer nor a refusal: the connection aborted itself in each of these cases.

The entry now refuses such a request with 500 internal-error, executed "no" if the exception came before the handling began, else "unknown", and closes the connection after it. Only an answer that has begun is broken off. The traceback is logged at most once a second with the request's id, because errors are not limited elsewhere; the line "request refused" names each request.

The mutation "answer when the handling fails" is red.

The parts of a request that is being read move to raw_request.py.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -12,18 +12,22 @@
 from lentiltally.clock import Clock
 from lentiltally.direct.http_connection import set_socket_options
 from lentiltally.direct.model import CallerLimits
-from lentiltally.problems import CONTENT_TYPE, Refusal, problem_body
+from lentiltally.direct.raw_request import PartialRequest, RawHeaders, RawRequest
+from lentiltally.problems import (
+    CONTENT_TYPE,
+    Refusal,
+    internal_error,
+    problem_body,
+)
 
 __all__ = [
     "CallerConnection",
     "CallerDisconnectedError",
-    "RawRequest",
     "RequestHandler",
 ]
 
 _log = logging.getLogger(__name__)
 
-RawHeaders = list[tuple[bytes, bytes]]
 # Writing pauses while a slow caller has left this much of an answer unread.
 MAX_WRITE_BUFFER_BYTES = 256 * 1024
 
@@ -32,27 +36,6 @@
     """The caller closed its connection."""
 
 
-class RawRequest:
-    """A request as read from the connection, with raw headers."""
-
-    __slots__ = ("arrived_s", "body", "headers", "method", "path")
-
-    def __init__(
-        self,
-        method: bytes,
-        path: bytes,
-        headers: RawHeaders,
-        body: bytes,
-        arrived_s: float,
-    ) -> None:
-        """Keep the parts; ``arrived_s`` is when the head was complete."""
-        self.method = method
-        self.path = path
-        self.headers = headers
-        self.body = body
-        self.arrived_s = arrived_s
-
-
 class RequestHandler(Protocol):
     """Answers requests."""
 
@@ -100,9 +83,9 @@
         self._peer = ""
         self._requests = 0
         self._task: asyncio.Task[None] | None = None
-        self._head: h11.Request | None = None
-        self._head_at_s = 0.0
-        self._body = bytearray()
+        self._request: PartialRequest | None = None
+        self._is_head_request = False
+        self._is_last_answer = False
         # Since when the connection waits for a request or for the rest of one.
         self._waiting_since_s = clock.monotonic_s()
         self._has_partial_head = False
@@ -115,12 +98,19 @@
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return self._task is None and self._head is None and not self._has_partial_head
+        return (
+            self._task is None and self._request is None and not self._has_partial_head
+        )
 
     def idle_s(self, now_s: float) -> float:
         """Return how long no request has been read or answered, 0 if one is."""
         return now_s - self._waiting_since_s if self.is_idle else 0.0
 
+    @property
+    def has_begun_answer(self) -> bool:
+        """Return whether a part of the answer to the present request was written."""
+        return self._http.our_state not in (h11.IDLE, h11.SEND_RESPONSE)
+
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
@@ -175,7 +165,7 @@
             return
         limits = self._handler.limits
         waited_s = self._clock.monotonic_s() - self._waiting_since_s
-        if self._head is not None or self._has_partial_head:
+        if self._request is not None or self._has_partial_head:
             if waited_s > limits.header_timeout_s:
                 self._reject(408, "request-timeout", "the request came too slowly")
         elif waited_s > limits.idle_timeout_s:
@@ -190,7 +180,7 @@
     def start_answer(self, status: int, headers: RawHeaders) -> None:
         """Write the head of an answer; without a length the body is chunked."""
         fields = list(headers)
-        if self._handler.is_stopping:
+        if self._handler.is_stopping or self._is_last_answer:
             fields.append((b"Connection", b"close"))
         self._write(h11.Response(status_code=status, headers=fields, reason=b"OK"))
 
@@ -206,7 +196,7 @@
         """Write a complete answer."""
         fields = [*headers, (b"Content-Length", b"%d" % len(body))]
         self.start_answer(status, fields)
-        if body and self._head is not None and self._head.method != b"HEAD":
+        if body and not self._is_head_request:
             self.send_data(body)
         self.end_answer()
 
@@ -219,6 +209,11 @@
             headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
         self.send_answer(refusal.status, headers, problem_body(refusal, request_id))
 
+    def refuse_and_close(self, refusal: Refusal, request_id: str = "") -> None:
+        """Write a refusal after which the connection closes."""
+        self._is_last_answer = True
+        self.refuse(refusal, request_id)
+
     def close(self) -> None:
         """Close once the written data has been sent."""
         if self._transport is not None:
@@ -277,74 +272,48 @@
                 return
             if isinstance(event, h11.Request):
                 self._begin_request(event)
-            elif isinstance(event, h11.Data):
-                self._add_body(event.data)
-            elif isinstance(event, h11.EndOfMessage):
-                self._start_handling()
+            elif isinstance(event, h11.Data) and self._request is not None:
+                self._request.add(event.data, self._handler.limits)
+            elif isinstance(event, h11.EndOfMessage) and self._request is not None:
+                self._start_handling(self._request.complete())
 
     def _note_partial_head(self) -> None:
         has_bytes = bool(self._http.trailing_data[0])
-        if has_bytes and not self._has_partial_head and self._head is None:
+        if has_bytes and not self._has_partial_head and self._request is None:
             self._waiting_since_s = self._clock.monotonic_s()
-        self._has_partial_head = has_bytes and self._head is None
+        self._has_partial_head = has_bytes and self._request is None
 
     def _begin_request(self, head: h11.Request) -> None:
-        self._head = head
-        self._head_at_s = self._clock.monotonic_s()
-        self._waiting_since_s = self._head_at_s
+        now_s = self._clock.monotonic_s()
+        self._waiting_since_s = now_s
         self._has_partial_head = False
-        self._body.clear()
-        size_bytes = sum(len(name) + len(value) + 4 for name, value in head.headers)
-        if size_bytes > self._handler.limits.header_bytes:
-            raise h11.RemoteProtocolError("head too large", error_status_hint=431)
-        names = [name for name, _ in head.headers]
-        if b"transfer-encoding" in names and b"content-length" in names:
-            # Request smuggling: with two framings, a second request can be hidden in
-            # the body.
-            raise h11.RemoteProtocolError("two framings of the body")
-        if names.count(b"host") != 1 and head.http_version != b"1.0":
-            raise h11.RemoteProtocolError("no single host")
-
-    def _add_body(self, data: bytes) -> None:
-        self._body += data
-        if len(self._body) > self._handler.limits.body_bytes:
-            raise h11.RemoteProtocolError("body too large", error_status_hint=413)
-
-    def _start_handling(self) -> None:
-        head = self._head
-        assert head is not None
-        request = RawRequest(
-            bytes(head.method),
-            bytes(head.target),
-            [(bytes(name), bytes(value)) for name, value in head.headers.raw_items()],
-            bytes(self._body),
-            self._head_at_s,
-        )
-        self._body.clear()
+        self._is_head_request = head.method == b"HEAD"
+        self._request = PartialRequest(head, self._handler.limits, now_s)
+
+    def _start_handling(self, request: RawRequest) -> None:
         self._requests += 1
         self._task = asyncio.get_running_loop().create_task(self._serve(request))
 
     async def _serve(self, request: RawRequest) -> None:
         try:
             await self._handler.handle(request, self)
-        except CallerDisconnectedError:
+        except (CallerDisconnectedError, asyncio.CancelledError):
             pass
-        except asyncio.CancelledError:
-            if not self.is_disconnected:
-                self.abort()
         except Exception:
             _log.exception("request handler failed", extra={"step": "serve"})
-            self.abort()
         finally:
             self._task = None
             self.on_disconnect = None
             self._next_request()
 
     def _next_request(self) -> None:
-        self._head = None
+        self._request = None
         self._waiting_since_s = self._clock.monotonic_s()
         if self.is_disconnected:
             return
+        if not self.has_begun_answer:
+            # The handler has failed or was cancelled; what it had sent is not known.
+            self.refuse_and_close(internal_error("unknown"))
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._resume_reading()
             self._http.start_next_cycle()
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -12,7 +12,7 @@
 from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.decisions.target_directory import DirectoryChange
 from lentiltally.direct.agent_client import AgentClient
-from lentiltally.direct.caller_connection import CallerConnection, RawRequest
+from lentiltally.direct.caller_connection import CallerConnection
 from lentiltally.direct.crash_announcements import CrashAnnouncements
 from lentiltally.direct.entry_feeds import (
     ConfigurationDecoder,
@@ -38,6 +38,7 @@
 from lentiltally.direct.peer_socket import PeerSocket
 from lentiltally.direct.permit_client import PermitClient
 from lentiltally.direct.platform_interfaces import HeaderCodec
+from lentiltally.direct.raw_request import RawRequest
 from lentiltally.direct.settings import HostSettings, SocketAddress
 from lentiltally.direct.settings_watch import SettingsWatch
 from lentiltally.direct.state_subscriber import StateSubscriber
--- a/lentiltally/direct/forwarder.py
+++ b/lentiltally/direct/forwarder.py
@@ -10,12 +10,17 @@
 
 import logging
 
-from lentiltally.direct.caller_connection import CallerConnection, RawRequest
+from lentiltally.direct.caller_connection import (
+    CallerConnection,
+    CallerDisconnectedError,
+)
+from lentiltally.direct.failure_log import FailureLog
 from lentiltally.direct.forwarding import ForwardingContext
 from lentiltally.direct.handling import RequestHandling
 from lentiltally.direct.model import Route, Service
+from lentiltally.direct.raw_request import RawRequest
 from lentiltally.direct.request import CallerRequest
-from lentiltally.problems import Refusal
+from lentiltally.problems import Executed, Refusal, internal_error
 
 __all__ = ["Forwarder"]
 
@@ -30,6 +35,7 @@
         self._context = context
         self._state = context.state
         self._is_closed = False
+        self._failures = FailureLog(_log, context.clock)
 
     def stop_accepting(self) -> None:
         """Refuse every further request, because the process is about to end."""
@@ -38,6 +44,7 @@
     async def handle(self, raw: RawRequest, connection: CallerConnection) -> None:
         """Answer one request."""
         request_id = ""
+        executed: Executed = "no"
         try:
             request = self._context.header_codec.decode_request(
                 raw.method, raw.path, raw.headers, raw.body, raw.arrived_s
@@ -50,14 +57,33 @@
             handling = RequestHandling(
                 self._context, request, route, service, connection
             )
+            executed = "unknown"
             await handling.run()
         except Refusal as refusal:
             self.refuse(refusal, connection, request_id)
+        except CallerDisconnectedError:
+            raise
+        except Exception:
+            self._failures.log("request handler failed", request_id, step="serve")
+            # The connection breaks off an answer that has begun.
+            if not connection.has_begun_answer:
+                self._refuse_failed(internal_error(executed), connection, request_id)
 
     def refuse(
         self, refusal: Refusal, connection: CallerConnection, request_id: str
     ) -> None:
         """Answer a request with a refusal, log it and count it."""
+        self._record_refusal(refusal, request_id)
+        connection.refuse(refusal, request_id)
+
+    def _refuse_failed(
+        self, refusal: Refusal, connection: CallerConnection, request_id: str
+    ) -> None:
+        """Refuse a request whose handling failed; the connection closes after it."""
+        self._record_refusal(refusal, request_id)
+        connection.refuse_and_close(refusal, request_id)
+
+    def _record_refusal(self, refusal: Refusal, request_id: str) -> None:
         self._context.metrics.refused(refusal.status, refusal.reason)
         _log.info(
             "request refused",
@@ -72,7 +98,6 @@
                 "retry_after_s": refusal.retry_after_s,
             },
         )
-        connection.refuse(refusal, request_id)
 
     def _check_open(self) -> None:
         if self._is_closed:
--- a/lentiltally/direct/pages.py
+++ b/lentiltally/direct/pages.py
@@ -6,8 +6,9 @@
 from collections.abc import Callable, Mapping
 
 from lentiltally.clock import Clock
-from lentiltally.direct.caller_connection import CallerConnection, RawRequest
+from lentiltally.direct.caller_connection import CallerConnection
 from lentiltally.direct.model import CallerLimits
+from lentiltally.direct.raw_request import RawRequest
 from lentiltally.direct.settings import SocketAddress
 from lentiltally.problems import Refusal
 
--- a/lentiltally/problems.py
+++ b/lentiltally/problems.py
@@ -66,6 +66,17 @@
         self.headers = headers
 
 
+def internal_error(executed: Executed) -> Refusal:
+    """Return the refusal of a request whose handling failed because of a defect."""
+    return Refusal(
+        500,
+        "internal-error",
+        "the request could not be handled",
+        step="serve",
+        executed=executed,
+    )
+
+
 class ProblemDocument(msgspec.Struct, frozen=True, omit_defaults=True):
     """The body of a refusal, as RFC 9457 describes it."""
 
--- /dev/null
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -0,0 +1,139 @@
+"""Steps for the ends of callers' connections."""
+
+from __future__ import annotations
+
+import asyncio
+import dataclasses
+import json
+from types import SimpleNamespace
+
+from behave import given, then, when
+
+from lentiltally.platform import http_headers
+from tests.fakes.caller_connections import HEAD, LogLines, ScriptedServer, read_all
+
+DECODERS = {
+    "the request": "decode_request",
+    "the target's answer": "decode_answer_head",
+}
+
+
+def log_lines(context):
+    context.log_lines = LogLines()
+    context.log_lines.start()
+    context.add_cleanup(context.log_lines.stop)
+
+
+@given("direct path handling fails while {what} is decoded")
+def handling_fails(context, what):
+    def fail(*args):
+        raise RuntimeError("defect")
+
+    log_lines(context)
+    forwarder = context.direct.entry._forwarder
+    codec = SimpleNamespace(
+        decode_request=http_headers.decode_request,
+        encode_headers=http_headers.encode_headers,
+        decode_answer_head=http_headers.decode_answer_head,
+    )
+    setattr(codec, DECODERS[what], fail)
+    forwarder._context = dataclasses.replace(forwarder._context, header_codec=codec)
+
+
+@then('direct path answers {status:d} "{reason}" with executed "{executed}"')
+def answers_problem(context, status, reason, executed):
+    assert context.answer.status == status, (context.answer.status, context.answer.body)
+    check_problem(context.answer.body, reason, executed)
+
+
+def check_problem(body, reason, executed):
+    problem = json.loads(body)
+    assert problem["type"].endswith(f":{reason}"), problem
+    assert problem["executed"] == executed, problem
+
+
+@then("direct path logged the failure with the request's id")
+def logged_failure(context):
+    (record,) = context.log_lines.of("request handler failed")
+    # A request that can't be decoded has no id yet.
+    assert record.request in ("r1", ""), record.request
+    assert record.exc_info is not None
+    (refused,) = context.log_lines.of("request refused")
+    assert refused.reason == "internal-error", refused.reason
+
+
+async def _raise(connection):
+    raise RuntimeError("defect")
+
+
+async def _return(connection):
+    pass
+
+
+async def _cancel(connection):
+    connection.end_request()
+    await asyncio.sleep(5.0)
+
+
+async def _fail_within(connection):
+    connection.start_answer(200, [(b"Content-Length", b"10")])
+    connection.send_data(b"part")
+    raise RuntimeError("defect")
+
+
+HANDLERS = {
+    "raises an exception": _raise,
+    "returns without answer": _return,
+    "is cancelled": _cancel,
+    "fails within the answer": _fail_within,
+}
+
+
+@given("direct path connections whose handler {behaviour}")
+def handler_behaviour(context, behaviour):
+    context.handler = HANDLERS[behaviour]
+    log_lines(context)
+
+
+def with_server(act):
+    """Run a coroutine function of a server on a new event loop."""
+
+    async def run():
+        server = ScriptedServer()
+        await server.start()
+        try:
+            return await act(server)
+        finally:
+            server.stop()
+            # Lets the connections end before the loop does.
+            await asyncio.sleep(0.01)
+
+    return asyncio.run(run())
+
+
+@when("direct path caller sends a request and reads to the end")
+def sends_and_reads(context):
+    async def act(server):
+        server.answers["x"] = context.handler
+        reader, writer, _ = await server.connect()
+        writer.write(HEAD % b"x")
+        received = await read_all(reader)
+        writer.transport.abort()
+        return received
+
+    context.received, context.ended = with_server(act)
+
+
+@then('direct path caller got {status:d} "{reason}" with executed "{executed}"')
+def caller_got_problem(context, status, reason, executed):
+    assert context.ended == "closed", context.ended
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status), context.received
+    check_problem(body, reason, executed)
+
+
+@then("direct path caller got an incomplete answer")
+def caller_got_part(context):
+    assert context.ended in ("closed", "reset"), context.ended
+    assert context.received.count(b"HTTP/1.1") <= 1, context.received
+    assert len(context.received.partition(b"\r\n\r\n")[2]) < 10, context.received
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1054,4 +1054,12 @@
         "direct/silence",
         "keeps a stream whose engine falls silent",
     ),
+    Mutation(
+        "answer when the handling fails",
+        "direct/caller_connection.py",
+        "        if not self.has_begun_answer:\n",
+        "        if False:\n",
+        "direct/caller_connections",
+        "answers 500 when its handler",
+    ),
 )
