Keep to the limits that a caller may still go by

When a configuration lowered idleTimeoutMs, the entry closed kept connections at once that callers were free to use by the former limit, so that requests on their way met the close. Heads and bodies that had been begun under former limits were refused with 408, 413 or 431. Raised header limits never held for kept connections, because the parser was given its limit when the connection was opened.

A connection now goes by the largest limits in force since its last answer. The limit on heads is checked outside the parser, whose own limit only caps the memory.

Guards: lowered limits hold from the next answer on, and an endless head is refused.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -30,6 +30,8 @@
 
 # Writing pauses while a slow caller has left this much of an answer unread.
 MAX_WRITE_BUFFER_BYTES = 256 * 1024
+# The parser's own limit can't be changed later, so it is above all limits on heads.
+MAX_INCOMPLETE_BYTES = 16 * 1024 * 1024
 
 
 class CallerDisconnectedError(Exception):
@@ -75,9 +77,11 @@
         """Serve requests with the handler."""
         self._handler = handler
         self._clock = clock
-        limits = handler.limits
+        # The largest limits in force since the last answer: the caller may still go by
+        # those from before a change.
+        self._limits = handler.limits
         self._http = h11.Connection(
-            h11.SERVER, max_incomplete_event_size=limits.header_bytes
+            h11.SERVER, max_incomplete_event_size=MAX_INCOMPLETE_BYTES
         )
         self._transport: asyncio.Transport | None = None
         self._peer = ""
@@ -133,7 +137,7 @@
         if self._task is None:
             self._process_input()
         # Limits the pipelined data that is buffered while a request is handled.
-        elif len(self._http.trailing_data[0]) > self._handler.limits.body_bytes:
+        elif len(self._http.trailing_data[0]) > self._current_limits().body_bytes:
             self._is_reading_paused = True
             assert self._transport is not None
             self._transport.pause_reading()
@@ -163,7 +167,7 @@
         """Close the connection if it is idle or sends its request too slowly."""
         if self._task is not None:
             return
-        limits = self._handler.limits
+        limits = self._current_limits()
         waited_s = self._clock.monotonic_s() - self._waiting_since_s
         if self._request is not None or self._has_partial_head:
             if waited_s > limits.header_timeout_s:
@@ -273,12 +277,20 @@
             if isinstance(event, h11.Request):
                 self._begin_request(event)
             elif isinstance(event, h11.Data) and self._request is not None:
-                self._request.add(event.data, self._handler.limits)
+                self._request.add(event.data, self._current_limits())
             elif isinstance(event, h11.EndOfMessage) and self._request is not None:
                 self._start_handling(self._request.complete())
 
+    def _current_limits(self) -> CallerLimits:
+        self._limits = self._limits.or_larger(self._handler.limits)
+        return self._limits
+
     def _note_partial_head(self) -> None:
-        has_bytes = bool(self._http.trailing_data[0])
+        # What the parser keeps is a head, or a line between two chunks of a body.
+        kept_bytes = len(self._http.trailing_data[0])
+        if kept_bytes > self._current_limits().header_bytes:
+            raise h11.RemoteProtocolError("head too large", error_status_hint=431)
+        has_bytes = kept_bytes > 0
         if has_bytes and not self._has_partial_head and self._request is None:
             self._waiting_since_s = self._clock.monotonic_s()
         self._has_partial_head = has_bytes and self._request is None
@@ -288,7 +300,7 @@
         self._waiting_since_s = now_s
         self._has_partial_head = False
         self._is_head_request = head.method == b"HEAD"
-        self._request = PartialRequest(head, self._handler.limits, now_s)
+        self._request = PartialRequest(head, self._current_limits(), now_s)
 
     def _start_handling(self, request: RawRequest) -> None:
         self._requests += 1
@@ -308,6 +320,7 @@
 
     def _next_request(self) -> None:
         self._request = None
+        self._limits = self._handler.limits
         self._waiting_since_s = self._clock.monotonic_s()
         if self.is_disconnected:
             return
--- a/lentiltally/direct/model.py
+++ b/lentiltally/direct/model.py
@@ -126,6 +126,17 @@
     header_timeout_s: float = 3.0
     idle_timeout_s: float = 15.0
 
+    def or_larger(self, other: CallerLimits) -> CallerLimits:
+        """Return the larger of each of these limits and another's."""
+        if other is self:
+            return self
+        return CallerLimits(
+            max(self.header_bytes, other.header_bytes),
+            max(self.body_bytes, other.body_bytes),
+            max(self.header_timeout_s, other.header_timeout_s),
+            max(self.idle_timeout_s, other.idle_timeout_s),
+        )
+
 
 @dataclass(frozen=True, slots=True)
 class DesiredState:
--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -34,3 +34,37 @@
     Given direct path connections whose handler fails within the answer
     When direct path caller sends a request and reads to the end
     Then direct path caller got an incomplete answer
+
+  # Pattern: the operator changes the limits while connections are kept and requests are read.
+  Scenario Outline: Direct path connection goes by the limits that a caller may still go by
+    # Guards against kept connections that are closed, and requests that are refused, by limits
+    # that were lowered after a caller had begun to wait or to send; and against raised limits
+    # that only hold for new connections.
+    Given direct path connections
+    When direct path caller <phase> while "<limit>" changes from <before> to <after>, and goes on 2 s later
+    Then direct path caller got answers to both of its requests
+
+    Examples:
+      | phase           | limit            | before | after |
+      | is idle         | idle_timeout_s   | 15     | 1     |
+      | is idle         | header_bytes     | 4096   | 1024  |
+      | is idle         | body_bytes       | 4096   | 1024  |
+      | sends a head    | header_timeout_s | 3      | 0.4   |
+      | sends a head    | header_bytes     | 4096   | 1024  |
+      | sends a body    | header_timeout_s | 3      | 0.4   |
+      | sends a body    | body_bytes       | 4096   | 1024  |
+      | is idle         | idle_timeout_s   | 1      | 15    |
+      | is idle         | header_bytes     | 1024   | 4096  |
+      | sends a body    | body_bytes       | 1024   | 4096  |
+
+  Scenario: Direct path connection goes by lowered limits from the next answer on
+    # Guards against connections that stay open for as long as a limit allowed that is gone.
+    Given direct path connections
+    When direct path caller gets an answer after "idle_timeout_s" fell from 15 to 1, and waits for 2 s
+    Then direct path caller's connection was closed between two requests
+
+  Scenario: Direct path connection refuses a head that grows without end
+    # Guards against a head that fills the memory because it never gets complete.
+    Given direct path connections
+    When direct path caller sends 20000 bytes of a head that does not end
+    Then direct path caller got the status 431
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -137,3 +137,107 @@
     assert context.ended in ("closed", "reset"), context.ended
     assert context.received.count(b"HTTP/1.1") <= 1, context.received
     assert len(context.received.partition(b"\r\n\r\n")[2]) < 10, context.received
+
+
+BODY = b"b" * 3000
+LONG_REQUEST = (
+    b"POST /2 HTTP/1.1\r\nHost: a\r\nX-Pad: " + b"p" * 3000 + b"\r\n"
+    b"Content-Length: 3000\r\n\r\n" + BODY
+)
+# How much of the long request has been sent when the limit changes.
+SENT_BYTES = {"is idle": 0, "sends a head": 1500, "sends a body": 4000}
+
+
+@given("direct path connections")
+def connections(context):
+    log_lines(context)
+
+
+async def answered(reader, path):
+    """Read on until the answer to a path is complete; return what came."""
+    async with asyncio.timeout(5.0):
+        try:
+            return await reader.readuntil(b"answer to " + path)
+        except asyncio.IncompleteReadError as error:
+            return error.partial
+
+
+@when(
+    'direct path caller {phase} while "{limit}" changes from {before:g} to {after:g}, '
+    "and goes on 2 s later"
+)
+def limit_changes(context, phase, limit, before, after):
+    sent = SENT_BYTES[phase]
+
+    async def act(server):
+        server.limits = dataclasses.replace(server.limits, **{limit: before})
+        reader, writer, connection = await server.connect()
+        writer.write(HEAD % b"1")
+        first = await answered(reader, b"1")
+        writer.write(LONG_REQUEST[:sent])
+        # A task of the server has read it once there is nothing left to do.
+        await asyncio.sleep(0.05)
+        assert connection.is_idle == (sent == 0)
+        server.limits = dataclasses.replace(server.limits, **{limit: after})
+        server.check_timeouts()
+        server.clock.now_s += 2.0
+        server.check_timeouts()
+        # A head in two parts is parsed only when it is complete.
+        for part in (LONG_REQUEST[sent:2500], LONG_REQUEST[max(sent, 2500) :]):
+            writer.write(part)
+            await asyncio.sleep(0.05)
+        second = await answered(reader, b"2")
+        writer.transport.abort()
+        return first, second
+
+    context.received = with_server(act)
+
+
+@then("direct path caller got answers to both of its requests")
+def got_both(context):
+    for number, received in enumerate(context.received, 1):
+        assert received.startswith(b"HTTP/1.1 200"), context.received
+        assert received.endswith(b"answer to %d" % number), context.received
+
+
+@when(
+    'direct path caller gets an answer after "{limit}" fell from {before:g} to '
+    "{after:g}, and waits for 2 s"
+)
+def answer_after_change(context, limit, before, after):
+    async def act(server):
+        server.limits = dataclasses.replace(server.limits, **{limit: before})
+        reader, writer, _ = await server.connect()
+        server.limits = dataclasses.replace(server.limits, **{limit: after})
+        writer.write(HEAD % b"1")
+        first = await answered(reader, b"1")
+        server.clock.now_s += 2.0
+        server.check_timeouts()
+        rest = await read_all(reader)
+        writer.transport.abort()
+        return first, rest
+
+    context.received, context.ended = with_server(act)
+
+
+@then("direct path caller's connection was closed between two requests")
+def closed_between(context):
+    assert context.received.endswith(b"answer to 1"), context.received
+    assert context.ended == (b"", "closed"), context.ended
+
+
+@when("direct path caller sends {count:d} bytes of a head that does not end")
+def endless_head(context, count):
+    async def act(server):
+        reader, writer, _ = await server.connect()
+        writer.write(b"GET / HTTP/1.1\r\nX-Pad: " + b"p" * count)
+        received = await read_all(reader)
+        writer.transport.abort()
+        return received
+
+    context.received, context.ended = with_server(act)
+
+
+@then("direct path caller got the status {status:d}")
+def caller_got_status(context, status):
+    assert context.received.startswith(b"HTTP/1.1 %d " % status), context.received
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1062,4 +1062,12 @@
         "direct/caller_connections",
         "answers 500 when its handler",
     ),
+    Mutation(
+        "limits that were lowered lately",
+        "direct/caller_connection.py",
+        "self._limits = self._limits.or_larger(self._handler.limits)",
+        "self._limits = self._handler.limits",
+        "direct/caller_connections",
+        "goes by the limits that a caller may still go by",
+    ),
 )
