Close callers' connections without losing what was written

Three closes took along bytes that callers were to get: - Breaking off an answer dropped the write buffer, with a whole earlier answer to a caller that pipelines. - A close behind the last answer (a refused head or body, a stop) while the caller went on sending reset the connection, and the caller lost the answer. - A cut stream to an HTTP/1.0 caller ended with FIN, which is how such an answer ends when it is complete.

A connection now ends its side with FIN after all that was written, reads and discards what still comes until the caller has closed, for at most 1 s, and waits for a caller that reads nothing at most as long as it may be idle. A cut answer to HTTP/1.0 is reset. Checks of a connection that is being closed no longer write their line again.

The odd requests and the waiting closes are guards. CallerTransport holds the closing; the connection keeps the protocol.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -10,7 +10,7 @@
 import h11
 
 from lentiltally.clock import Clock
-from lentiltally.direct.http_connection import set_socket_options
+from lentiltally.direct.caller_transport import CallerTransport
 from lentiltally.direct.model import CallerLimits
 from lentiltally.direct.raw_request import PartialRequest, RawHeaders, RawRequest
 from lentiltally.problems import (
@@ -28,8 +28,6 @@
 
 _log = logging.getLogger(__name__)
 
-# Writing pauses while a slow caller has left this much of an answer unread.
-MAX_WRITE_BUFFER_BYTES = 256 * 1024
 # The parser's own limit can't be changed later, so it is above all limits on heads.
 MAX_INCOMPLETE_BYTES = 16 * 1024 * 1024
 
@@ -83,8 +81,7 @@
         self._http = h11.Connection(
             h11.SERVER, max_incomplete_event_size=MAX_INCOMPLETE_BYTES
         )
-        self._transport: asyncio.Transport | None = None
-        self._peer = ""
+        self._transport: CallerTransport | None = None
         self._requests = 0
         self._task: asyncio.Task[None] | None = None
         self._request: PartialRequest | None = None
@@ -93,18 +90,30 @@
         # Since when the connection waits for a request or for the rest of one.
         self._waiting_since_s = clock.monotonic_s()
         self._has_partial_head = False
-        self._is_reading_paused = False
         self._can_write = asyncio.Event()
         self._can_write.set()
-        self.is_disconnected = False
+        self._is_lost = False
         self.on_disconnect: Callable[[], None] | None = None
 
     @property
     def is_idle(self) -> bool:
         """Return whether no request is being read or answered."""
-        return (
-            self._task is None and self._request is None and not self._has_partial_head
-        )
+        if self._task is not None:
+            return False
+        return self._is_closing or not self._is_reading_request
+
+    @property
+    def is_disconnected(self) -> bool:
+        """Return whether the caller has left, or nothing more can be written to it."""
+        return self._is_lost or self._is_closing
+
+    @property
+    def _is_reading_request(self) -> bool:
+        return self._request is not None or self._has_partial_head
+
+    @property
+    def _is_closing(self) -> bool:
+        return self._transport is None or self._transport.is_closing
 
     def idle_s(self, now_s: float) -> float:
         """Return how long no request has been read or answered, 0 if one is."""
@@ -118,32 +127,25 @@
     def connection_made(self, transport: asyncio.BaseTransport) -> None:
         """Register the connection."""
         assert isinstance(transport, asyncio.Transport)
-        self._transport = transport
-        # None if the caller has closed already.
-        peer = transport.get_extra_info("peername")
-        self._peer = f"{peer[0]}:{peer[1]}" if peer else ""
-        set_socket_options(transport.get_extra_info("socket"))
-        transport.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
+        self._transport = CallerTransport(transport, self._clock)
         self._handler.opened(self)
 
     def data_received(self, data: bytes) -> None:
         """Parse bytes; start a request when one is complete."""
-        if self._http.their_state is h11.ERROR:
-            return
-        try:
-            self._http.receive_data(data)
-        except RuntimeError:
+        if self._transport is None or self._is_closing:
+            # It is discarded: the last answer has been written.
             return
+        self._http.receive_data(data)
         if self._task is None:
             self._process_input()
         # Limits the pipelined data that is buffered while a request is handled.
         elif len(self._http.trailing_data[0]) > self._current_limits().body_bytes:
-            self._is_reading_paused = True
-            assert self._transport is not None
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed."""
+        if self._transport is not None:
+            self._transport.close("closed by the caller")
         return False
 
     def pause_writing(self) -> None:
@@ -157,7 +159,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the handler, and the request through ``on_disconnect``."""
         del error
-        self.is_disconnected = True
+        self._is_lost = True
         self._can_write.set()
         self._handler.closed(self)
         if self.on_disconnect is not None:
@@ -165,11 +167,15 @@
 
     def check_timeouts(self) -> None:
         """Close the connection if it is idle or sends its request too slowly."""
-        if self._task is not None:
+        if self._transport is None:
+            return
+        if self._is_closing:
+            self._transport.check_closing(self._limits.idle_timeout_s)
+        if self._is_closing or self._task is not None:
             return
         limits = self._current_limits()
         waited_s = self._clock.monotonic_s() - self._waiting_since_s
-        if self._request is not None or self._has_partial_head:
+        if self._is_reading_request:
             if waited_s > limits.header_timeout_s:
                 self._reject(408, "request-timeout", "the request came too slowly")
         elif waited_s > limits.idle_timeout_s:
@@ -221,24 +227,26 @@
     def close(self) -> None:
         """Close once the written data has been sent."""
         if self._transport is not None:
-            self._transport.close()
+            self._transport.close("stop")
 
     def close_idle(self, reason: str) -> None:
         """Close between two requests, and log it.
 
         A request that is on its way then is never read, so no other line names it.
         """
+        if self._transport is None or self._is_closing:
+            return
         idle_s = self.idle_s(self._clock.monotonic_s())
         _log.info(
             "idle connection closed",
             extra={
-                "peer": self._peer,
+                "peer": self._transport.peer,
                 "reason": reason,
                 "idle_s": round(idle_s, 3),
                 "requests": self._requests,
             },
         )
-        self.close()
+        self._transport.close(reason)
 
     def end_request(self) -> None:
         """Cancel the request that is being handled; its handler still answers it."""
@@ -247,9 +255,17 @@
             asyncio.get_running_loop().call_soon(self._task.cancel)
 
     def abort(self) -> None:
-        """Close at once, so that the caller sees that an answer is incomplete."""
-        if self._transport is not None:
-            self._transport.abort()
+        """Close within an answer, so that the caller sees that it is incomplete.
+
+        Earlier answers and what has been written of this one are still sent.
+        """
+        if self._transport is None:
+            return
+        if self._http.their_http_version == b"1.0":
+            # Such an answer may end with its connection, so its end must be a reset.
+            self._transport.reset("answer broken off")
+        else:
+            self._transport.close_after_answer("answer broken off")
 
     def _write(self, event: h11.Event) -> None:
         if self.is_disconnected or self._transport is None:
@@ -327,43 +343,28 @@
         if not self.has_begun_answer:
             # The handler has failed or was cancelled; what it had sent is not known.
             self.refuse_and_close(internal_error("unknown"))
+        self._is_head_request = False
+        assert self._transport is not None
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
-            self._resume_reading()
+            self._transport.resume_reading()
             self._http.start_next_cycle()
             self._process_input()
         elif self._http.our_state in (h11.MUST_CLOSE, h11.CLOSED):
-            self.close()
+            self._transport.close_after_answer("last answer")
         else:
             self.abort()
 
-    def _resume_reading(self) -> None:
-        if self._is_reading_paused:
-            self._is_reading_paused = False
-            assert self._transport is not None
-            self._transport.resume_reading()
-
     def _reject(self, status: int, reason: str, detail: str) -> None:
         """Refuse a malformed or late request, and close."""
+        assert self._transport is not None
         _log.info(
             "request rejected",
-            extra={"status": status, "error": detail, "step": "read"},
+            extra={
+                "peer": self._transport.peer,
+                "status": status,
+                "error": detail,
+                "step": "read",
+            },
         )
-        try:
-            if self._http.our_state in (h11.IDLE, h11.SEND_RESPONSE):
-                refusal = Refusal(status, reason, detail, step="read")
-                body = problem_body(refusal)
-                self._write(
-                    h11.Response(
-                        status_code=status,
-                        headers=[
-                            (b"Content-Type", CONTENT_TYPE.encode()),
-                            (b"Content-Length", b"%d" % len(body)),
-                            (b"Connection", b"close"),
-                        ],
-                    )
-                )
-                self._write(h11.Data(data=body))
-                self._write(h11.EndOfMessage())
-        except (CallerDisconnectedError, h11.LocalProtocolError) as error:
-            _log.debug("rejection not sent", extra={"error": str(error)})
-        self.close()
+        self.refuse_and_close(Refusal(status, reason, detail, step="read"))
+        self._transport.close_after_answer("request rejected")
--- /dev/null
+++ b/lentiltally/direct/caller_transport.py
@@ -0,0 +1,105 @@
+"""Writes to a caller, and closes its connection without losing what was written."""
+
+from __future__ import annotations
+
+import asyncio
+import socket
+import struct
+
+from lentiltally.clock import Clock
+from lentiltally.direct.http_connection import set_socket_options
+
+__all__ = ["CallerTransport"]
+
+# Writing pauses while a slow caller has left this much of an answer unread.
+MAX_WRITE_BUFFER_BYTES = 256 * 1024
+# How long what a caller still sends is read and discarded after the last answer.
+LINGER_S = 1.0
+_NO_LINGER = struct.pack("ii", 1, 0)
+
+
+class CallerTransport:
+    """The transport of a caller's connection.
+
+    ``reason`` says why the connection is being closed, empty while it is not.
+    """
+
+    def __init__(self, transport: asyncio.Transport, clock: Clock) -> None:
+        """Set the options of the connection's socket."""
+        self._transport = transport
+        self._clock = clock
+        self._closing_since_s = 0.0
+        self._is_reading_paused = False
+        self.reason = ""
+        # None if the caller has closed already.
+        peer = transport.get_extra_info("peername")
+        self.peer = f"{peer[0]}:{peer[1]}" if peer else ""
+        set_socket_options(transport.get_extra_info("socket"))
+        transport.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
+
+    @property
+    def is_closing(self) -> bool:
+        """Return whether nothing more can be written."""
+        return bool(self.reason) or self._transport.is_closing()
+
+    @property
+    def unsent_bytes(self) -> int:
+        """Return how much the kernel has not taken yet."""
+        return self._transport.get_write_buffer_size()
+
+    def write(self, data: bytes) -> None:
+        """Write data, which the transport buffers."""
+        self._transport.write(data)
+
+    def pause_reading(self) -> None:
+        """Leave what the caller sends in the kernel."""
+        if not self._is_reading_paused:
+            self._is_reading_paused = True
+            self._transport.pause_reading()
+
+    def resume_reading(self) -> None:
+        """Read on."""
+        if self._is_reading_paused and not self._transport.is_closing():
+            self._is_reading_paused = False
+            self._transport.resume_reading()
+
+    def close(self, reason: str) -> None:
+        """Close between two requests, once the written data has been sent."""
+        if self._begin_closing(reason):
+            self._transport.close()
+
+    def close_after_answer(self, reason: str) -> None:
+        """End the written data, and close when the caller has closed.
+
+        A close with unread data would reset the connection, and with it take along what
+        the caller has not received yet. So what it sends is read for a while.
+        """
+        if self._begin_closing(reason):
+            self._transport.write_eof()
+            self.resume_reading()
+
+    def reset(self, reason: str) -> None:
+        """Close at once with a reset instead of an end of the data."""
+        if self._begin_closing(reason):
+            sock: socket.socket = self._transport.get_extra_info("socket")
+            sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, _NO_LINGER)
+            self._transport.abort()
+
+    def check_closing(self, send_limit_s: float) -> None:
+        """End a close that waits for its caller.
+
+        ``send_limit_s`` is how long the caller may take to read what was written.
+        """
+        closing_s = self._clock.monotonic_s() - self._closing_since_s
+        if self.unsent_bytes > 0:
+            if closing_s > send_limit_s:
+                self._transport.abort()
+        elif closing_s > LINGER_S:
+            self._transport.close()
+
+    def _begin_closing(self, reason: str) -> bool:
+        if self.is_closing:
+            return False
+        self.reason = reason
+        self._closing_since_s = self._clock.monotonic_s()
+        return True
--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -68,3 +68,60 @@
     Given direct path connections
     When direct path caller sends 20000 bytes of a head that does not end
     Then direct path caller got the status 431
+
+  Scenario Outline: Direct path connection answers a request with <kind>
+    # Guards against odd but valid requests that end with the connection instead of an answer.
+    Given direct path connections
+    When direct path caller sends a request with <kind>
+    Then direct path caller got the status <status> and all of the answer
+
+    Examples:
+      | kind                   | status |
+      | Connection: close      | 200    |
+      | Expect: 100-continue   | 200    |
+      | Upgrade                | 200    |
+      | version 1.0            | 200    |
+
+  Scenario: Direct path connection answers a HEAD request without a body
+    # Guards against a body that the caller takes for the next answer.
+    Given direct path connections
+    When direct path caller sends a request with method HEAD
+    Then direct path caller got the status 200
+
+  Scenario: Direct path connection sends a whole answer before it breaks off the next one
+    # Guards against a complete answer that is dropped together with the start of the answer to
+    # a pipelined request.
+    Given direct path connections
+    When direct path caller pipelines a request that fails behind one for 4000000 bytes
+    Then direct path caller got all of the answer
+
+  Scenario: Direct path connection resets a cut answer that has no length
+    # Guards against a cut answer to an HTTP/1.0 caller that looks complete, because its end is
+    # the end of the connection.
+    Given direct path connections whose handler fails within a stream
+    When direct path caller sends a request of version 1.0 and reads to the end
+    Then direct path caller's connection was reset
+
+  # Pattern: a caller is still sending when the entry has written its last answer.
+  Scenario Outline: Direct path connection's last answer arrives though its caller goes on sending
+    # Guards against a close with unread bytes, which resets the connection and takes along what
+    # the caller has not received yet.
+    Given direct path connections
+    When direct path caller sends 20000000 bytes behind <what>
+    Then direct path caller got the status <status> and all of the answer
+
+    Examples:
+      | what                        | status |
+      | a head that is refused      | 413    |
+      | the last request in a stop  | 200    |
+
+  Scenario Outline: Direct path connection ends although its caller <does>
+    # Guards against connections that wait for a caller forever, each with its buffer.
+    Given direct path connections
+    When direct path caller <does> after a last answer of <size> bytes
+    Then direct path connection ended only after <limit> s
+
+    Examples:
+      | does          | size    | limit |
+      | stays         | 10      | 1     |
+      | reads nothing | 4000000 | 15    |
--- a/tests/fakes/caller_connections.py
+++ b/tests/fakes/caller_connections.py
@@ -61,7 +61,7 @@
         self.answers = {}
         self.handled = []
         self.connections = []
-        self.ended = 0
+        self.ended = []
 
     async def start(self):
         loop = asyncio.get_running_loop()
@@ -85,7 +85,7 @@
 
     def check_timeouts(self):
         for connection in self.connections:
-            if not connection.is_disconnected:
+            if connection not in self.ended:
                 connection.check_timeouts()
 
     async def handle(self, request, connection):
@@ -100,8 +100,7 @@
         self.connections.append(connection)
 
     def closed(self, connection):
-        del connection
-        self.ended += 1
+        self.ended.append(connection)
 
 
 async def read_all(reader):
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -241,3 +241,168 @@
 @then("direct path caller got the status {status:d}")
 def caller_got_status(context, status):
     assert context.received.startswith(b"HTTP/1.1 %d " % status), context.received
+
+
+KINDS = {
+    "Connection: close": b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n",
+    "Expect: 100-continue": (
+        b"POST /x HTTP/1.1\r\nHost: a\r\nExpect: 100-continue\r\n"
+        b"Content-Length: 1\r\n\r\n"
+    ),
+    "Upgrade": (
+        b"GET /x HTTP/1.1\r\nHost: a\r\nConnection: upgrade\r\nUpgrade: h2c\r\n\r\n"
+    ),
+    "version 1.0": b"GET /x HTTP/1.0\r\n\r\n",
+    "method HEAD": b"HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n",
+}
+
+
+@when("direct path caller sends a request with {kind}")
+def sends_kind(context, kind):
+    async def act(server):
+        reader, writer, _ = await server.connect()
+        writer.write(KINDS[kind])
+        if kind.startswith("Expect"):
+            assert (await reader.readuntil(b"\r\n\r\n")).startswith(b"HTTP/1.1 100")
+            writer.write(b"b")
+        end = b"\r\n\r\n" if kind == "method HEAD" else b"answer to x"
+        try:
+            async with asyncio.timeout(5.0):
+                received = await reader.readuntil(end)
+        except asyncio.IncompleteReadError as error:
+            received = error.partial
+        writer.transport.abort()
+        return received
+
+    context.received, context.ended = with_server(act), "closed"
+
+
+def long_answer(size):
+    async def answer(connection):
+        connection.send_answer(200, [], b"a" * size)
+
+    return answer
+
+
+async def read_to(reader, size):
+    """Read the answer until ``size`` bytes of its body have come, or it ends."""
+    data = await reader.readuntil(b"\r\n\r\n")
+    try:
+        async with asyncio.timeout(5.0):
+            return data + await reader.readexactly(size)
+    except asyncio.IncompleteReadError as error:
+        return data + error.partial
+    except (ConnectionResetError, TimeoutError) as error:
+        return data + repr(error).encode()
+
+
+@then("direct path caller got all of the answer")
+def got_all(context):
+    body = context.received.partition(b"\r\n\r\n")[2]
+    assert body == b"a" * context.size, (len(body), body[-100:])
+
+
+@when("direct path caller pipelines a request that fails behind one for {size:d} bytes")
+def pipelines_failing(context, size):
+    async def act(server):
+        server.answers |= {"1": long_answer(size), "2": _fail_within}
+        reader, writer, _ = await server.connect()
+        writer.transport.pause_reading()
+        writer.write(HEAD % b"1" + HEAD % b"2")
+        await asyncio.sleep(0.2)
+        writer.transport.resume_reading()
+        received = await read_to(reader, size)
+        writer.transport.abort()
+        return received, server.handled
+
+    context.size = size
+    context.received, handled = with_server(act)
+    assert handled == ["1", "2"], handled
+
+
+async def _fail_within_stream(connection):
+    connection.start_answer(200, [(b"Transfer-Encoding", b"chunked")])
+    connection.send_data(b"part")
+    raise RuntimeError("defect")
+
+
+HANDLERS["fails within a stream"] = _fail_within_stream
+
+
+@when("direct path caller sends a request of version 1.0 and reads to the end")
+def sends_old_version(context):
+    async def act(server):
+        server.answers["x"] = context.handler
+        reader, writer, _ = await server.connect()
+        writer.write(b"GET /x HTTP/1.0\r\n\r\n")
+        received = await read_all(reader)
+        writer.transport.abort()
+        return received
+
+    context.received, context.ended = with_server(act)
+
+
+@then("direct path caller's connection was reset")
+def was_reset(context):
+    assert context.ended == "reset", (context.received, context.ended)
+
+
+BEFORE_BYTES = {
+    "a head that is refused": (
+        b"POST /x HTTP/1.1\r\nHost: a\r\nContent-Length: 20000000\r\n\r\n"
+    ),
+    "the last request in a stop": HEAD % b"x",
+}
+
+
+@when("direct path caller sends {size:d} bytes behind {what}")
+def sends_behind(context, size, what):
+    async def act(server):
+        server.is_stopping = True
+        server.answers["x"] = long_answer(1_000_000)
+        reader, writer, _ = await server.connect()
+        writer.transport.pause_reading()
+        writer.write(BEFORE_BYTES[what] + b"b" * size)
+        await asyncio.sleep(0.3)
+        writer.transport.resume_reading()
+        received = await read_all(reader)
+        writer.transport.abort()
+        return received
+
+    context.received, context.ended = with_server(act)
+
+
+@then("direct path caller got the status {status:d} and all of the answer")
+def got_status_and_all(context, status):
+    head, _, body = context.received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 %d " % status), (context.received[:99], len(body))
+    length = head.lower().partition(b"content-length: ")[2].partition(b"\r\n")[0]
+    assert len(body) == int(length), (len(body), length, context.ended)
+
+
+@when("direct path caller {does} after a last answer of {size:d} bytes")
+def stays_after_last(context, does, size):
+    async def act(server):
+        server.is_stopping = True
+        server.answers["x"] = long_answer(size)
+        reader, writer, connection = await server.connect()
+        if does == "reads nothing":
+            writer.transport.pause_reading()
+        writer.write(HEAD % b"x")
+        await asyncio.sleep(0.2)
+        waited_s = 0.0
+        while connection not in server.ended and waited_s < 100.0:
+            server.clock.now_s += 0.5
+            waited_s += 0.5
+            server.check_timeouts()
+            await asyncio.sleep(0.005)
+        writer.transport.abort()
+        return waited_s
+
+    context.waited_s = with_server(act)
+
+
+@then("direct path connection ended only after {limit_s:g} s")
+def ended_after(context, limit_s):
+    # The next check after the limit ends it.
+    assert limit_s < context.waited_s <= limit_s + 1.0, context.waited_s
