Let callers pause while they read an answer

A caller that read nothing for 2.5 s lost its connection within the answer. The cause is TCP_USER_TIMEOUT: Linux applies it not only to unacknowledged data but also to a closed window, although such a caller acknowledges every probe.

Callers' connections no longer set it. A caller that is gone is still found by keep-alive probes while it waits; one that is gone or reads nothing in the middle of an answer is bounded by the request's deadline, and afterwards by the idle limit and the limit on a close. Connections to targets, engines and the store are as before.

--- a/lentiltally/direct/caller_transport.py
+++ b/lentiltally/direct/caller_transport.py
@@ -34,7 +34,11 @@
         # None if the caller has closed already.
         peer = transport.get_extra_info("peername")
         self.peer = f"{peer[0]}:{peer[1]}" if peer else ""
-        set_socket_options(transport.get_extra_info("socket"))
+        # The time without acknowledgements is not limited: the kernel also counts that
+        # in which a caller that is there does not read.
+        set_socket_options(
+            transport.get_extra_info("socket"), limits_unacknowledged=False
+        )
         transport.set_write_buffer_limits(high=MAX_WRITE_BUFFER_BYTES)
 
     @property
--- a/lentiltally/direct/http_connection.py
+++ b/lentiltally/direct/http_connection.py
@@ -247,16 +247,23 @@
         return b"".join(part for part in parts if part)
 
 
-def set_socket_options(sock: socket.socket) -> None:
-    """Disable Nagle's algorithm and make a dead connection time out."""
+def set_socket_options(
+    sock: socket.socket, *, limits_unacknowledged: bool = True
+) -> None:
+    """Disable Nagle's algorithm and make a dead connection time out.
+
+    With ``limits_unacknowledged`` a connection also ends if the peer does not
+    acknowledge sent data, or has no room for more, for a while.
+    """
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     sock.setsockopt(socket.SOL_SOCKET, socket.SO_KEEPALIVE, 1)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPIDLE, KEEP_ALIVE_IDLE_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPINTVL, KEEP_ALIVE_INTERVAL_S)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_KEEPCNT, KEEP_ALIVE_PROBES)
-    sock.setsockopt(
-        socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS
-    )
+    if limits_unacknowledged:
+        sock.setsockopt(
+            socket.IPPROTO_TCP, socket.TCP_USER_TIMEOUT, UNACKNOWLEDGED_LIMIT_MS
+        )
 
 
 async def open_connection(
--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -88,6 +88,14 @@
     When direct path caller sends a request with method HEAD
     Then direct path caller got the status 200
 
+  # Pattern: a caller pauses, or its link does, while it reads a long answer.
+  Scenario: Direct path connection waits for a caller that pauses within its answer
+    # Guards against an answer that is cut off because its caller, which is there and
+    # acknowledges all that it has room for, did not read for some seconds.
+    Given direct path connections
+    When direct path caller pauses for 5 s before it reads an answer of 4000000 bytes
+    Then direct path caller got all of the answer
+
   Scenario: Direct path connection sends a whole answer before it breaks off the next one
     # Guards against a complete answer that is dropped together with the start of the answer to
     # a pipelined request.
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -284,6 +284,25 @@
     return answer
 
 
+@when(
+    "direct path caller pauses for {pause_s:d} s before it reads an answer of "
+    "{size:d} bytes"
+)
+def pauses(context, pause_s, size):
+    async def act(server):
+        server.answers["x"] = long_answer(size)
+        reader, writer, _ = await server.connect()
+        writer.transport.pause_reading()
+        writer.write(HEAD % b"x")
+        await asyncio.sleep(pause_s)
+        writer.transport.resume_reading()
+        received = await read_to(reader, size)
+        writer.transport.abort()
+        return received
+
+    context.size, context.received = size, with_server(act)
+
+
 async def read_to(reader, size):
     """Read the answer until ``size`` bytes of its body have come, or it ends."""
     data = await reader.readuntil(b"\r\n\r\n")
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1102,4 +1102,12 @@
         "direct/caller_connections",
         "connection ends although its caller",
     ),
+    Mutation(
+        "callers that pause",
+        "direct/caller_transport.py",
+        "limits_unacknowledged=False",
+        "limits_unacknowledged=True",
+        "direct/caller_connections",
+        "waits for a caller that pauses",
+    ),
 )
