Refuse CONNECT instead of breaking off its answer

A request with the method CONNECT was passed on. When its target answered 2xx, the parser of the caller's connection took it for a tunnel and refused the body: the caller got a head and then the end of the connection. Such requests are now refused with 501 as not executed, because an entry opens no tunnels.

--- a/lentiltally/direct/raw_request.py
+++ b/lentiltally/direct/raw_request.py
@@ -45,6 +45,9 @@
         size_bytes = sum(len(name) + len(value) + 4 for name, value in head.headers)
         if size_bytes > limits.header_bytes:
             raise h11.RemoteProtocolError("head too large", error_status_hint=431)
+        if head.method == b"CONNECT":
+            # Its answer would turn the connection into a tunnel.
+            raise h11.RemoteProtocolError("no tunnels", error_status_hint=501)
         names = [name for name, _ in head.headers]
         if b"transfer-encoding" in names and b"content-length" in names:
             # Request smuggling: with two framings, a second request can be hidden in
--- a/lentiltally/problems.py
+++ b/lentiltally/problems.py
@@ -27,6 +27,7 @@
     422: "Request not accepted",
     429: "Over the limit",
     500: "Internal error",
+    501: "Not supported",
     502: "Target failed",
     503: "Not available",
     504: "Deadline passed",
--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -81,6 +81,7 @@
       | Expect: 100-continue   | 200    |
       | Upgrade                | 200    |
       | version 1.0            | 200    |
+      | method CONNECT         | 501    |
 
   Scenario: Direct path connection answers a HEAD request without a body
     # Guards against a body that the caller takes for the next answer.
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -254,6 +254,7 @@
     ),
     "version 1.0": b"GET /x HTTP/1.0\r\n\r\n",
     "method HEAD": b"HEAD /x HTTP/1.1\r\nHost: a\r\n\r\n",
+    "method CONNECT": b"CONNECT /x HTTP/1.1\r\nHost: a\r\n\r\n",
 }
 
 
