Count no superseded attempt as one that may still answer

What callers saw: nothing wrong, but a request ran at one more target than its route allows (rule BUDGET). If the attempt that went on with the answer broke at once, the one that it had just superseded had not reported its end yet and counted as under way. The request was not ended then, and once both were gone, a further attempt was begun without a look at the number of executions.

Evidence: the scenario (route with two targets, three engines; the paused one goes on with one event and leaves the next one out in the same read, while the second one is at work) ran the request 3 times before and 2 times now.

--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -332,7 +332,7 @@
     def _finish_unless_retryable(
         self, record: TargetRecord, result: ExchangeResult
     ) -> bool:
-        """Give up if no retry is allowed and no other attempt is under way.
+        """Give up if no retry is allowed and no other attempt may answer.
 
         Returns whether it gave up.
         """
@@ -346,7 +346,7 @@
             self._context.probe.begin(record)
         if result.outcome is ExchangeOutcome.ANSWERED:
             self._failed_answer = result
-        if self._may_repeat or not self._open.is_empty:
+        if self._may_repeat or self._open.may_answer:
             return False
         self._give_up(502)
         return True
--- a/lentiltally/direct/open_attempts.py
+++ b/lentiltally/direct/open_attempts.py
@@ -75,6 +75,11 @@
         """Return whether no attempt is left whose result has not been returned."""
         return not self._tasks
 
+    @property
+    def may_answer(self) -> bool:
+        """Return whether an attempt is left that no other one has superseded."""
+        return any(not turn.is_superseded for turn in self._tasks)
+
     @property
     def records(self) -> list[TargetRecord]:
         """Return the targets of the attempts."""
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -174,3 +174,16 @@
     And direct path notices the end of an attempt 0.6 s late
     When direct path gets two requests to "/safe/x" with a deadline of 0.4 s on one connection
     Then direct path answered both requests on the connection
+
+  Scenario: Direct path tries no more targets than the route allows when the paused engine breaks
+    # Guards against an attempt beyond the route's number, because one that was superseded
+    # counted as one that may still answer.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has a third engine
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" pauses for 1.6 s in the next stream, goes on with one event and leaves the next one out
+    And direct path engine "e2" answers after 0.6 s
+    And direct path engine "e3" answers after 0.6 s
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 3 and aborted
+    And direct path ran request "r1" 2 times
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -9,6 +9,7 @@
 
 from lentiltally.direct.messages import adapter_key_hash
 from lentiltally.direct.open_attempts import OpenAttempts
+from standins.platform_engine import EngineRun
 from tests.fakes.direct import HOST
 from tests.steps.direct_streams_steps import headers
 
@@ -257,3 +258,46 @@
 @then("direct path answered both requests on the connection")
 def answered_both(context):
     assert all(head.startswith(b"HTTP/1.1 200 ") for head in context.heads)
+
+
+@given("direct path has a third engine")
+def third_engine(context):
+    system = context.direct
+    system.add_target("e3", service="llm", model="m", slots=2)
+    system.start_agent("e3")
+    assert system.wait_ready()
+
+
+@given(
+    'direct path engine "{name}" pauses for {pause_s:g} s in the next stream, goes on '
+    "with one event and leaves the next one out"
+)
+def engine_breaks_after_pause(context, name, pause_s):
+    """Send the last two events in one piece, so that both are read at once."""
+    engine = context.direct.engines[name]
+    original = engine.exchange
+    unused = [True]
+
+    def chunk(number):
+        event = f"id: {number}\ndata: r1\n\n".encode()
+        return b"%x\r\n%s\r\n" % (len(event), event)
+
+    async def exchange(request, writer):
+        if "x-model" not in request.headers or not unused:
+            return await original(request, writer)
+        unused.clear()
+        request_id = request.headers["x-request-id"]
+        engine.runs.append(
+            EngineRun(request_id, request.path, request.headers, request.body)
+        )
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"X-Request-Id: r1\r\nX-Response-Signature: proof\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n" + chunk(1) + chunk(2)
+        )
+        await asyncio.sleep(pause_s)
+        writer.write(chunk(3) + chunk(5))
+        await writer.drain()
+        return await asyncio.sleep(3600, result=False)
+
+    engine.exchange = exchange
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1086,4 +1086,12 @@
         "direct/crashes",
         "sends no trial of a refused part to a second engine",
     ),
+    Mutation(
+        "superseded attempts answer nothing any more",
+        "direct/open_attempts.py",
+        "any(not turn.is_superseded for turn in self._tasks)",
+        "bool(self._tasks)",
+        "direct/silence",
+        "tries no more targets than the route allows",
+    ),
 )
