Begin no attempt for a request that ends

A target could stall after the search for another one had been stopped and before its own attempt had ended, one or two steps of the event loop later. That began a new search that nothing ended.

Evidence: both rows of the scenario (an attempt stalls while OpenAttempts is closed, with and without a search) left a search under way before.

--- a/lentiltally/direct/open_attempts.py
+++ b/lentiltally/direct/open_attempts.py
@@ -69,6 +69,7 @@
         self._tasks: dict[AttemptTurn, asyncio.Task[ExchangeResult]] = {}
         self._search: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
+        self._is_closed = False
 
     @property
     def is_empty(self) -> bool:
@@ -123,7 +124,11 @@
             await asyncio.gather(search, return_exceptions=True)
 
     async def close(self) -> None:
-        """Give up all attempts; returns once they have released what they held."""
+        """Give up all attempts; returns once they have released what they held.
+
+        No other attempt is begun, also if one stalls before its task has ended.
+        """
+        self._is_closed = True
         await self.end_search()
         for turn, task in self._tasks.items():
             turn.give_up(task)
@@ -149,7 +154,7 @@
 
     def _search_if_stalled(self) -> None:
         is_searching = self._search is not None and not self._search.done()
-        if self._race.needs_another and not is_searching:
+        if self._race.needs_another and not is_searching and not self._is_closed:
             self._search = asyncio.create_task(self._begin_another())
             self._search.add_done_callback(self._note_change)
 
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -187,3 +187,15 @@
     When direct path gets a stream from "/stream/x" for adapter "a1"
     Then direct path delivered the events 1 to 3 and aborted
     And direct path ran request "r1" 2 times
+
+  Scenario Outline: Direct path begins no attempt for a request that ends
+    # Guards against an attempt that nothing ends, and that may write into the answer to the
+    # next request on the connection, because a target stalls right when its request ends.
+    Given direct path open attempts with one attempt and <search> search
+    When direct path open attempts are closed while the attempt stalls
+    Then direct path open attempts search no more
+
+    Examples:
+      | search |
+      | no     |
+      | a      |
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -10,7 +10,7 @@
 from lentiltally.direct.messages import adapter_key_hash
 from lentiltally.direct.open_attempts import OpenAttempts
 from standins.platform_engine import EngineRun
-from tests.fakes.direct import HOST
+from tests.fakes.direct import HOST, DirectSystem
 from tests.steps.direct_streams_steps import headers
 
 
@@ -301,3 +301,47 @@
         return await asyncio.sleep(3600, result=False)
 
     engine.exchange = exchange
+
+
+@given("direct path open attempts with one attempt and {search} search")
+def open_attempts(context, search):
+    """Run an attempt that never ends; a search needs one step to stop."""
+    system = context.direct = DirectSystem()
+    context.add_cleanup(system.close)
+    context.searches = []
+
+    async def begin_another():
+        context.searches.append(asyncio.current_task())
+        try:
+            await asyncio.sleep(3600)
+        finally:
+            await asyncio.sleep(0)
+
+    async def send(turn):
+        context.turn = turn
+        await asyncio.sleep(3600)
+
+    async def act():
+        context.open_attempts = OpenAttempts(begin_another, lambda _: None)
+        context.open_attempts.begin(1, None, send)
+        await asyncio.sleep(0)
+        if search == "a":
+            context.turn.stalled()
+            await asyncio.sleep(0)
+
+    system.run(act())
+
+
+@when("direct path open attempts are closed while the attempt stalls")
+def closed_while_stalling(context):
+    async def act():
+        asyncio.get_running_loop().call_soon(context.turn.stalled)
+        await context.open_attempts.close()
+        await asyncio.sleep(0.01)
+
+    context.direct.run(act())
+
+
+@then("direct path open attempts search no more")
+def search_no_more(context):
+    assert all(search.done() for search in context.searches), context.searches
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -782,7 +782,7 @@
     Mutation(
         "silent target replaced",
         "direct/open_attempts.py",
-        "if self._race.needs_another and not is_searching:",
+        "if self._race.needs_another and not is_searching and not self._is_closed:",
         "if False:",
         "direct/silence",
         "moves a stream whose engine stays silent",
@@ -1094,4 +1094,12 @@
         "direct/silence",
         "tries no more targets than the route allows",
     ),
+    Mutation(
+        "no attempt for a request that ends",
+        "direct/open_attempts.py",
+        "and not is_searching and not self._is_closed:",
+        "and not is_searching:",
+        "direct/silence",
+        "begins no attempt for a request that ends",
+    ),
 )
