Count no failure of a target that another one was faster than

What callers saw: for some seconds, requests avoided a sound target that had been asked to take over from a silent one and was given up because that one went on. All superseded attempts counted as failures, which was right as long as only silent targets were given up.

--- a/lentiltally/direct/open_attempts.py
+++ b/lentiltally/direct/open_attempts.py
@@ -23,6 +23,7 @@
         self.number = number
         self.record = record
         self.is_superseded = False
+        self.has_stalled = False
         self._is_given_up = False
         self._attempts = attempts
 
@@ -33,6 +34,7 @@
 
     def stalled(self) -> None:
         """Note that the target has made no progress for too long."""
+        self.has_stalled = True
         self._attempts.stalled(self)
 
     def continue_answer(self) -> None:
--- a/lentiltally/direct/target_sender.py
+++ b/lentiltally/direct/target_sender.py
@@ -59,12 +59,17 @@
         self._choice.first_byte(self._record.target_id, self._tokens, after_s)
         self._pin.prefill_finished(self._record)
 
-    def ended(self, result: ExchangeResult | None) -> None:
-        """Record the end of the attempt; ``result`` is None if it was cancelled."""
+    def ended(self, result: ExchangeResult | None, *, has_stalled: bool) -> None:
+        """Record the end of the attempt; ``result`` is None if it was cancelled.
+
+        A target that did not stall has not failed because another one was faster.
+        """
         target_id = self._record.target_id
         if not self._has_begun:
             self._choice.ended_without_answer(target_id, self._tokens)
         is_failure = result is not None and result.outcome not in _NOT_FAILURES
+        if result is not None and result.outcome is ExchangeOutcome.SLOW:
+            is_failure = has_stalled
         now_s = self._clock.monotonic_s()
         self._choice.ended(target_id, is_failure=is_failure, now_s=now_s)
 
@@ -135,7 +140,7 @@
             result = await exchange.run(attempt, part, is_stream=is_stream)
             return result
         finally:
-            observer.ended(result)
+            observer.ended(result, has_stalled=turn.has_stalled)
             self._return_connection(record, connection, exchange, result)
 
     def _return_connection(
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -199,3 +199,15 @@
       | search |
       | no     |
       | a      |
+
+  Scenario: Direct path holds it against no sound engine that another one was faster
+    # Guards against requests that avoid an engine which was asked to take over and was given
+    # up because the paused engine went on.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" handles the next request as "pause"
+    And direct path engine "e1" pauses for 1.6 s and takes 0.2 s per event
+    And direct path engine "e2" answers after 0.6 s
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path counts no failure of engine "e2"
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -345,3 +345,9 @@
 @then("direct path open attempts search no more")
 def search_no_more(context):
     assert all(search.done() for search in context.searches), context.searches
+
+
+@then('direct path counts no failure of engine "{name}"')
+def no_failure(context, name):
+    view = context.direct.entry._state.choice.view(name)
+    assert view.failure_rate == 0.0, view.failure_rate
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1102,4 +1102,12 @@
         "direct/silence",
         "begins no attempt for a request that ends",
     ),
+    Mutation(
+        "superseded is no failure",
+        "direct/target_sender.py",
+        "            is_failure = has_stalled\n",
+        "            is_failure = True\n",
+        "direct/silence",
+        "holds it against no sound engine",
+    ),
 )
