Refuse requests that are still being read when a stop ends

A caller whose request was not complete when the time of a stop was over lost its connection with the process. The entry now refuses it as not executed, like requests that wait for a target.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -18,6 +18,7 @@
     Refusal,
     internal_error,
     problem_body,
+    stopping_refusal,
 )
 
 __all__ = [
@@ -177,7 +178,8 @@
         waited_s = self._clock.monotonic_s() - self._waiting_since_s
         if self._is_reading_request:
             if waited_s > limits.header_timeout_s:
-                self._reject(408, "request-timeout", "the request came too slowly")
+                detail = "the request came too slowly"
+                self._reject(Refusal(408, "request-timeout", detail, step="read"))
         elif waited_s > limits.idle_timeout_s:
             self.close_idle("idle limit")
 
@@ -249,10 +251,15 @@
         self._transport.close(reason)
 
     def end_request(self) -> None:
-        """Cancel the request that is being handled; its handler still answers it."""
+        """Cancel the request that is being handled; its handler still answers it.
+
+        One that is still being read is refused.
+        """
         if self._task is not None:
             # A task that is cancelled before its first step can't answer its request.
             asyncio.get_running_loop().call_soon(self._task.cancel)
+        elif not self.is_idle:
+            self._reject(stopping_refusal("read"))
 
     def abort(self) -> None:
         """Close within an answer, so that the caller sees that it is incomplete.
@@ -278,7 +285,8 @@
         try:
             self._read_events()
         except h11.RemoteProtocolError as error:
-            self._reject(error.error_status_hint, "bad-request", str(error))
+            status, detail = error.error_status_hint, str(error)
+            self._reject(Refusal(status, "bad-request", detail, step="read"))
 
     def _read_events(self) -> None:
         while self._task is None:
@@ -354,17 +362,17 @@
         else:
             self.abort()
 
-    def _reject(self, status: int, reason: str, detail: str) -> None:
-        """Refuse a malformed or late request, and close."""
+    def _reject(self, refusal: Refusal) -> None:
+        """Refuse a request that is still being read, and close."""
         assert self._transport is not None
         _log.info(
             "request rejected",
             extra={
                 "peer": self._transport.peer,
-                "status": status,
-                "error": detail,
-                "step": "read",
+                "status": refusal.status,
+                "error": refusal.message,
+                "step": refusal.step,
             },
         )
-        self.refuse_and_close(Refusal(status, reason, detail, step="read"))
+        self.refuse_and_close(refusal)
         self._transport.close_after_answer("request rejected")
--- a/lentiltally/direct/forwarding.py
+++ b/lentiltally/direct/forwarding.py
@@ -14,7 +14,7 @@
 from lentiltally.direct.platform_interfaces import HeaderCodec
 from lentiltally.direct.target_pool import TargetPool
 from lentiltally.direct.target_probe import TargetProbe
-from lentiltally.problems import Refusal
+from lentiltally.problems import Refusal, stopping_refusal
 
 __all__ = ["ForwarderSettings", "ForwardingContext"]
 
@@ -73,8 +73,7 @@
     @staticmethod
     def stopping_refusal(step: str) -> Refusal:
         """Return the refusal of a request that has not run because the entry stops."""
-        # The caller's next connection goes to another entry: it may retry at once.
-        return Refusal(503, "stopping", "the entry stops", step=step, retry_after_s=0.0)
+        return stopping_refusal(step)
 
     def retry_after_s(self) -> float:
         """Return a random delay that spreads the retries of refused callers."""
--- a/lentiltally/problems.py
+++ b/lentiltally/problems.py
@@ -78,6 +78,12 @@
     )
 
 
+def stopping_refusal(step: str) -> Refusal:
+    """Return the refusal of a request that has not run because the process stops."""
+    # The caller's next connection goes to another process: it may retry at once.
+    return Refusal(503, "stopping", "the entry stops", step=step, retry_after_s=0.0)
+
+
 class ProblemDocument(msgspec.Struct, frozen=True, omit_defaults=True):
     """The body of a refusal, as RFC 9457 describes it."""
 
--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -134,3 +134,9 @@
       | does          | size    | limit |
       | stays         | 10      | 1     |
       | reads nothing | 4000000 | 15    |
+
+  Scenario: Direct path connection refuses a request that is not complete when a stop ends
+    # Guards against a request whose connection ends with the process, without a refusal.
+    Given direct path connections
+    When direct path caller sends half a body until the stop ends
+    Then direct path caller got 503 "stopping" with executed "no"
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -426,3 +426,17 @@
 def ended_after(context, limit_s):
     # The next check after the limit ends it.
     assert limit_s < context.waited_s <= limit_s + 1.0, context.waited_s
+
+
+@when("direct path caller sends half a body until the stop ends")
+def half_body_at_stop(context):
+    async def act(server):
+        reader, writer, connection = await server.connect()
+        writer.write(LONG_REQUEST[:4000])
+        await asyncio.sleep(0.05)
+        connection.end_request()
+        received = await read_all(reader)
+        writer.transport.abort()
+        return received
+
+    context.received, context.ended = with_server(act)
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1110,4 +1110,12 @@
         "direct/caller_connections",
         "waits for a caller that pauses",
     ),
+    Mutation(
+        "requests that are still read when a stop ends",
+        "direct/caller_connection.py",
+        "        elif not self.is_idle:\n",
+        "        elif False:\n",
+        "direct/caller_connections",
+        "refuses a request that is not complete when a stop ends",
+    ),
 )
