Log each end of a caller's connection with a request in it

Requests that ended with their connection while they were read, while a complete answer was still being sent, or behind a last answer had no line, and an answer that was broken off had none of its own. Operators could not tell them apart.

Each such end now passes one place and has one line, "caller connection ended early", with the caller's address, the request's id where it is known, what was cut and who ended the connection. Sound ends have none.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -31,6 +31,7 @@
 
 # The parser's own limit can't be changed later, so it is above all limits on heads.
 MAX_INCOMPLETE_BYTES = 16 * 1024 * 1024
+LAST_ANSWER = "last answer"
 
 
 class CallerDisconnectedError(Exception):
@@ -84,6 +85,9 @@
         )
         self._transport: CallerTransport | None = None
         self._requests = 0
+        # The id of the present request, once the handler knows it.
+        self.request_id = ""
+        self._unsent_bytes = 0
         self._task: asyncio.Task[None] | None = None
         self._request: PartialRequest | None = None
         self._is_head_request = False
@@ -146,6 +150,7 @@
     def eof_received(self) -> bool:
         """Treat a half-closed connection as closed."""
         if self._transport is not None:
+            self._unsent_bytes = self._transport.unsent_bytes
             self._transport.close("closed by the caller")
         return False
 
@@ -159,8 +164,10 @@
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the handler, and the request through ``on_disconnect``."""
-        del error
         self._is_lost = True
+        phase = self._phase()
+        if phase and self._transport is not None:
+            self._transport.log_early_end(phase, self.request_id, self._requests, error)
         self._can_write.set()
         self._handler.closed(self)
         if self.on_disconnect is not None:
@@ -170,6 +177,7 @@
         """Close the connection if it is idle or sends its request too slowly."""
         if self._transport is None:
             return
+        self._unsent_bytes = self._transport.unsent_bytes
         if self._is_closing:
             self._transport.check_closing(self._limits.idle_timeout_s)
         if self._is_closing or self._task is not None:
@@ -183,6 +191,19 @@
         elif waited_s > limits.idle_timeout_s:
             self.close_idle("idle limit")
 
+    def _phase(self) -> str:
+        """Return what the end of the connection cuts now, empty if nothing."""
+        is_complete = self._http.our_state in (h11.DONE, h11.MUST_CLOSE, h11.CLOSED)
+        if self._task is not None or (self.has_begun_answer and not is_complete):
+            return "answering"
+        if self._is_reading_request and not is_complete:
+            return "reading"
+        if self._unsent_bytes > 0:
+            return "sending"
+        # A pipelined request may be left behind the last answer.
+        is_last = self._transport is not None and self._transport.reason == LAST_ANSWER
+        return "waiting" if is_last and self._http.trailing_data[0] else ""
+
     async def drain(self) -> None:
         """Wait until the write buffer has room; raises CallerDisconnectedError."""
         await self._can_write.wait()
@@ -239,16 +260,7 @@
         if self._transport is None or self._is_closing:
             return
         idle_s = self.idle_s(self._clock.monotonic_s())
-        _log.info(
-            "idle connection closed",
-            extra={
-                "peer": self._transport.peer,
-                "reason": reason,
-                "idle_s": round(idle_s, 3),
-                "requests": self._requests,
-            },
-        )
-        self._transport.close(reason)
+        self._transport.close_idle(reason, idle_s, self._requests)
 
     def end_request(self) -> None:
         """Cancel the request that is being handled; its handler still answers it.
@@ -323,6 +335,7 @@
         now_s = self._clock.monotonic_s()
         self._waiting_since_s = now_s
         self._has_partial_head = False
+        self.request_id = ""
         self._is_head_request = head.method == b"HEAD"
         self._request = PartialRequest(head, self._current_limits(), now_s)
 
@@ -353,12 +366,13 @@
             self.refuse_and_close(internal_error("unknown"))
         self._is_head_request = False
         assert self._transport is not None
+        self._unsent_bytes = self._transport.unsent_bytes
         if self._http.our_state is h11.DONE and self._http.their_state is h11.DONE:
             self._transport.resume_reading()
             self._http.start_next_cycle()
             self._process_input()
         elif self._http.our_state in (h11.MUST_CLOSE, h11.CLOSED):
-            self._transport.close_after_answer("last answer")
+            self._transport.close_after_answer(LAST_ANSWER)
         else:
             self.abort()
 
--- a/lentiltally/direct/caller_transport.py
+++ b/lentiltally/direct/caller_transport.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 import socket
 import struct
 
@@ -11,6 +12,8 @@
 
 __all__ = ["CallerTransport"]
 
+_log = logging.getLogger(__name__)
+
 # Writing pauses while a slow caller has left this much of an answer unread.
 MAX_WRITE_BUFFER_BYTES = 256 * 1024
 # How long what a caller still sends is read and discarded after the last answer.
@@ -72,6 +75,19 @@
         if self._begin_closing(reason):
             self._transport.close()
 
+    def close_idle(self, reason: str, idle_s: float, requests: int) -> None:
+        """Close between two requests, and log it with the number of requests so far."""
+        _log.info(
+            "idle connection closed",
+            extra={
+                "peer": self.peer,
+                "reason": reason,
+                "idle_s": round(idle_s, 3),
+                "requests": requests,
+            },
+        )
+        self.close(reason)
+
     def close_after_answer(self, reason: str) -> None:
         """End the written data, and close when the caller has closed.
 
@@ -101,6 +117,25 @@
         elif closing_s > LINGER_S:
             self._transport.close()
 
+    def log_early_end(
+        self, phase: str, request_id: str, requests: int, error: Exception | None
+    ) -> None:
+        """Log the end of a connection that cut a request or an answer.
+
+        All such ends are logged here, whoever caused them.
+        """
+        reasons = (self.reason, str(error) if error else "")
+        _log.info(
+            "caller connection ended early",
+            extra={
+                "request": request_id,
+                "peer": self.peer,
+                "phase": phase,
+                "reason": ", ".join(filter(None, reasons)),
+                "requests": requests,
+            },
+        )
+
     def _begin_closing(self, reason: str) -> bool:
         if self.is_closing:
             return False
--- a/lentiltally/direct/forwarder.py
+++ b/lentiltally/direct/forwarder.py
@@ -49,7 +49,7 @@
             request = self._context.header_codec.decode_request(
                 raw.method, raw.path, raw.headers, raw.body, raw.arrived_s
             )
-            request_id = request.request_id
+            request_id = connection.request_id = request.request_id
             self._check_open()
             route, service = self._route(request)
             now_s = self._context.clock.monotonic_s()
--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -140,3 +140,39 @@
     Given direct path connections
     When direct path caller sends half a body until the stop ends
     Then direct path caller got 503 "stopping" with executed "no"
+
+  # Pattern: a request ends with its connection, and an operator looks for the cause.
+  Scenario Outline: Direct path connection's end within a request has a line that names its cause
+    # Guards against requests that vanish without a line, and ends that can't be told apart.
+    Given direct path connections
+    When direct path caller's connection ends as it <end>
+    Then direct path logged one early end in the phase "<phase>" with the reason "<reason>"
+
+    Examples:
+      | end                                | phase     | reason               |
+      | closes within a head               | reading   | closed by the caller |
+      | resets within a body               | reading   | reset by peer        |
+      | closes within the handling         | answering | closed by the caller |
+      | gets a cut answer                  | answering | answer broken off    |
+      | gets a cut answer of version 1.0   | answering | answer broken off    |
+      | leaves its last answer unread      | sending   | last answer          |
+      | pipelines behind its last answer   | waiting   | last answer          |
+
+  Scenario Outline: Direct path connection's end between two requests has no such line
+    # Guards against lines of sound ends, in which those of others would be lost.
+    Given direct path connections
+    When direct path caller's connection ends as it <end>
+    Then direct path logged no early end
+
+    Examples:
+      | end                         |
+      | closes after its answer     |
+      | gets its last answer        |
+      | is refused for its head     |
+
+  Scenario: Direct path names the request whose connection ended early
+    # Guards against a line that can't be matched with the request that its caller names.
+    Given direct path with a store, a configuration and two plain targets
+    And direct path targets handle the next request as "hang"
+    When direct path caller of "/once/x" closes after 0.2 s
+    Then direct path logged one early end of the request "r1"
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -10,6 +10,7 @@
 from behave import given, then, when
 
 from lentiltally.platform import http_headers
+from standins.raw_http import reset
 from tests.fakes.caller_connections import HEAD, LogLines, ScriptedServer, read_all
 
 DECODERS = {
@@ -440,3 +441,86 @@
         return received
 
     context.received, context.ended = with_server(act)
+
+
+ENDLESS = HEAD % b"wait"
+OLD_VERSION = b"GET /cut HTTP/1.0\r\n\r\n"
+# What a caller sends, and how it ends its connection after that.
+ENDS = {
+    "closes within a head": (LONG_REQUEST[:1500], "close"),
+    "resets within a body": (LONG_REQUEST[:4000], "reset"),
+    "closes within the handling": (ENDLESS, "close"),
+    "gets a cut answer": (HEAD % b"cut", "read"),
+    "gets a cut answer of version 1.0": (OLD_VERSION, "read"),
+    "leaves its last answer unread": (HEAD % b"long", "stay"),
+    "pipelines behind its last answer": (HEAD % b"x" + HEAD % b"y", "read"),
+    "closes after its answer": (HEAD % b"x", "close"),
+    "gets its last answer": (HEAD % b"x", "read"),
+    "is refused for its head": (b"GET / HTTP/1.1\r\nBad Header: 1\r\n\r\n", "read"),
+}
+
+
+@when("direct path caller's connection ends as it {end}")
+def connection_ends(context, end):
+    data, how = ENDS[end]
+
+    async def wait(connection):
+        await asyncio.sleep(1.0)
+
+    async def act(server):
+        server.answers |= {
+            "wait": wait,
+            "cut": _fail_within_stream,
+            "long": long_answer(4_000_000),
+        }
+        server.is_stopping = "last answer" in end
+        reader, writer, connection = await server.connect()
+        if how == "stay":
+            writer.transport.pause_reading()
+        writer.write(data)
+        await asyncio.sleep(0.1)
+        if how == "reset":
+            reset(writer)
+        elif how == "close":
+            writer.close()
+        elif how == "read":
+            await read_all(reader)
+            writer.transport.abort()
+        for _ in range(100):
+            if connection in server.ended:
+                break
+            server.clock.now_s += 0.5 if how == "stay" else 0.0
+            server.check_timeouts()
+            await asyncio.sleep(0.01)
+        assert connection in server.ended
+
+    with_server(act)
+
+
+@then(
+    'direct path logged one early end in the phase "{phase}" with the reason "{reason}"'
+)
+def logged_early_end(context, phase, reason):
+    (record,) = context.log_lines.of("caller connection ended early")
+    assert record.phase == phase, record.phase
+    assert reason in record.reason, record.reason
+    assert record.peer.startswith("127.0.0.1:"), record.peer
+
+
+@then("direct path logged no early end")
+def logged_no_early_end(context):
+    assert not context.log_lines.of("caller connection ended early")
+
+
+@when('direct path caller of "{path}" closes after {after_s:g} s')
+def caller_closes(context, path, after_s):
+    log_lines(context)
+    context.direct.send(path, body=b"b", disconnect_after_s=after_s)
+    lines = context.log_lines
+    context.direct.wait(lambda: lines.of("caller connection ended early"), 2.0)
+
+
+@then('direct path logged one early end of the request "{request_id}"')
+def logged_early_end_of(context, request_id):
+    (record,) = context.log_lines.of("caller connection ended early")
+    assert (record.request, record.phase) == (request_id, "answering"), record
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1118,4 +1118,12 @@
         "direct/caller_connections",
         "refuses a request that is not complete when a stop ends",
     ),
+    Mutation(
+        "line of an end within a request",
+        "direct/caller_connection.py",
+        "        if phase and self._transport is not None:\n",
+        "        if False:\n",
+        "direct/caller_connections",
+        "end within a request has a line",
+    ),
 )
