--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1160,4 +1160,20 @@
         "direct/silence",
         "holds it against no sound engine",
     ),
+    Mutation(
+        "requests that are still read when a stop ends",
+        "direct/caller_connection.py",
+        "        elif not self.is_idle:\n",
+        "        elif False:\n",
+        "direct/caller_connections",
+        "refuses a request that is not complete when a stop ends",
+    ),
+    Mutation(
+        "line of an end within a request",
+        "direct/caller_connection.py",
+        "        if phase and self._transport is not None:\n",
+        "        if False:\n",
+        "direct/caller_connections",
+        "end within a request has a line",
+    ),
 )
