Read events that arrive with the head of a stream without a length

What callers saw: the first events of a stream came late, together with the next ones, and an engine that paused after them seemed silent, so that the stream could end although its events had arrived.

Cause: the stream reader looks for events that are buffered behind the head with the socket of the connection. If the body has neither a length nor chunks, the connection has given its socket to the response, so the reader took the buffer for empty.

The socket is taken from the buffer of the response now, which has it in both cases.

agent/streams, "events that arrive together with the head", failed before: no event within 5 s. It passes now, as do the other scenarios of agent/streams, agent/engine_run and agent/resumed_streams.

--- a/lentiltally/agent/engine_client.py
+++ b/lentiltally/agent/engine_client.py
@@ -308,12 +308,13 @@
         """Return whether bytes can be read without waiting.
 
         urllib3 returns one chunk at a time and has no call that tells whether another
-        one is buffered, so this looks into the buffer of http.client below it.
+        one is buffered, so this looks into the buffer of http.client below it. The
+        socket is taken from there, too: a connection that ends with the body has given
+        it away.
         """
-        connection = self._response.connection
         raw = getattr(self._response, "_fp", None)
         buffer = getattr(raw, "fp", None)
-        sock = getattr(connection, "sock", None)
+        sock = getattr(getattr(buffer, "raw", None), "_sock", None)
         if buffer is None or sock is None:
             return False
         timeout_s = sock.gettimeout()
--- a/tests/agent/streams.feature
+++ b/tests/agent/streams.feature
@@ -7,6 +7,12 @@
     Then stream reader has passed on events before the end
     And stream reader reports an error after which the request may have run
 
+  Scenario: Stream reader passes on events that arrive together with the head
+    # Guards against first events that stay in a buffer until the next ones arrive, so
+    # that a stream seems silent. The body has no length and ends with its connection.
+    Given stream reader reads from an engine that sends head and events at once
+    Then stream reader has passed on events before the end
+
   Scenario: Stream reader passes on every event once and in order
     # Guards against events that are lost, repeated or reordered. With this many streams
     # the reader pauses between reads and passes on several events together.
--- a/tests/steps/streams_steps.py
+++ b/tests/steps/streams_steps.py
@@ -18,6 +18,7 @@
 from lentiltally.clock import SystemClock
 from standins.engine import EngineStandIn
 from standins.engine_state import EngineSettings
+from tests.steps.agent_cut_answers_steps import read_request
 
 MODEL = "t/a@1"
 
@@ -62,6 +63,44 @@
     client.cancel("r1")
 
 
+@given("stream reader reads from an engine that sends head and events at once")
+def read_with_head(context):
+    head = b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n\r\n"
+    listener = socket.create_server(("127.0.0.1", 0))
+    context.add_cleanup(listener.close)
+    is_read = threading.Event()
+
+    def serve():
+        connection, _ = listener.accept()
+        with connection:
+            read_request(connection)
+            connection.sendall(head + b"id: 1\ndata: {}\n\n")
+            is_read.wait(20.0)
+
+    threading.Thread(target=serve, daemon=True).start()
+    url = f"http://127.0.0.1:{listener.getsockname()[1]}"
+    reader = StreamReader(SystemClock())
+    reader.start()
+    context.add_cleanup(reader.stop)
+    stream = _open(EngineClient(url, "engine", 2, 10.0, 10.0), "r1", 10)
+    context.blocks = []
+    arrived = threading.Event()
+
+    def on_block(block):
+        context.blocks.append(block)
+        arrived.set()
+        return False
+
+    with ThreadPoolExecutor(1) as pool:
+        result = pool.submit(reader.follow, stream, on_block, 10.0)
+        arrived.wait(5.0)
+        seen = list(context.blocks)
+        is_read.set()
+        result.exception(20.0)
+    context.blocks = seen
+    stream.close()
+
+
 @then("stream reader has passed on events before the end")
 def has_passed_on_early(context):
     assert context.blocks
