Keep a silent engine stream until another connection goes on with it

What callers saw: on the product's own interface a stream whose engine was silent for targets[].silence_timeout_s ended with an error, although the engine was about to go on and the deadline was later.

Cause: the agent closed the silent connection first and resumed the stream then. Four rejections of the resumed stream in a row, which take no time, ended it; a stream without event ids ended at once, and so did work that the entry must not repeat.

The silent connection stays open now while another one is opened, and the first of them that delivers a valid next event is kept. A rejected or broken successor leaves the silent connection as it is. If the stream can't be resumed, it is waited for. A stream that stays silent is given up once its deadline has passed or its entry has cancelled it, at the next silence; the bound itself is unchanged. Idempotent work without any event is still handed back after the same silence, since the entry sends it to another target.

The steps of agent/streams pass a mapping of streams to handlers now, as follow() wants it; what they check is unchanged.

--- a/lentiltally/agent/engine_client.py
+++ b/lentiltally/agent/engine_client.py
@@ -288,7 +288,7 @@
     def __init__(self, response: urllib3.BaseHTTPResponse, name: str) -> None:
         """Read nothing yet; ``name`` is the target's name, used in errors."""
         self._response = response
-        self._name = name
+        self.name = name
         self._buffer = b""
         self.status = response.status
         self.content_type = response.headers.get("Content-Type", "text/event-stream")
@@ -298,7 +298,7 @@
         try:
             return self._response.read()
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise target_error(error, "stream", self._name) from error
+            raise target_error(error, "stream", self.name) from error
 
     def fileno(self) -> int:
         """Return the file descriptor of the connection."""
@@ -358,7 +358,7 @@
 
     def wrap_error(self, cause: Exception) -> TargetError:
         """Return the TargetError for a connection that broke or timed out."""
-        return target_error(cause, "stream", self._name)
+        return target_error(cause, "stream", self.name)
 
     def close(self) -> None:
         """Close the connection, which also tells the engine that nobody reads it."""
@@ -375,7 +375,7 @@
         try:
             return self._response.read1(MAX_READ_BYTES)
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise target_error(error, "stream", self._name) from error
+            raise target_error(error, "stream", self.name) from error
 
 
 def first_event_origin(data: bytes) -> tuple[str, str] | None:
--- a/lentiltally/agent/engine_run.py
+++ b/lentiltally/agent/engine_run.py
@@ -6,8 +6,10 @@
 
 from __future__ import annotations
 
+import functools
 import logging
 from collections.abc import Callable
+from dataclasses import dataclass
 
 from lentiltally.agent._http import TargetError
 from lentiltally.agent.engine_client import (
@@ -16,7 +18,11 @@
     EventBlock,
     first_event_origin,
 )
-from lentiltally.agent.stream_reader import StreamReader
+from lentiltally.agent.stream_reader import (
+    BlockHandler,
+    StreamReader,
+    StreamSilentError,
+)
 from lentiltally.wire import (
     ANSWER_MISMATCH,
     AnswerEnd,
@@ -48,6 +54,19 @@
     reason = ANSWER_MISMATCH
 
 
+@dataclass(slots=True)
+class _ConnectionChecks:
+    """What is still to be checked of the events on one connection of a stream.
+
+    ``continues_after`` is the id after which the connection continues the stream; it is
+    empty once the first event is checked.
+    """
+
+    content_type: str
+    continues_after: str
+    is_origin_checked: bool = False
+
+
 class EngineAttempt:
     """One attempt on an engine, from the request to the end of the answer.
 
@@ -64,19 +83,19 @@
         *,
         reader: StreamReader,
         silence_timeout_s: float,
+        has_time_left: Callable[[], bool],
     ) -> None:
         """Send nothing yet; ``emit`` gets the messages of the answer.
 
-        ``silence_timeout_s`` is how long a stream may go without data.
+        After ``silence_timeout_s`` without an event the stream is resumed on another
+        connection. It is given up only if ``has_time_left`` returns False then.
         """
         self._client = client
         self._stream_reader = reader
         self._silence_timeout_s = silence_timeout_s
-        self._is_origin_checked = False
-        # Id after which the current connection continues the stream; empty once its
-        # first event is checked.
-        self._continues_after = ""
-        self._content_type = ""
+        self._has_time_left = has_time_left
+        # The open connections of the stream, with the handlers of their events.
+        self._streams: dict[EngineStream, BlockHandler] = {}
         self._execute = execute
         self._expected_incarnation = expected_incarnation
         self._emit = emit
@@ -108,36 +127,68 @@
         self._emit_unstreamed(answer.status, answer.content_type, answer.body)
 
     def _run_stream(self) -> None:
-        """Read the stream; resume it if it breaks after the first event id."""
-        for resumes_left in range(MAX_STREAM_RESUMES, -1, -1):
-            try:
-                self._read_stream()
-                if self._is_complete:
+        """Read the stream; resume it if it breaks or falls silent after an event id.
+
+        A silent connection is kept until another one delivers the next event: the
+        engine may go on, and it may reject the resumed stream.
+        """
+        resumes_left = MAX_STREAM_RESUMES
+        error: TargetError | None = None
+        try:
+            self._open_stream()
+            while not self._is_complete:
+                if self._streams:
+                    error = self._follow()
+                if error is None:
                     return
-                error = self._error("the stream ended before its last event", True)
-            except EngineMismatchError:
-                raise
-            except TargetError as failure:
-                error = failure
-            if not self._last_id or resumes_left == 0:
-                raise error
+                can_resume = bool(self._last_id) and resumes_left > 0
+                if self._is_given_up(can_resume):
+                    raise error
+                if can_resume:
+                    resumes_left -= 1
+                    error = self._resume(error)
+        finally:
+            self._close_streams()
+
+    def _is_given_up(self, can_resume: bool) -> bool:
+        if not self._streams:
+            return not can_resume
+        # Before the first event the entry can send idempotent work to another target.
+        is_retried = self._next_index == 0 and self._execute.idempotent
+        return is_retried or not self._has_time_left()
+
+    def _resume(self, reason: TargetError) -> TargetError:
+        """Open a connection that continues the stream; return why there is none.
+
+        That is the given reason if there is one now.
+        """
+        _log.info(
+            "resuming engine stream",
+            extra={
+                "attempt": self._execute.attempt_id,
+                "next_index": self._next_index,
+                "error": str(reason),
+            },
+        )
+        try:
+            self._open_stream()
+        except TargetError as error:
             _log.info(
-                "resuming engine stream",
-                extra={
-                    "attempt": self._execute.attempt_id,
-                    "next_index": self._next_index,
-                    "error": str(error),
-                },
+                "could not resume engine stream",
+                extra={"attempt": self._execute.attempt_id, "error": str(error)},
             )
+            return error
+        return reason
 
-    def _read_stream(self) -> None:
+    def _open_stream(self) -> None:
+        """Send the request, or resume the stream after the last event."""
         execute = self._execute
         stream = self._client.stream(
             execute.path, execute.body, execute.attempt_id, self._last_id
         )
         try:
             if stream.status == HTTP_OK:
-                self._forward_events(stream)
+                self._add_stream(stream)
             elif self._last_id:
                 raise self._error(
                     f"the engine answered {stream.status} to a resumed stream", True
@@ -148,43 +199,63 @@
                 )
                 self._is_complete = True
         finally:
-            stream.close()
+            if stream not in self._streams:
+                stream.close()
 
-    def _forward_events(self, stream: EngineStream) -> None:
-        self._is_origin_checked = False
-        self._continues_after = self._last_id
+    def _add_stream(self, stream: EngineStream) -> None:
         if self._last_id and _media_type(stream.content_type) != EVENT_STREAM_TYPE:
             raise self._error("the engine resumed with no event stream", True)
-        self._content_type = stream.content_type
-        self._stream_reader.follow(stream, self._forward_block, self._silence_timeout_s)
-        if self._is_complete:
+        checks = _ConnectionChecks(stream.content_type, self._last_id)
+        self._streams[stream] = functools.partial(self._forward_block, checks)
+
+    def _follow(self) -> TargetError | None:
+        """Read the open connections; return why the answer is not complete yet."""
+        try:
+            self._stream_reader.follow(self._streams, self._silence_timeout_s)
+        except EngineMismatchError:
+            raise
+        except StreamSilentError as error:
+            return error
+        except TargetError as error:
+            self._close_streams()
+            return error
+        if not self._is_complete:
+            self._close_streams()
+            return self._error("the stream ended before its last event", True)
+        for stream in self._streams:
             stream.finish()
-            self._emit(AnswerEnd(self._execute.attempt_id, self._next_index))
+        self._emit(AnswerEnd(self._execute.attempt_id, self._next_index))
+        return None
+
+    def _close_streams(self) -> None:
+        for stream in self._streams:
+            stream.close()
+        self._streams.clear()
 
-    def _forward_block(self, block: EventBlock) -> bool:
+    def _forward_block(self, checks: _ConnectionChecks, block: EventBlock) -> bool:
         """Emit a block of events; True if it has the last event of the answer."""
-        if self._continues_after:
-            self._check_continuation(block.first_id)
-        if not self._is_origin_checked and (origin := first_event_origin(block.data)):
+        if checks.continues_after:
+            self._check_continuation(checks, block.first_id)
+        if not checks.is_origin_checked and (origin := first_event_origin(block.data)):
             self._check_origin(*origin)
-            self._is_origin_checked = True
+            checks.is_origin_checked = True
         attempt_id = self._execute.attempt_id
         if self._next_index == 0:
-            self._emit(AnswerHead(attempt_id, HTTP_OK, self._content_type))
+            self._emit(AnswerHead(attempt_id, HTTP_OK, checks.content_type))
         self._emit(AnswerEvents(attempt_id, self._next_index, block.count, block.data))
         self._next_index += block.count
         self._last_id = block.last_id
         self._is_complete = DONE_MARKER in block.data
         return self._is_complete
 
-    def _check_continuation(self, first_id: str) -> None:
+    def _check_continuation(self, checks: _ConnectionChecks, first_id: str) -> None:
         """Check the first event of a resumed stream; ids count from event to event."""
-        if not _follows(first_id, self._continues_after):
+        if not _follows(first_id, checks.continues_after):
             raise self._error(
-                f"event {first_id[:MAX_ID_DIGITS]!r} follows {self._continues_after}",
+                f"event {first_id[:MAX_ID_DIGITS]!r} follows {checks.continues_after}",
                 True,
             )
-        self._continues_after = ""
+        checks.continues_after = ""
 
     def _emit_unstreamed(self, status: int, content_type: str, body: bytes) -> None:
         if status == HTTP_NOT_FOUND:
--- a/lentiltally/agent/engine_target.py
+++ b/lentiltally/agent/engine_target.py
@@ -184,9 +184,14 @@
             emit,
             reader=self._stream_reader,
             silence_timeout_s=self._silence_timeout_s,
+            has_time_left=lambda: self._has_time_left(job),
         )
         attempt.run()
 
+    def _has_time_left(self, job: Job) -> bool:
+        now_s = self._state.clock.monotonic_s()
+        return not job.is_cancelled and now_s < job.item.deadline_s
+
     def cancel(self, job: Job) -> None:
         """Ask the engine to stop a running job; a failure is only logged."""
         try:
--- a/lentiltally/agent/runner.py
+++ b/lentiltally/agent/runner.py
@@ -99,6 +99,8 @@
         attempt_id = message.attempt_id
         with self._state.lock:
             job = self._running.get(attempt_id)
+            if job is not None:
+                job.is_cancelled = True
             item = self._queue.cancel(attempt_id)
             if item is not None:
                 self._refuse_queued(item, "cancelled")
--- a/lentiltally/agent/stream_reader.py
+++ b/lentiltally/agent/stream_reader.py
@@ -32,18 +32,33 @@
 BlockHandler = Callable[[EventBlock], bool]
 
 
+class StreamSilentError(TargetError):
+    """No event has arrived for the time after which a stream counts as silent.
+
+    Its connections are still open, and the engine may go on.
+    """
+
+
 @dataclass(slots=True, eq=False)
-class _FollowedStream:
-    stream: EngineStream
-    on_block: BlockHandler
+class _FollowedAnswer:
+    """One answer, with a handler for each connection that may deliver it."""
+
+    handlers: dict[EngineStream, BlockHandler]
     silence_timeout_s: float
     last_event_s: float
     error: Exception | None = None
     ended: threading.Event = field(default_factory=threading.Event)
 
 
+@dataclass(frozen=True, slots=True, eq=False)
+class _Connection:
+    descriptor: int
+    stream: EngineStream
+    answer: _FollowedAnswer
+
+
 class StreamReader:
-    """Reads streams until they end, break or time out; safe for several threads."""
+    """Reads streams until they end, break or fall silent; safe for several threads."""
 
     def __init__(self, clock: Clock) -> None:
         """Start without streams."""
@@ -52,8 +67,8 @@
         self._wake_receiver, self._wake_sender = socket.socketpair()
         self._wake_receiver.setblocking(False)
         self._selector.register(self._wake_receiver, selectors.EVENT_READ)
-        self._new_streams: deque[_FollowedStream] = deque()
-        self._followed: dict[int, _FollowedStream] = {}
+        self._new_answers: deque[_FollowedAnswer] = deque()
+        self._connections: dict[EngineStream, _Connection] = {}
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True, name="streams")
 
@@ -67,22 +82,25 @@
         self._wake()
 
     def follow(
-        self, stream: EngineStream, on_block: BlockHandler, silence_timeout_s: float
+        self, handlers: dict[EngineStream, BlockHandler], silence_timeout_s: float
     ) -> None:
-        """Read a stream and return when ``on_block`` returns True or the body ends.
+        """Read an answer and return when a handler returns True or the body ends.
 
-        ``on_block`` is called on the reader's thread. Raises TargetError if the
-        connection breaks or no event arrives for ``silence_timeout_s``, and whatever
-        ``on_block`` raises.
+        ``handlers`` maps the connections that may deliver the answer to their handlers,
+        which are called on the reader's thread. The first connection whose events are
+        accepted by its handler is kept; the others are closed and taken out of
+        ``handlers``, as is one that breaks while there are others.
+
+        Raises StreamSilentError if no event arrives for ``silence_timeout_s``, with the
+        connections still open, TargetError if the last connection breaks, and whatever
+        its handler raises.
         """
-        followed = _FollowedStream(
-            stream, on_block, silence_timeout_s, self._clock.monotonic_s()
-        )
-        self._new_streams.append(followed)
+        answer = _FollowedAnswer(handlers, silence_timeout_s, self._clock.monotonic_s())
+        self._new_answers.append(answer)
         self._wake()
-        followed.ended.wait()
-        if followed.error is not None:
-            raise followed.error
+        answer.ended.wait()
+        if answer.error is not None:
+            raise answer.error
 
     def _wake(self) -> None:
         self._wake_sender.send(b"\0")
@@ -96,51 +114,98 @@
                     self._wake_receiver.recv(4096)
                 else:
                     self._read(key.data)
-            while self._new_streams:
-                self._add(self._new_streams.popleft())
+            while self._new_answers:
+                self._add(self._new_answers.popleft())
             now_s = self._clock.monotonic_s()
             if now_s >= check_due_s:
                 check_due_s = now_s + TIMEOUT_CHECK_INTERVAL_S
                 self._check_timeouts(now_s)
-            if len(self._followed) >= COALESCE_MIN_STREAMS:
+            if len(self._connections) >= COALESCE_MIN_STREAMS:
                 self._stopped.wait(COALESCE_DELAY_S)
 
-    def _add(self, followed: _FollowedStream) -> None:
+    def _add(self, answer: _FollowedAnswer) -> None:
+        for stream in list(answer.handlers):
+            # The connection before may have delivered already.
+            if not answer.ended.is_set() and stream in answer.handlers:
+                self._add_connection(stream, answer)
+
+    def _add_connection(self, stream: EngineStream, answer: _FollowedAnswer) -> None:
         try:
-            descriptor = followed.stream.fileno()
-            self._selector.register(descriptor, selectors.EVENT_READ, followed)
+            connection = _Connection(stream.fileno(), stream, answer)
+            self._selector.register(
+                connection.descriptor, selectors.EVENT_READ, connection
+            )
         except (OSError, ValueError) as error:
-            self._end_stream(followed, followed.stream.wrap_error(error))
+            self._drop(stream, answer, stream.wrap_error(error))
             return
-        self._followed[descriptor] = followed
+        self._connections[stream] = connection
         # Events that arrived with the response head are buffered already, so the
         # connection may not become readable for them.
-        if followed.stream.has_buffered_data():
-            self._read(followed)
+        if stream.has_buffered_data():
+            self._read(connection)
 
-    def _read(self, followed: _FollowedStream) -> None:
+    def _read(self, connection: _Connection) -> None:
+        stream, answer = connection.stream, connection.answer
+        if self._connections.get(stream) is not connection:
+            # Another connection has ended the answer, or delivered first, meanwhile.
+            return
         try:
-            for block in followed.stream.read_events():
+            for block in stream.read_events():
+                if block is None:
+                    self._drop(stream, answer, None)
+                    return
+                is_last = answer.handlers[stream](block)
                 # Single bytes that complete no event are no progress.
-                followed.last_event_s = self._clock.monotonic_s()
-                if block is None or followed.on_block(block):
-                    self._end_stream(followed, None)
+                answer.last_event_s = self._clock.monotonic_s()
+                self._keep_only(stream, answer)
+                if is_last:
+                    self._end(answer, None)
                     return
         except Exception as error:
             if not isinstance(error, TargetError):
                 _log.exception("unexpected error while reading an engine stream")
-            self._end_stream(followed, error)
+            self._drop(stream, answer, error)
 
     def _check_timeouts(self, now_s: float) -> None:
-        for followed in list(self._followed.values()):
-            if now_s - followed.last_event_s > followed.silence_timeout_s:
-                error = TimeoutError(f"no event for {followed.silence_timeout_s} s")
-                self._end_stream(followed, followed.stream.wrap_error(error))
-
-    def _end_stream(self, followed: _FollowedStream, error: Exception | None) -> None:
-        for descriptor, other in list(self._followed.items()):
-            if other is followed:
-                del self._followed[descriptor]
-                self._selector.unregister(descriptor)
-        followed.error = error
-        followed.ended.set()
+        for answer in {c.answer for c in self._connections.values()}:
+            if now_s - answer.last_event_s > answer.silence_timeout_s:
+                error = StreamSilentError(
+                    f"no event for {answer.silence_timeout_s} s",
+                    step="stream",
+                    peer=next(iter(answer.handlers)).name,
+                    may_have_run=True,
+                )
+                self._end(answer, error)
+
+    def _keep_only(self, stream: EngineStream, answer: _FollowedAnswer) -> None:
+        for other in [other for other in answer.handlers if other is not stream]:
+            self._close(other, answer)
+
+    def _drop(
+        self, stream: EngineStream, answer: _FollowedAnswer, error: Exception | None
+    ) -> None:
+        """Close a connection that has ended; end the answer if it was the last one."""
+        if len(answer.handlers) == 1:
+            self._end(answer, error)
+            return
+        _log.info(
+            "one of several connections of a stream ended",
+            extra={"target": stream.name, "error": str(error or "end of the body")},
+        )
+        self._close(stream, answer)
+
+    def _close(self, stream: EngineStream, answer: _FollowedAnswer) -> None:
+        self._unregister(stream)
+        del answer.handlers[stream]
+        stream.close()
+
+    def _end(self, answer: _FollowedAnswer, error: Exception | None) -> None:
+        for stream in answer.handlers:
+            self._unregister(stream)
+        answer.error = error
+        answer.ended.set()
+
+    def _unregister(self, stream: EngineStream) -> None:
+        connection = self._connections.pop(stream, None)
+        if connection is not None:
+            self._selector.unregister(connection.descriptor)
--- a/lentiltally/agent/target.py
+++ b/lentiltally/agent/target.py
@@ -27,6 +27,7 @@
     ``item`` is the work taken from the queue, ``execute`` the message with which the
     entry sent it. ``pin`` is the pin of its adapter, or None for a service.
     ``engine_incarnation`` is the engine incarnation on which the adapter was pinned.
+    ``is_cancelled`` is true once the entry does not wait for the answer any longer.
     """
 
     item: QueuedWork
@@ -34,6 +35,7 @@
     answer: KeptAnswer
     pin: Pinned | None = None
     engine_incarnation: str = ""
+    is_cancelled: bool = False
 
 
 class Target(Protocol):
--- a/lentiltally/settings/_keys.py
+++ b/lentiltally/settings/_keys.py
@@ -306,7 +306,7 @@
     Key(
         "targets[].silence_timeout_s",
         kinds.SECONDS,
-        "longest pause within an answer before the connection counts as dead",
+        "pause within a stream after which another connection resumes it",
         5.0,
         "s",
         0.1,
--- a/tests/steps/engine_run_steps.py
+++ b/tests/steps/engine_run_steps.py
@@ -43,6 +43,7 @@
         context.emitted.append,
         reader=reader,
         silence_timeout_s=10.0,
+        has_time_left=lambda: True,
     )
 
 
--- a/tests/steps/resumed_streams_steps.py
+++ b/tests/steps/resumed_streams_steps.py
@@ -81,6 +81,7 @@
         context.emitted.append,
         reader=reader,
         silence_timeout_s=LIMIT_S,
+        has_time_left=lambda: True,
     )
 
 
--- a/tests/steps/streams_steps.py
+++ b/tests/steps/streams_steps.py
@@ -53,7 +53,7 @@
 
     stream = _open(client, "r1", 10_000)
     with ThreadPoolExecutor(1) as pool:
-        result = pool.submit(reader.follow, stream, on_block, 1.0)
+        result = pool.submit(reader.follow, {stream: on_block}, 1.0)
         assert arrived.wait(10.0), "no event arrived while the engine was producing"
         urllib3.request(
             "PUT", f"{engine.url}/faults", json={"silent_connections": True}
@@ -92,7 +92,7 @@
         return False
 
     with ThreadPoolExecutor(1) as pool:
-        result = pool.submit(reader.follow, stream, on_block, 10.0)
+        result = pool.submit(reader.follow, {stream: on_block}, 10.0)
         arrived.wait(5.0)
         seen = list(context.blocks)
         is_read.set()
@@ -124,7 +124,7 @@
             context.streams[number] += block.data
             return b"[DONE]" in block.data
 
-        reader.follow(_open(client, f"r{number}", tokens), on_block, 10.0)
+        reader.follow({_open(client, f"r{number}", tokens): on_block}, 10.0)
 
     with ThreadPoolExecutor(streams) as pool:
         list(pool.map(follow, range(streams)))
@@ -162,7 +162,7 @@
     context.add_cleanup(reader.stop)
     stream = EngineStream(SocketResponse(receiver), "engine")
     with ThreadPoolExecutor(1) as pool:
-        result = pool.submit(reader.follow, stream, lambda block: False, 0.3)
+        result = pool.submit(reader.follow, {stream: lambda block: False}, 0.3)
         deadline_s = time.monotonic() + 10.0
         while not result.done() and time.monotonic() < deadline_s:
             sender.sendall(data)
