Log why an entry ended a stream or a connection early

What callers saw: a stream of the product's own interface that ended with an error event, or without one, and no line in the entry's log that named the cause. Operators could not tell a failed target from a caller that left, nor either from an error of the entry.

Cause: refusals are logged when they become an answer; once the status line is sent there is none. An exception in a stream went to cheroot, which closed the connection and wrote to stderr, outside the log.

A stream that ends early is logged now with request, attempt, target and reason ("caller gone" for a caller that left); an exception in it is logged and reported in the stream like a failed target. What cheroot has to say goes to the entry's log.

pipeline/dispatch, "logs why a stream ended early" (three rows), and entry/server failed before: no such records, and the ValueError of the third row reached the server. They pass now, as does pipeline/.

--- a/lentiltally/entry/server.py
+++ b/lentiltally/entry/server.py
@@ -197,6 +197,17 @@
         return f"{status} Status"
 
 
+class _Server(wsgi.Server):
+    """A server that logs why it ended a connection; cheroot writes that to stderr."""
+
+    def error_log(
+        self, msg: object = "", level: int = logging.INFO, traceback: bool = False
+    ) -> None:
+        _log.log(
+            level, "HTTP server error", exc_info=traceback, extra={"error": str(msg)}
+        )
+
+
 def new_server(
     listen: str,
     application: Any,
@@ -210,7 +221,7 @@
 ) -> wsgi.Server:
     """Return an HTTP server that is not bound yet; ``listen`` is ``host:port``."""
     host, _, port = listen.rpartition(":")
-    server = wsgi.Server(
+    server = _Server(
         (host.strip("[]"), int(port)),
         application,
         numthreads=threads,
--- a/lentiltally/pipeline/dispatch.py
+++ b/lentiltally/pipeline/dispatch.py
@@ -250,13 +250,47 @@
     try:
         for part in attempt.events():
             if isinstance(part, Failed):
-                # The status line has been sent, so the error goes into the stream. It
-                # ends without [DONE], so that callers can tell it is incomplete.
-                refusal = failure_refusal(part, attempt.target.target)
-                body = problem_body(refusal, exchange.request_id)
-                yield b"event: error\ndata: " + body + b"\n\n"
+                _log_early_end(attempt, exchange, part.reason, part.executed)
+                yield _error_event(attempt, exchange, part)
             else:
                 yield part
+    except GeneratorExit:
+        _log_early_end(attempt, exchange, "caller gone", "unknown")
+        raise
+    except Exception:
+        # Nothing that is raised from here on becomes an answer to the caller.
+        _log.exception(
+            "unexpected error in a stream", extra=_log_fields(attempt, exchange)
+        )
+        yield _error_event(attempt, exchange, Failed("unknown", "internal", 0.0))
     finally:
         # The agent keeps the answer to keyed work until its outcome is in the log.
         attempt.close(release=not exchange.resolved().is_keyed)
+
+
+def _error_event(attempt: Attempt, exchange: Exchange, failed: Failed) -> bytes:
+    """Return the event by which a stream reports its failure.
+
+    The status line has been sent, so the error goes into the stream. It ends without
+    [DONE], so that callers can tell it is incomplete.
+    """
+    refusal = failure_refusal(failed, attempt.target.target)
+    body = problem_body(refusal, exchange.request_id)
+    return b"event: error\ndata: " + body + b"\n\n"
+
+
+def _log_early_end(
+    attempt: Attempt, exchange: Exchange, reason: str, executed: str
+) -> None:
+    _log.warning(
+        "stream ended early",
+        extra=_log_fields(attempt, exchange) | {"reason": reason, "executed": executed},
+    )
+
+
+def _log_fields(attempt: Attempt, exchange: Exchange) -> dict[str, str]:
+    return {
+        "request": exchange.request_id,
+        "attempt": attempt.attempt_id,
+        "target": attempt.target.target,
+    }
--- a/tests/pipeline/dispatch.feature
+++ b/tests/pipeline/dispatch.feature
@@ -16,3 +16,17 @@
       | unknown agent restarted                      | idempotent     | 502    | 2        | suspected   |
       | unknown answer-mismatch                      | idempotent     | 200    | 3        | unsuspected |
       | no leaving                                   | non-idempotent | 200    | 3        | unsuspected |
+
+  # Guards against streams that end early and leave no trace: once the status line is
+  # sent, no refusal is logged.
+  Scenario Outline: Dispatch logs why a stream ended early
+    Given dispatch has a target that begins a stream
+    When dispatch's stream ends after its first event because <cause>
+    Then dispatch's stream has told its caller <told>
+    And dispatch has logged "<line>" for the request with the reason "<reason>"
+
+    Examples:
+      | cause                   | told             | line                          | reason        |
+      | its target fails        | target-failed    | stream ended early            | target-failed |
+      | its caller is gone      | nothing          | stream ended early            | caller gone   |
+      | an error is not handled | internal         | unexpected error in a stream  | ValueError    |
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import logging
 import random
 from datetime import timedelta
 
@@ -16,9 +17,19 @@
 from lentiltally.routing.attempts import AttemptContext
 from lentiltally.routing.pending import PendingAttempts
 from lentiltally.routing.retry_policy import BudgetedRetryPolicy
-from lentiltally.wire import CompleteAnswer, Execute, Refused, TargetCounts, TargetState
+from lentiltally.wire import (
+    AnswerEnd,
+    AnswerEvents,
+    AnswerHead,
+    CompleteAnswer,
+    Execute,
+    Refused,
+    TargetCounts,
+    TargetState,
+)
 
 DEADLINE_S = 20.0
+FIRST_EVENT = b"id: 1\ndata: {}\n\n"
 WORK = Work(
     kind="model",
     team="t",
@@ -94,6 +105,35 @@
         self._pending.deliver(answer)
 
 
+class FakeStreamAgent:
+    """Begins a stream for each attempt; the test delivers the rest."""
+
+    def __init__(self, pending):
+        self._pending = pending
+        self.attempt_id = ""
+
+    def put(self, address, message):
+        if not isinstance(message, Execute):
+            return
+        self.attempt_id = message.attempt_id
+        self.deliver(AnswerHead(self.attempt_id, 200, "text/event-stream"))
+        self.deliver(AnswerEvents(self.attempt_id, 0, 1, FIRST_EVENT))
+
+    def deliver(self, message):
+        self._pending.deliver(message)
+
+
+class RecordingHandler(logging.Handler):
+    """Keeps log records."""
+
+    def __init__(self):
+        super().__init__()
+        self.records = []
+
+    def emit(self, record):
+        self.records.append(record)
+
+
 class FakeReleaseSender:
     """Drops all releases."""
 
@@ -128,9 +168,14 @@
 def dispatch_targets(context, count, failures, executed, reason):
     pending = PendingAttempts()
     context.agents = FakeAgents(pending, [(executed, reason)] * failures)
+    set_dispatch(context, pending, count)
+
+
+def set_dispatch(context, pending, count):
+    context.directory = FakeDirectory(count)
     attempt_context = AttemptContext(
         pending=pending,
-        directory=FakeDirectory(count),
+        directory=context.directory,
         outboxes=context.agents,
         releases=FakeReleaseSender(),
         ids=AttemptIds("entry"),
@@ -159,3 +204,55 @@
     assert (context.status, len(sent)) == (status, attempts), (context.status, sent)
     is_suspected = any(message.is_suspect for message in sent)
     assert is_suspected == (suspicion == "suspected"), sent
+
+
+@given("dispatch has a target that begins a stream")
+def dispatch_stream_target(context):
+    pending = PendingAttempts()
+    context.agents = FakeStreamAgent(pending)
+    set_dispatch(context, pending, 1)
+
+
+@when("dispatch's stream ends after its first event because {cause}")
+def dispatch_stream_ends(context, cause):
+    handler = RecordingHandler()
+    logger = logging.getLogger("lentiltally.pipeline.dispatch")
+    logger.addHandler(handler)
+    context.add_cleanup(logger.removeHandler, handler)
+    context.records = handler.records
+    work = msgspec.structs.replace(WORK, stream=True)
+    request = CallerRequest("POST", WORK.path, "", {}, b"{}", 0.0)
+    parts = context.dispatch(Exchange(request, "r", work=work)).body
+    assert next(parts) == FIRST_EVENT
+    attempt_id = context.agents.attempt_id
+    if cause == "its caller is gone":
+        parts.close()
+    elif cause == "its target fails":
+        context.agents.deliver(
+            Refused(attempt_id, "unknown", "target-failed", "run", "agent", 0.0)
+        )
+    else:
+
+        def fail(target, counts):
+            raise ValueError
+
+        context.directory.update_counts = fail
+        context.agents.deliver(AnswerEnd(attempt_id, 1))
+    context.told = b"".join(parts)
+
+
+@then("dispatch's stream has told its caller {told}")
+def dispatch_stream_told(context, told):
+    if told == "nothing":
+        assert not context.told, context.told
+    else:
+        assert context.told.startswith(b"event: error\n"), context.told
+        assert told.encode() in context.told, context.told
+
+
+@then('dispatch has logged "{line}" for the request with the reason "{reason}"')
+def dispatch_logged(context, line, reason):
+    (record,) = [r for r in context.records if r.getMessage() == line]
+    assert record.request == "r", record.__dict__
+    error = record.exc_info and record.exc_info[0].__name__
+    assert reason in (error, getattr(record, "reason", None)), record.__dict__
