Ask targets again that were silent when the request came

What callers saw: a request whose target fell silent or failed seconds later waited for its deadline, or its stream was aborted, although a sound target was free. An engine that had been unresponsive for a moment when the request came (or could not be connected to, or was full) stayed excluded until the request ended. Only what a replacement search itself excluded was tried again.

Change: before each attempt but the first, exclusions that are older than unreachable_cooldown_s (1 s) are forgotten, and with them the declines that they count as. Targets that the request was sent to stay excluded.

Evidence: the scenario (one engine is unresponsive until 0.4 s after the request, the other stays silent after two events) ended with an aborted stream at the deadline before; it is resumed now. direct/silence, limits and streams pass.

--- a/lentiltally/direct/attempt_preparation.py
+++ b/lentiltally/direct/attempt_preparation.py
@@ -46,20 +46,28 @@
 class _Search:
     """What one search for a target has found out.
 
-    ``declines`` counts the agents that did not pin the adapter. ``limited`` has the
-    targets without an agent that had no permit left, with the time to their next one,
-    and ``limit_wait_s`` is the shortest such time of all targets. ``is_over`` says that
-    no other target may be tried. ``failure`` is why the last target could not be used,
-    and which one it was.
+    ``excluded`` has the targets that could not be used, with the time at which that
+    was found out. ``declines`` counts the agents that did not pin the adapter.
+    ``limited`` has the targets without an agent that had no permit left, with the time
+    to their next one, and ``limit_wait_s`` is the shortest such time of all targets.
+    ``is_over`` says that no other target may be tried. ``failure`` is why the last
+    target could not be used, and which one it was.
     """
 
-    excluded: set[str] = field(default_factory=set)
+    excluded: dict[str, float] = field(default_factory=dict)
     declines: int = 0
     limited: dict[str, tuple[Candidate, float]] = field(default_factory=dict)
     limit_wait_s: float = math.inf
     is_over: bool = False
     failure: tuple[str, str] = ("", "")
 
+    def forget_before(self, time_s: float) -> None:
+        """Let targets be tried again that were excluded before a time."""
+        kept = {i: at_s for i, at_s in self.excluded.items() if at_s >= time_s}
+        forgotten = len(self.excluded) - len(kept)
+        self.declines = max(0, self.declines - forgotten)
+        self.excluded = kept
+
 
 class AttemptPreparation:
     """Chooses targets for one request and prepares attempts at them."""
@@ -107,8 +115,11 @@
         """Return an attempt that is ready to be sent, None if no target is left.
 
         ``attempts`` is the number of attempts before it: another one needs the retry
-        budget.
+        budget. By then, targets that could not be used at first may be sound again.
         """
+        if attempts > 0:
+            cooldown_s = self._settings.unreachable_cooldown_s
+            self._search.forget_before(self._clock.monotonic_s() - cooldown_s)
         while self._is_allowed(attempts) and (candidate := self._choose()) is not None:
             prepared = await self._prepare(candidate, attempts, max_permit_wait_s=0.0)
             if prepared is not None:
@@ -133,7 +144,7 @@
         hosts of those under way are left out: an agent has one pin for each request.
         """
         before = self._search
-        beside = self._same_host_ids(under_way)
+        beside = dict.fromkeys(self._same_host_ids(under_way), math.inf)
         self._search = replace(before, excluded=before.excluded | beside)
         try:
             return await self.next(attempts)
@@ -193,7 +204,7 @@
         now_s = self._clock.monotonic_s()
         records = self._state.usable_targets(self._service.name)
         choice = self._state.choice
-        excluded = self._search.excluded | self._sent_ids
+        excluded = self._search.excluded.keys() | self._sent_ids
         if self._service.engine is None:
             candidates = choice.rank_service_targets(records, excluded, now_s)
         else:
@@ -339,7 +350,7 @@
 
         All requests avoid an unreachable target for ``unreachable_cooldown_s``.
         """
-        self._search.excluded.add(record.target_id)
+        self._search.excluded[record.target_id] = self._clock.monotonic_s()
         self._search.failure = detail, record.target_id
         if is_unreachable:
             until_s = self._clock.monotonic_s() + self._settings.unreachable_cooldown_s
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -211,3 +211,14 @@
     When direct path gets a stream from "/stream/x" for adapter "a1"
     Then direct path delivered the events 1 to 5 completely
     And direct path counts no failure of engine "e2"
+
+  Scenario: Direct path goes on at an engine that was silent when the request came
+    # Guards against a stream that is aborted because its engine stays silent, although one
+    # that was silent before for a moment could take it.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" is unresponsive until 0.4 s after the next request
+    And direct path engine "e2" handles the next request as "stall"
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path ran request "r1" 2 times
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -351,3 +351,25 @@
 def no_failure(context, name):
     view = context.direct.entry._state.choice.view(name)
     assert view.failure_rate == 0.0, view.failure_rate
+
+
+@given(
+    'direct path engine "{name}" is unresponsive until {after_s:g} s after the next '
+    "request"
+)
+def engine_unresponsive(context, name, after_s):
+    """Let the engine report nothing; its agent knows that when this returns."""
+    system = context.direct
+    engine = system.engines[name]
+    agent = system.agents[name]
+    engine.is_frozen = True
+    assert system.wait(lambda: agent._is_engine_unresponsive)
+
+    async def thaw():
+        other = next(e for e in system.engines.values() if e is not engine)
+        while not other.runs:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(after_s)
+        engine.is_frozen = False
+
+    asyncio.run_coroutine_threadsafe(thaw(), system.loop)
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1050,7 +1050,7 @@
         "replacement at another host",
         "direct/attempt_preparation.py",
         "excluded=before.excluded | beside",
-        "excluded=set(before.excluded)",
+        "excluded=dict(before.excluded)",
         "direct/silence",
         "keeps the adapter of a silent engine whose host",
     ),
@@ -1110,4 +1110,12 @@
         "direct/silence",
         "holds it against no sound engine",
     ),
+    Mutation(
+        "targets that were silent at first",
+        "direct/attempt_preparation.py",
+        "        self.excluded = kept\n",
+        "        del kept\n",
+        "direct/silence",
+        "that was silent when the request came",
+    ),
 )
