--- a/lentiltally/direct/attempt_preparation.py
+++ b/lentiltally/direct/attempt_preparation.py
@@ -177,11 +177,6 @@
         if self._service.engine is not None:
             self._pin.release(record)
 
-    def dismiss(self, prepared: PreparedAttempt) -> None:
-        """Give up a prepared attempt that was not made."""
-        prepared.connection.close()
-        self.release(prepared.record)
-
     @property
     def _left_s(self) -> float:
         return self._deadline_s - self._clock.monotonic_s()
