Test that all attempts of a request end, and release what they hold

Three attempts of which the first goes on, and callers that leave while an adapter is loaded for a second attempt or while two are open. All of them passed on the code before; no such test existed.

--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -222,3 +222,43 @@
     When direct path gets a stream from "/stream/x" for adapter "a1"
     Then direct path delivered the events 1 to 5 completely
     And direct path ran request "r1" 2 times
+
+  Scenario: Direct path ends all other attempts of three when the paused engine goes on
+    # Guards against attempts that are neither ended nor released when three are open, and
+    # against the release of the adapter that the first one still uses.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has a third engine and a route with 3 attempts
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" handles the next request as "pause"
+    And direct path engine "e1" pauses for 2.3 s and takes 0.05 s per event
+    And direct path engine "e2" handles the next request as "hang"
+    And direct path engine "e3" handles the next request as "hang"
+    When direct path gets a stream for adapter "a1" and looks at the agent of "e1" 2.35 s later
+    Then direct path agent had pinned the adapter of the request
+    And direct path delivered the events 1 to 5 completely
+    And direct path ran request "r1" 3 times
+    And direct path request "r1" is cancelled at engine "e2"
+    And direct path request "r1" is cancelled at engine "e3"
+    And direct path agent of "e1" has released the request "r1"
+    And direct path agent of "e2" has released the request "r1"
+    And direct path agent of "e3" has released the request "r1"
+
+  Scenario Outline: Direct path ends all attempts when the caller leaves after <leave_s> s
+    # Guards against engines that go on, and adapters that stay pinned, for a caller that left
+    # while an adapter was being loaded for another attempt, or while two were open.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e2" loads for 0.4 s
+    And direct path engine "e1" handles the next request as "stall"
+    And direct path engine "e2" handles the next request as "hang"
+    When direct path caller of a stream for adapter "a1" leaves after <leave_s> s
+    Then direct path ran request "r1" <runs>
+    And direct path request "r1" is cancelled at engine "e1"
+    And direct path agent of "e1" has released the request "r1"
+    And direct path agent of "e2" has released the request "r1"
+    And direct path counts no request in flight
+
+    Examples:
+      | leave_s | runs    |
+      | 1.5     | 1 time  |
+      | 2.1     | 2 times |
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -373,3 +373,21 @@
         engine.is_frozen = False
 
     asyncio.run_coroutine_threadsafe(thaw(), system.loop)
+
+
+@when(
+    'direct path caller of a stream for adapter "{adapter}" leaves after {after_s:g} s'
+)
+def caller_leaves(context, adapter, after_s):
+    context.direct.send(
+        "/stream/x", headers=headers(adapter), disconnect_after_s=after_s
+    )
+    # Long enough for another attempt that the entry should not begin.
+    context.direct.run(asyncio.sleep(0.6))
+
+
+@then("direct path counts no request in flight")
+def none_in_flight(context):
+    choice = context.direct.entry._state.choice
+    in_flight = {name: choice.view(name).in_flight for name in context.direct.engines}
+    assert not any(in_flight.values()), in_flight
