Keep a request whose search for another target fails with an error

What callers saw: a closed connection without an answer, although their target was about to go on, if an error of the entry itself ended the search for another target. The error is logged now, and the attempts under way go on.

Evidence: the scenario (the search raises ValueError, the engine pauses) failed before with 'request handler failed' and passes now.

--- a/lentiltally/direct/open_attempts.py
+++ b/lentiltally/direct/open_attempts.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import logging
 from collections.abc import Callable, Coroutine
 from typing import Any
 
@@ -12,6 +13,8 @@
 
 __all__ = ["AttemptTurn", "OpenAttempts"]
 
+_log = logging.getLogger(__name__)
+
 
 class AttemptTurn:
     """Tells the other attempts of a request how one of them proceeds."""
@@ -105,7 +108,6 @@
         """Wait for an attempt to end; return its target and its result."""
         self._search_if_stalled()
         while True:
-            self._raise_failed_search()
             for turn, task in self._tasks.items():
                 if task.done():
                     del self._tasks[turn]
@@ -158,13 +160,13 @@
         is_searching = self._search is not None and not self._search.done()
         if self._race.needs_another and not is_searching and not self._is_closed:
             self._search = asyncio.create_task(self._begin_another())
-            self._search.add_done_callback(self._note_change)
-
-    def _raise_failed_search(self) -> None:
-        search = self._search
-        if search is not None and search.done() and not search.cancelled():
-            self._search = None
-            search.result()
+            self._search.add_done_callback(_log_failure)
 
     def _note_change(self, _: asyncio.Future[Any]) -> None:
         self._changed.set()
+
+
+def _log_failure(search: asyncio.Task[None]) -> None:
+    """Log an error in the search; the attempts under way may still answer."""
+    if not search.cancelled() and (error := search.exception()) is not None:
+        _log.error("search for another target failed", exc_info=error)
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -262,3 +262,14 @@
       | leave_s | runs    |
       | 1.5     | 1 time  |
       | 2.1     | 2 times |
+
+  Scenario: Direct path keeps a stream whose engine pauses when the search for another one fails
+    # Guards against an error of the entry's own in the search for another engine, which
+    # closes the connection of a request that its engine goes on with.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" handles the next request as "pause"
+    And direct path fails to search another target
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path ran request "r1" 1 time
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from lentiltally.direct.attempt_preparation import AttemptPreparation
 from lentiltally.direct.messages import adapter_key_hash
 from lentiltally.direct.open_attempts import OpenAttempts
 from standins.platform_engine import EngineRun
@@ -391,3 +392,13 @@
     choice = context.direct.entry._state.choice
     in_flight = {name: choice.view(name).in_flight for name in context.direct.engines}
     assert not any(in_flight.values()), in_flight
+
+
+@given("direct path fails to search another target")
+def search_fails(context):
+    async def fail(*_):
+        raise ValueError("error in the search")
+
+    replacement = AttemptPreparation.replacement
+    context.add_cleanup(setattr, AttemptPreparation, "replacement", replacement)
+    AttemptPreparation.replacement = fail
