--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -7,6 +7,7 @@
 
 from behave import given, then, when
 
+from lentiltally.direct.attempt_preparation import AttemptPreparation
 from lentiltally.direct.messages import adapter_key_hash
 from lentiltally.direct.open_attempts import OpenAttempts
 from standins.platform_engine import EngineRun
@@ -351,3 +352,53 @@
 def no_failure(context, name):
     view = context.direct.entry._state.choice.view(name)
     assert view.failure_rate == 0.0, view.failure_rate
+
+
+@given(
+    'direct path engine "{name}" is unresponsive until {after_s:g} s after the next '
+    "request"
+)
+def engine_unresponsive(context, name, after_s):
+    """Let the engine report nothing; its agent knows that when this returns."""
+    system = context.direct
+    engine = system.engines[name]
+    agent = system.agents[name]
+    engine.is_frozen = True
+    assert system.wait(lambda: agent._is_engine_unresponsive)
+
+    async def thaw():
+        other = next(e for e in system.engines.values() if e is not engine)
+        while not other.runs:
+            await asyncio.sleep(0.01)
+        await asyncio.sleep(after_s)
+        engine.is_frozen = False
+
+    asyncio.run_coroutine_threadsafe(thaw(), system.loop)
+
+
+@when(
+    'direct path caller of a stream for adapter "{adapter}" leaves after {after_s:g} s'
+)
+def caller_leaves(context, adapter, after_s):
+    context.direct.send(
+        "/stream/x", headers=headers(adapter), disconnect_after_s=after_s
+    )
+    # Long enough for another attempt that the entry should not begin.
+    context.direct.run(asyncio.sleep(0.6))
+
+
+@then("direct path counts no request in flight")
+def none_in_flight(context):
+    choice = context.direct.entry._state.choice
+    in_flight = {name: choice.view(name).in_flight for name in context.direct.engines}
+    assert not any(in_flight.values()), in_flight
+
+
+@given("direct path fails to search another target")
+def search_fails(context):
+    async def fail(*_):
+        raise ValueError("error in the search")
+
+    replacement = AttemptPreparation.replacement
+    context.add_cleanup(setattr, AttemptPreparation, "replacement", replacement)
+    AttemptPreparation.replacement = fail
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1090,7 +1090,7 @@
         "replacement at another host",
         "direct/attempt_preparation.py",
         "excluded=before.excluded | beside",
-        "excluded=set(before.excluded)",
+        "excluded=dict(before.excluded)",
         "direct/silence",
         "keeps the adapter of a silent engine whose host",
     ),
@@ -1222,4 +1222,12 @@
         "direct/caller_connections",
         "end within a request has a line",
     ),
+    Mutation(
+        "targets that were silent at first",
+        "direct/attempt_preparation.py",
+        "        self.excluded = kept\n",
+        "        del kept\n",
+        "direct/silence",
+        "that was silent when the request came",
+    ),
 )
