Wait until the last refusals of a stop are sent

When the time of a stop was over, the entry cancelled all open requests and ended 0.05 s later, whether or not they had been refused and whether or not their callers had taken what was written. A machine short of processor time cut them without an answer.

It now waits until all are answered and sent, for at most half of the 0.7 s that the stop leaves (0.35 s).

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -14,10 +14,10 @@
 from lentiltally.direct.model import CallerLimits
 from lentiltally.direct.raw_request import PartialRequest, RawHeaders, RawRequest
 from lentiltally.problems import (
-    CONTENT_TYPE,
     Refusal,
     internal_error,
     problem_body,
+    problem_headers,
     stopping_refusal,
 )
 
@@ -107,6 +107,11 @@
             return False
         return self._is_closing or not self._is_reading_request
 
+    @property
+    def is_sending(self) -> bool:
+        """Return whether a part of what was written is still to be sent."""
+        return self._transport is not None and self._transport.unsent_bytes > 0
+
     @property
     def is_disconnected(self) -> bool:
         """Return whether the caller has left, or nothing more can be written to it."""
@@ -235,11 +240,7 @@
 
     def refuse(self, refusal: Refusal, request_id: str = "") -> None:
         """Write a refusal as a problem document."""
-        headers: RawHeaders = [(b"Content-Type", CONTENT_TYPE.encode())]
-        if request_id:
-            headers.append((b"X-Request-Id", request_id.encode("latin-1")))
-        if refusal.retry_after_s is not None:
-            headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
+        headers = problem_headers(refusal, request_id)
         self.send_answer(refusal.status, headers, problem_body(refusal, request_id))
 
     def refuse_and_close(self, refusal: Refusal, request_id: str = "") -> None:
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -69,6 +69,8 @@
 # readiness checks have failed, and shortly after.
 ACCEPT_AFTER_STOP_S = 2.5
 STOP_MARGIN_S = 0.7
+# The part of it in which the last answers are written.
+LAST_ANSWERS_S = 0.35
 # A connection may be accepted this long before its request arrives. When none has been
 # opened for this long, the listener is closed.
 QUIET_BEFORE_CLOSE_S = 0.3
@@ -109,7 +111,8 @@
         self._state = EntryState(settings, clock, random.random())
         self._pool = TargetPool(clock)
         self._connections: set[CallerConnection] = set()
-        self._stopping_since_s: float | None = None
+        # Connections close after their current answer.
+        self.is_stopping = False
         self._last_opened_at_s = 0.0
         self.is_listening = False
         self._forwarder: Forwarder
@@ -169,11 +172,6 @@
         """Return the limits on callers' requests that are in force."""
         return self._state.limits
 
-    @property
-    def is_stopping(self) -> bool:
-        """Return whether connections should close after their current answer."""
-        return self._stopping_since_s is not None
-
     def track_dropped_lines(self, dropped: Callable[[], float]) -> None:
         """Expose the number of dropped log lines as a metric."""
         self._metrics.track_dropped_lines(dropped)
@@ -299,7 +297,7 @@
         begun.
         """
         started_s = self._clock.monotonic_s()
-        self._stopping_since_s = started_s
+        self.is_stopping = True
         _log.info("entry stopping", extra={"open_requests": self._open_requests()})
         await asyncio.sleep(ACCEPT_AFTER_STOP_S)
         # Further requests are refused, on new connections and on kept ones: an answer
@@ -320,6 +318,11 @@
         server.close()
         for connection in list(self._connections):
             connection.end_request()
+        until_s = self._clock.monotonic_s() + LAST_ANSWERS_S
+        while any(not c.is_idle or c.is_sending for c in self._connections):
+            if self._clock.monotonic_s() > until_s:
+                break
+            await asyncio.sleep(0.01)
 
     def _close_idle(self, now_s: float) -> None:
         for connection in list(self._connections):
--- a/lentiltally/problems.py
+++ b/lentiltally/problems.py
@@ -111,3 +111,13 @@
             instance=instance,
         )
     )
+
+
+def problem_headers(refusal: Refusal, request_id: str) -> list[tuple[bytes, bytes]]:
+    """Return the headers of a refusal on the direct path."""
+    headers = [(b"Content-Type", CONTENT_TYPE.encode())]
+    if request_id:
+        headers.append((b"X-Request-Id", request_id.encode("latin-1")))
+    if refusal.retry_after_s is not None:
+        headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
+    return headers
--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -176,3 +176,13 @@
     And direct path targets handle the next request as "hang"
     When direct path caller of "/once/x" closes after 0.2 s
     Then direct path logged one early end of the request "r1"
+
+  # Pattern: many requests are open when a stop ends, on a machine that is short of processor
+  # time.
+  Scenario: Direct path waits for the last refusals when the time of a stop is over
+    # Guards against a process that ends a moment before it has refused all that is open.
+    Given direct path with a store, a configuration and two plain targets
+    And direct path targets handle the next request as "hang"
+    And direct path takes 0.2 s to refuse a request when a stop ends
+    When direct path gets a request to "/once/x" 0.1 s before it is asked to stop
+    Then direct path had answered 502 "stopping" with executed "unknown" when it ended
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -524,3 +524,20 @@
 def logged_early_end_of(context, request_id):
     (record,) = context.log_lines.of("caller connection ended early")
     assert (record.request, record.phase) == (request_id, "answering"), record
+
+
+@given("direct path takes {delay_s:g} s to refuse a request when a stop ends")
+def refuses_late(context, delay_s):
+    entry = context.direct.entry
+    original = entry.handle
+
+    async def handle(request, connection):
+        task = asyncio.ensure_future(original(request, connection))
+        try:
+            await asyncio.shield(task)
+        except asyncio.CancelledError:
+            await asyncio.sleep(delay_s)
+            task.cancel()
+            await task
+
+    entry.handle = handle
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1126,4 +1126,12 @@
         "direct/caller_connections",
         "end within a request has a line",
     ),
+    Mutation(
+        "time for the last answers of a stop",
+        "direct/entry_process.py",
+        "            if self._clock.monotonic_s() > until_s:\n",
+        "            if True:\n",
+        "direct/caller_connections",
+        "waits for the last refusals",
+    ),
 )
