Read what has arrived before calling a caller late

A process that stood still for longer than a limit found its callers late in the first check afterwards, before it had read what they had sent meanwhile: requests were refused with 408, and a kept connection with a request in the kernel was closed as idle, which resets it.

The tests of the limits make two checks now where they made one, because the first no longer acts.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -95,6 +95,9 @@
         # Since when the connection waits for a request or for the rest of one.
         self._waiting_since_s = clock.monotonic_s()
         self._has_partial_head = False
+        # Whether the last check found a limit exceeded. The next one acts on it, so
+        # that what arrived while the process itself stood still is read before.
+        self._is_late = False
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._is_lost = False
@@ -189,11 +192,13 @@
             return
         limits = self._current_limits()
         waited_s = self._clock.monotonic_s() - self._waiting_since_s
-        if self._is_reading_request:
-            if waited_s > limits.header_timeout_s:
-                detail = "the request came too slowly"
-                self._reject(Refusal(408, "request-timeout", detail, step="read"))
-        elif waited_s > limits.idle_timeout_s:
+        is_reading = self._is_reading_request
+        limit_s = limits.header_timeout_s if is_reading else limits.idle_timeout_s
+        was_late, self._is_late = self._is_late, waited_s > limit_s
+        if was_late and self._is_late and is_reading:
+            detail = "the request came too slowly"
+            self._reject(Refusal(408, "request-timeout", detail, step="read"))
+        elif was_late and self._is_late:
             self.close_idle("idle limit")
 
     def _phase(self) -> str:
--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -186,3 +186,17 @@
     And direct path takes 0.2 s to refuse a request when a stop ends
     When direct path gets a request to "/once/x" 0.1 s before it is asked to stop
     Then direct path had answered 502 "stopping" with executed "unknown" when it ended
+
+  # Pattern: a process stands still for some seconds, and callers go on sending meanwhile.
+  Scenario Outline: Direct path connection reads what has arrived before it calls a caller late
+    # Guards against requests that are refused as too slow, and connections that are closed as
+    # idle, because the entry itself was slow.
+    Given direct path connections
+    When direct path caller <phase> and goes on while the entry stands still for 20 s
+    Then direct path caller got answers to both of its requests
+
+    Examples:
+      | phase        |
+      | is idle      |
+      | sends a head |
+      | sends a body |
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -183,6 +183,7 @@
         server.check_timeouts()
         server.clock.now_s += 2.0
         server.check_timeouts()
+        server.check_timeouts()
         # A head in two parts is parsed only when it is complete.
         for part in (LONG_REQUEST[sent:2500], LONG_REQUEST[max(sent, 2500) :]):
             writer.write(part)
@@ -214,6 +215,7 @@
         first = await answered(reader, b"1")
         server.clock.now_s += 2.0
         server.check_timeouts()
+        server.check_timeouts()
         rest = await read_all(reader)
         writer.transport.abort()
         return first, rest
@@ -541,3 +543,27 @@
             await task
 
     entry.handle = handle
+
+
+@when(
+    "direct path caller {phase} and goes on while the entry stands still for "
+    "{pause_s:g} s"
+)
+def entry_stands_still(context, phase, pause_s):
+    sent = SENT_BYTES[phase]
+
+    async def act(server):
+        reader, writer, _ = await server.connect()
+        writer.write(HEAD % b"1")
+        first = await answered(reader, b"1")
+        writer.write(LONG_REQUEST[:sent])
+        await asyncio.sleep(0.05)
+        # What is written now is in the kernel, but the event loop has not seen it yet.
+        writer.write(LONG_REQUEST[sent:])
+        server.clock.now_s += pause_s
+        server.check_timeouts()
+        second = await answered(reader, b"2")
+        writer.transport.abort()
+        return first, second
+
+    context.received = with_server(act)
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1134,4 +1134,12 @@
         "direct/caller_connections",
         "waits for the last refusals",
     ),
+    Mutation(
+        "reading before a caller is late",
+        "direct/caller_connection.py",
+        "was_late, self._is_late = self._is_late, waited_s > limit_s",
+        "was_late = self._is_late = waited_s > limit_s",
+        "direct/caller_connections",
+        "before it calls a caller late",
+    ),
 )
