--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -14,10 +14,10 @@
 from lentiltally.direct.model import CallerLimits
 from lentiltally.direct.raw_request import PartialRequest, RawHeaders, RawRequest
 from lentiltally.problems import (
-    CONTENT_TYPE,
     Refusal,
     internal_error,
     problem_body,
+    problem_headers,
     stopping_refusal,
 )
 
@@ -95,6 +95,9 @@
         # Since when the connection waits for a request or for the rest of one.
         self._waiting_since_s = clock.monotonic_s()
         self._has_partial_head = False
+        # Whether the last check found a limit exceeded. The next one acts on it, so
+        # that what arrived while the process itself stood still is read before.
+        self._is_late = False
         self._can_write = asyncio.Event()
         self._can_write.set()
         self._is_lost = False
@@ -107,6 +110,11 @@
             return False
         return self._is_closing or not self._is_reading_request
 
+    @property
+    def is_sending(self) -> bool:
+        """Return whether a part of what was written is still to be sent."""
+        return self._transport is not None and self._transport.unsent_bytes > 0
+
     @property
     def is_disconnected(self) -> bool:
         """Return whether the caller has left, or nothing more can be written to it."""
@@ -184,11 +192,13 @@
             return
         limits = self._current_limits()
         waited_s = self._clock.monotonic_s() - self._waiting_since_s
-        if self._is_reading_request:
-            if waited_s > limits.header_timeout_s:
-                detail = "the request came too slowly"
-                self._reject(Refusal(408, "request-timeout", detail, step="read"))
-        elif waited_s > limits.idle_timeout_s:
+        is_reading = self._is_reading_request
+        limit_s = limits.header_timeout_s if is_reading else limits.idle_timeout_s
+        was_late, self._is_late = self._is_late, waited_s > limit_s
+        if was_late and self._is_late and is_reading:
+            detail = "the request came too slowly"
+            self._reject(Refusal(408, "request-timeout", detail, step="read"))
+        elif was_late and self._is_late:
             self.close_idle("idle limit")
 
     def _phase(self) -> str:
@@ -235,11 +245,7 @@
 
     def refuse(self, refusal: Refusal, request_id: str = "") -> None:
         """Write a refusal as a problem document."""
-        headers: RawHeaders = [(b"Content-Type", CONTENT_TYPE.encode())]
-        if request_id:
-            headers.append((b"X-Request-Id", request_id.encode("latin-1")))
-        if refusal.retry_after_s is not None:
-            headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
+        headers = problem_headers(refusal, request_id)
         self.send_answer(refusal.status, headers, problem_body(refusal, request_id))
 
     def refuse_and_close(self, refusal: Refusal, request_id: str = "") -> None:
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1230,4 +1230,20 @@
         "direct/silence",
         "that was silent when the request came",
     ),
+    Mutation(
+        "time for the last answers of a stop",
+        "direct/entry_process.py",
+        "            if self._clock.monotonic_s() > until_s:\n",
+        "            if True:\n",
+        "direct/caller_connections",
+        "waits for the last refusals",
+    ),
+    Mutation(
+        "reading before a caller is late",
+        "direct/caller_connection.py",
+        "was_late, self._is_late = self._is_late, waited_s > limit_s",
+        "was_late = self._is_late = waited_s > limit_s",
+        "direct/caller_connections",
+        "before it calls a caller late",
+    ),
 )
