Answer requests at an entry until its load balancer knows of a stop

What callers saw: on the product's own interface a SIGTERM to an entry without open requests ended its connections at once. A request that was on its way on a kept connection found it closed, and new connections were refused, although no load balancer could have read from /readyz that the entry was leaving.

Cause: the drain waited for open requests only. Without any, /readyz said 503 and the listener closed in the same moment.

An entry serves requests for 2 s after SIGTERM now, as agents do after they have announced that they leave, and within process.drain_s as before.

system/processes, "SIGTERM on an entry without open requests", failed before: "Remote end closed connection without response" on the kept connection. Each stop of an idle entry takes 2 s longer.

--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -64,6 +64,9 @@
 SIGNAL_CHECK_INTERVAL_S = 0.25
 GAUGE_INTERVAL_S = 10.0
 DRAIN_POLL_INTERVAL = timedelta(milliseconds=50)
+# Load balancers are expected to have read from /readyz, and to have stopped sending
+# requests, this long after a drain has begun.
+DRAIN_NOTICE_S = 2.0
 
 
 class Entry:
@@ -192,12 +195,17 @@
     def _drain(self) -> None:
         """Report not ready, wait for the running requests, and stop.
 
-        The wait is limited by the setting ``process.drain_s``.
+        Requests that arrive until load balancers know of the drain are served, too. The
+        wait is limited by the setting ``process.drain_s``.
         """
         self._callers.is_draining = True
         self._metrics.gauge("leaving", 1)
-        deadline_s = self._clock.monotonic_s() + self._settings.process.drain_s
-        while self._callers.active_requests and self._clock.monotonic_s() < deadline_s:
+        began_s = self._clock.monotonic_s()
+        notice_end_s = began_s + DRAIN_NOTICE_S
+        deadline_s = began_s + self._settings.process.drain_s
+        while (now_s := self._clock.monotonic_s()) < deadline_s:
+            if now_s >= notice_end_s and not self._callers.active_requests:
+                break
             self._clock.sleep(DRAIN_POLL_INTERVAL)
         self._server.stop()
         self._administration.stop()
--- a/tests/steps/system_processes_steps.py
+++ b/tests/steps/system_processes_steps.py
@@ -6,6 +6,7 @@
 import socket
 import time
 
+import urllib3
 from behave import then, when
 
 from lentiltally.decisions.ownership import LEASE_S
@@ -123,6 +124,45 @@
     context.add_cleanup(context.stopped.result)
 
 
+@when("system's caller keeps a connection to entry-1")
+def keeps_connection(context):
+    context.url = context.system.deployment.entry_urls["entry-1"]
+    context.kept = urllib3.connection_from_url(context.url, maxsize=1)
+    context.add_cleanup(context.kept.close)
+    assert _models_status(context.kept) == 200
+
+
+@when("the system's entry-1 is no longer ready")
+def entry_not_ready(context):
+    context.system.wait_until(lambda: not _is_ready(context.url))
+
+
+@then("system's entry-1 answers on that connection")
+def answers_on_kept(context):
+    opened = context.kept.num_connections
+    assert _models_status(context.kept) == 200
+    assert context.kept.num_connections == opened, "the connection was closed"
+
+
+@then("system's entry-1 answers on {count:d} new connections")
+def answers_on_new(context, count):
+    for _ in range(count):
+        with urllib3.connection_from_url(context.url) as pool:
+            assert _models_status(pool) == 200
+
+
+def _models_status(pool):
+    return pool.request("GET", "/v1/models", timeout=20.0, retries=False).status
+
+
+def _is_ready(url):
+    try:
+        answer = urllib3.request("GET", f"{url}/readyz", timeout=20.0, retries=False)
+    except (urllib3.exceptions.HTTPError, OSError):
+        return False
+    return answer.status == 200
+
+
 @when("the system's agent that runs the stream is told to stop")
 def agent_told_to_stop(context):
     system = context.system
--- a/tests/system/processes.feature
+++ b/tests/system/processes.feature
@@ -55,6 +55,15 @@
     And system's caller reads the stream to its end
     Then system's stream was complete and without repetition
 
+  # Guards against callers whose requests are refused a connection, or lose the one that
+  # they have, because an entry ends before its load balancer knows of the stop.
+  Scenario: SIGTERM on an entry without open requests
+    When system's caller keeps a connection to entry-1
+    And the system's entry-1 is told to stop
+    And the system's entry-1 is no longer ready
+    Then system's entry-1 answers on that connection
+    And system's entry-1 answers on 2 new connections
+
   # Guards against streams and queued requests that fail when their agent is told to stop,
   # and against new requests at its target.
   Scenario: SIGTERM on an agent with a stream and queued requests
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1005,6 +1005,14 @@
         "agent/silent_streams",
         "ends a silent stream",
     ),
+    Mutation(
+        "notice of an entry's stop, on the own interface",
+        "entry/process.py",
+        "notice_end_s = began_s + DRAIN_NOTICE_S",
+        "notice_end_s = began_s",
+        "system/processes",
+        "SIGTERM on an entry without open requests",
+    ),
     Mutation(
         "odd lists of adapters, on the own interface",
         "agent/engine_client.py",
