Play silent targets beside planned changes

A target that falls silent for a moment and goes on was only tested in single scenarios. tests/fakes/silent_play.py plays it seeded, in real time, beside changes of the configuration, stops, settings changes, targets that leave and come, and a crest, and judges what callers see on their sockets. The stand-in for targets gets a silence that holds back all that it writes. What plays have in common moves from deadly_play to seeded_play.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -101,7 +101,8 @@
     to a request whose prompt has this part. A body of ``poisoned_bodies`` crashes it
     ``crash_after_s`` after it has begun to run the request, also if the caller has left
     by then. It is down until ``recover``, as ``is_stopped`` says, and ``crashes``
-    counts this. While ``is_frozen``, it answers no report.
+    counts this. While ``is_frozen``, it answers no report. Between ``silence.begin``
+    and ``silence.end`` it sends nothing at all, and then goes on; it stays sound.
     ``has_crashed`` is set when an order would load more adapters than there are slots.
     """
 
--- a/standins/raw_http.py
+++ b/standins/raw_http.py
@@ -9,6 +9,8 @@
 
 import h11
 
+from standins.silence import Silence, SilenceableWriter
+
 __all__ = ["RawHttpServer", "RawRequest", "answer", "reset"]
 
 Headers = dict[str, str]
@@ -44,15 +46,17 @@
 class RawHttpServer:
     """Reads requests with h11 and writes the bytes that ``handle`` returns.
 
-    ``connections`` counts accepted connections since the start.
+    ``connections`` counts accepted connections since the start. While ``silence`` is
+    on, the server reads as usual but sends nothing on the connections concerned.
     """
 
     def __init__(self) -> None:
         """Prepare a server; it listens after ``start()``."""
         self.port = 0
         self.connections = 0
+        self.silence = Silence()
         self._server: asyncio.Server | None = None
-        self._writers: set[asyncio.StreamWriter] = set()
+        self._writers: set[SilenceableWriter] = set()
 
     async def start(self, ip: str, port: int = 0) -> int:
         """Listen and return the port; with port 0 the system chooses one."""
@@ -85,9 +89,10 @@
         return True
 
     async def _serve(
-        self, reader: asyncio.StreamReader, writer: asyncio.StreamWriter
+        self, reader: asyncio.StreamReader, raw_writer: asyncio.StreamWriter
     ) -> None:
         self.connections += 1
+        writer = self.silence.wrap(raw_writer)
         self._writers.add(writer)
         try:
             await self._read_requests(reader, writer)
@@ -95,6 +100,7 @@
             return
         finally:
             self._writers.discard(writer)
+            self.silence.forget(writer)
             writer.close()
 
     async def _read_requests(
--- a/tests/fakes/deadly_play.py
+++ b/tests/fakes/deadly_play.py
@@ -9,16 +9,15 @@
 
 from __future__ import annotations
 
-import argparse
 import asyncio
 import contextlib
-import random
 import time
 from dataclasses import dataclass, field
 
 from lentiltally.clock import SystemClock
 from standins.platform_engine import PlatformEngineStandIn
-from tests.fakes.direct import DirectSystem, configuration, route
+from tests.fakes.direct import configuration, route
+from tests.fakes.seeded_play import SeededPlay, play_seeds
 
 ENTRIES = 3
 ENGINES = 4
@@ -29,8 +28,6 @@
 STABLE_AFTER_S = 3.0
 ENDS_ALLOWED = 3
 LATE_SENDS_ALLOWED = 3
-# The last trouble of a play may outlast it, and the machine may be busy.
-PLAY_TIMEOUT_S = 90.0
 # Longer than the first refusal of a request at any entry.
 LAPSE_S = 125.0
 PATHS = ("/stream/dead", "/safe/dead", "/once/dead")
@@ -78,34 +75,25 @@
 
 
 @dataclass
-class Play:
-    """One seeded play; ``log`` has its events, with times since its start."""
+class Play(SeededPlay):
+    """One seeded play; ``late_sends`` and ``ends`` count by path."""
 
-    seed: int
-    length_s: float = 14.0
-    log: list[str] = field(default_factory=list)
     late_sends: dict[str, int] = field(default_factory=dict)
     ends: dict[str, int] = field(default_factory=dict)
     sound_served: int = 0
     sound_sent: int = 0
 
-    def run(self):
-        self._rng = random.Random(self.seed)
+    def summary(self):
+        is_broken = max(self.late_sends.values()) > LATE_SENDS_ALLOWED
+        return (
+            f"late sends {self.late_sends}, ends {self.ends}, sound "
+            f"{self.sound_served} of {self.sound_sent}{' BROKEN' if is_broken else ''}"
+        )
+
+    def _start(self):
         self._arrivals = []
         self._senders = {}
         self._clock = AdvancingClock()
-        self._system = system = DirectSystem()
-        try:
-            self._start()
-            work = asyncio.run_coroutine_threadsafe(self._play(), system.loop)
-            work.result(PLAY_TIMEOUT_S)
-        finally:
-            system.close()
-        for path in PATHS:
-            self._judge(path)
-        return self
-
-    def _start(self):
         system = self._system
         system.start_store()
         routes = [
@@ -137,9 +125,6 @@
         process, address = self._system.start_numbered_entry(number, self._clock)
         return Entry(process, address, time.monotonic())
 
-    def _note(self, text):
-        self.log.append(f"{time.monotonic() - self._began:7.3f} {text}")
-
     async def _play(self):
         self._began = time.monotonic()
         until = self._began + self.length_s
@@ -244,10 +229,11 @@
         self._note(f"clocks advance by {LAPSE_S} s")
         self._clock.advanced_s += LAPSE_S
 
-    async def _on_thread(self, act, *args):
-        return await asyncio.get_running_loop().run_in_executor(None, act, *args)
+    def _judge(self):
+        for path in PATHS:
+            self._judge_path(path)
 
-    def _judge(self, path):
+    def _judge_path(self, path):
         """Count the copies that reach targets late, from entries without trouble."""
         ends, late = 0, 0
         third_end = None
@@ -272,23 +258,5 @@
         self.log.sort()
 
 
-def main():
-    parser = argparse.ArgumentParser(description=__doc__)
-    parser.add_argument("--seeds", default="1:3")
-    parser.add_argument("--log", action="store_true")
-    arguments = parser.parse_args()
-    first, last = map(int, arguments.seeds.split(":"))
-    for seed in range(first, last + 1):
-        play = Play(seed).run()
-        is_broken = max(play.late_sends.values()) > LATE_SENDS_ALLOWED
-        print(
-            f"seed {seed}: late sends {play.late_sends}, ends {play.ends}, sound "
-            f"{play.sound_served} of {play.sound_sent}{' BROKEN' if is_broken else ''}",
-            flush=True,
-        )
-        if arguments.log:
-            print("\n".join(play.log))
-
-
 if __name__ == "__main__":
-    main()
+    play_seeds(Play, __doc__)
--- a/tests/fakes/direct.py
+++ b/tests/fakes/direct.py
@@ -5,6 +5,7 @@
 import asyncio
 import os
 import threading
+from dataclasses import replace
 
 import h11
 
@@ -112,6 +113,7 @@
         self._started = []
         self._tasks = {}
         self._failure = None
+        self.bounds = HostBounds(leaving_s=0.4, stop_s=4.0, retry_slack=50.0)
         self.peer_port = free_port(ENTRY_IP)
         self.entry_address = None
         self.entry = None
@@ -199,7 +201,7 @@
             store=SocketAddress("127.0.0.1", self.store.port),
             peer_port=self.peer_port,
             metrics_port=free_port(ip),
-            bounds=HostBounds(leaving_s=0.4, stop_s=4.0, retry_slack=50.0),
+            bounds=self.bounds,
             **more,
         )
 
@@ -227,18 +229,26 @@
         self.other_entry = self._start_entry(settings)
         assert self.wait(lambda: self._sees_all_targets(self.other_entry))
 
-    def start_numbered_entry(self, number, clock):
-        """Start one of several entries, at an address of its own."""
+    def start_numbered_entry(self, number, clock, callers=None):
+        """Start one of several entries, at an address of its own or the one given."""
         assert number <= MAX_ENTRIES
         ip = f"{NETWORK}.{number}"
         settings = self.settings(
             f"entry-{number}",
             ip,
-            callers=SocketAddress(ip, free_port(ip)),
+            callers=callers or SocketAddress(ip, free_port(ip)),
             readiness=SocketAddress(ip, free_port(ip)),
         )
         return self._start_entry(settings, clock), settings.callers
 
+    async def stop(self, process):
+        """Ask a process to stop and wait for its end; called on the event loop."""
+        task = self._tasks.pop(process)
+        for stop_signal, started in self._started:
+            if started is task:
+                stop_signal.request()
+        await task
+
     def kill(self, process):
         """End a process without a farewell; its sockets are closed."""
 
@@ -259,7 +269,13 @@
                 decode_target=decode_target_record,
                 readiness_path=http_headers.READINESS_PATH,
             )
-            entry = EntryProcess(settings, platform, clock or SystemClock())
+            entry = EntryProcess(
+                settings,
+                platform,
+                clock or SystemClock(),
+                # Bounds that are changed here count after a reload.
+                load_settings=lambda: replace(settings, bounds=self.bounds),
+            )
             self._run_process(entry)
             return entry
 
@@ -280,7 +296,7 @@
                 targets=StoreTopic.from_address("keyed.servers", settings.store),
                 decode_configuration=decode_configuration,
                 decode_target=decode_target_record,
-                service="llm",
+                service=engine.service,
             )
             agent = AgentProcess(settings, platform, SystemClock())
             self.agents[engine_name] = agent
