Play silence of engines more often, and streams of 40 events

Silence, changes, targets and stops draw from random numbers of their own, so that a seed repeats them whatever the callers do.

--- a/tests/fakes/silent_play.py
+++ b/tests/fakes/silent_play.py
@@ -11,6 +11,7 @@
 from __future__ import annotations
 
 import asyncio
+import random
 import time
 from collections import Counter
 from dataclasses import dataclass, field, replace
@@ -32,8 +33,9 @@
     "p1": "plain",
     "p2": "plain2",
 }
+ENGINES = [name for name in TARGETS if name.startswith("e")]
 PLACES = 6
-EVENTS = 24
+EVENTS = 40
 EVENT_S = 0.04
 KEPT_CALLERS = 24
 STOP_S = 8.0
@@ -83,10 +85,10 @@
         system = self._system
         system.bounds = HostBounds(leaving_s=0.4, stop_s=STOP_S, retry_slack=50.0)
         system.start_store()
-        self._changes = Changes(system, self._rng, self._note)
+        self._changes = Changes(system, self._rng_of("changes"), self._note)
         system.call(self._changes.write)
         for name, service in TARGETS.items():
-            more = {"model": "m", "slots": 4} if name.startswith("e") else {}
+            more = {"model": "m", "slots": 4} if name in ENGINES else {}
             target = system.add_target(
                 name,
                 service=service,
@@ -109,6 +111,10 @@
         assert system.wait(lambda: system._sees_all_targets(process))
         return Entry(process, address)
 
+    def _rng_of(self, actor):
+        """Return random numbers that don't depend on when others draw theirs."""
+        return random.Random(f"{self.seed} {actor}")
+
     def _note(self, text):
         super()._note(text)
         self._events.append((time.monotonic(), text))
@@ -212,26 +218,28 @@
 
     async def _make_silence(self):
         """Let targets fall silent, one, several, or all of a service."""
-        rng = self._rng
+        rng = self._rng_of("silence")
         tasks = []
         while not self._is_over:
             await asyncio.sleep(rng.uniform(0.2, 1.2))
-            names = list(TARGETS)
+            # Streams last longest, so engines are chosen more often.
+            names = rng.choice((list(TARGETS), ENGINES))
             service = rng.choice(list(TARGETS.values()))
             chosen = rng.choice(
                 (
                     rng.sample(names, 1),
                     rng.sample(names, 1),
                     rng.sample(names, rng.randint(2, 4)),
-                    [name for name in names if TARGETS[name] == service],
+                    [name for name in TARGETS if TARGETS[name] == service],
                 )
             )
             share = rng.choice((1.0, 1.0, 0.5))
             length_s = rng.uniform(0.5, 2.5)
-            tasks.append(asyncio.ensure_future(self._silence(chosen, share, length_s)))
+            silence = self._silence(chosen, share, length_s, rng)
+            tasks.append(asyncio.ensure_future(silence))
         await asyncio.gather(*tasks)
 
-    async def _silence(self, names, share, length_s):
+    async def _silence(self, names, share, length_s, rng):
         targets = [self._system.engines[name] for name in names]
         targets = [target for target in targets if not target.silence.is_on]
         names = [target.name for target in targets]
@@ -239,7 +247,7 @@
             return
         self._note(f"{names} fall silent for {length_s:.2f} s, share {share}")
         for target in targets:
-            target.silence.begin(share, self._rng)
+            target.silence.begin(share, rng)
         await asyncio.sleep(length_s)
         for target in targets:
             target.silence.end()
@@ -247,7 +255,7 @@
 
     async def _change(self):
         """Change the configuration, at times several times in quick succession."""
-        rng = self._rng
+        rng = self._changes.rng
         while not self._is_over:
             await asyncio.sleep(rng.uniform(0.3, 1.5))
             for _ in range(rng.choice((1, 1, 3, 4))):
@@ -256,7 +264,7 @@
 
     async def _move_targets(self):
         """Let targets leave and come back, one after another."""
-        rng = self._rng
+        rng = self._rng_of("targets")
         while not self._is_over:
             await asyncio.sleep(rng.uniform(0.5, 2.0))
             target = self._system.engines[rng.choice(list(TARGETS))]
@@ -274,16 +282,15 @@
 
     async def _stop_entries(self):
         """Stop one entry after another, and change the settings in between."""
-        rng = self._rng
+        rng = self._rng_of("stops")
         while not self._is_over:
             await asyncio.sleep(rng.uniform(0.5, 2.0))
-            self._change_settings()
+            self._change_settings(rng.choice((30.0, 50.0, 80.0)))
             await asyncio.sleep(rng.uniform(0.5, 1.5))
             await self._stop_entry(rng.randrange(ENTRIES))
 
-    def _change_settings(self):
+    def _change_settings(self, slack):
         system = self._system
-        slack = self._rng.choice((30.0, 50.0, 80.0))
         system.bounds = replace(system.bounds, retry_slack=slack)
         self._note(f"settings change: {slack} retries")
         for entry in self._entries:
