--- a/tests/fakes/silent_play.py
+++ b/tests/fakes/silent_play.py
@@ -38,6 +38,7 @@
 EVENTS = 40
 EVENT_S = 0.04
 KEPT_CALLERS = 24
+LINK_DELAY_S = 0.05
 STOP_S = 8.0
 # In this part of a stop's time the end may cut what targets are still at work on.
 STOP_END_SHARE = 5 / 6
@@ -189,6 +190,8 @@
                 await asyncio.sleep(pause_s)
                 if connection.is_closed or self._is_over:
                     break
+                # The caller can't know of a close that is still on its way.
+                await asyncio.sleep(rng.uniform(0.0, LINK_DELAY_S))
             connection.close()
 
     async def _call_anew(self):
