--- a/tests/fakes/silent_judge.py
+++ b/tests/fakes/silent_judge.py
@@ -63,7 +63,6 @@
     events: int
     counts: Counter = field(default_factory=Counter)
     broken: list = field(default_factory=list)
-    early: list = field(default_factory=list)
 
     def judge(self, call):
         self.counts["requests"] += 1
@@ -82,8 +81,9 @@
         elif answer.status >= 500 and answer.status != 503:
             is_early = call.ended_at_s < self._first_limit_s(call) - MARGIN_S
             self.counts["early 5xx" if is_early else "5xx"] += 1
-            if is_early:
-                self.early.append(("EARLY", call, f"answered {answer.status}"))
+            # No target fails here, and the end of a stop comes first.
+            if is_early and problem(answer) != "stopping":
+                self._add("EARLY", call, f"answered {answer.status}")
         else:
             self.counts["refused"] += 1
 
@@ -196,6 +196,6 @@
 def problem(answer):
     """Return the reason of a refusal, empty if the answer is none."""
     try:
-        return json.loads(answer.body).get("type", "")
+        return json.loads(answer.body).get("type", "").rpartition(":")[2]
     except ValueError:
         return ""
--- a/tests/fakes/silent_play.py
+++ b/tests/fakes/silent_play.py
@@ -5,7 +5,7 @@
 service, on all or a part of their connections. Meanwhile the configuration changes,
 targets leave and come, entries are stopped and started anew, their settings change, and
 at a crest all adapter slots and places are full. Each request that an entry has read
-must get a whole answer or a refusal before its deadline.
+must get a whole answer or a refusal, and no failure before its deadline.
 """
 
 from __future__ import annotations
@@ -336,16 +336,13 @@
         )
         for call in self._calls:
             judge.judge(call)
-            reason = problem(call.answer).rpartition(":")[2]
+            reason = problem(call.answer)
             if call.answer.status != 200 and reason:
                 self.counts[f"{call.answer.status} {reason}"] += 1
         if any(engine.has_crashed for engine in self._system.engines.values()):
             self.broken.append("LIMIT: more adapters than slots")
-        self.broken += self._stories(judge, judge.broken)
-        self.log += self._stories(judge, judge.early)
-
-    def _stories(self, judge, found):
-        return [judge.story(*case, self._began, self._events) for case in found]
+        for case in judge.broken:
+            self.broken.append(judge.story(*case, self._began, self._events))
 
 
 if __name__ == "__main__":
