--- a/lentiltally/agent/engine_client.py
+++ b/lentiltally/agent/engine_client.py
@@ -288,7 +288,7 @@
     def __init__(self, response: urllib3.BaseHTTPResponse, name: str) -> None:
         """Read nothing yet; ``name`` is the target's name, used in errors."""
         self._response = response
-        self._name = name
+        self.name = name
         self._buffer = b""
         self.status = response.status
         self.content_type = response.headers.get("Content-Type", "text/event-stream")
@@ -298,7 +298,7 @@
         try:
             return self._response.read()
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise target_error(error, "stream", self._name) from error
+            raise target_error(error, "stream", self.name) from error
 
     def fileno(self) -> int:
         """Return the file descriptor of the connection."""
@@ -308,12 +308,13 @@
         """Return whether bytes can be read without waiting.
 
         urllib3 returns one chunk at a time and has no call that tells whether another
-        one is buffered, so this looks into the buffer of http.client below it.
+        one is buffered, so this looks into the buffer of http.client below it. The
+        socket is taken from there, too: a connection that ends with the body has given
+        it away.
         """
-        connection = self._response.connection
         raw = getattr(self._response, "_fp", None)
         buffer = getattr(raw, "fp", None)
-        sock = getattr(connection, "sock", None)
+        sock = getattr(getattr(buffer, "raw", None), "_sock", None)
         if buffer is None or sock is None:
             return False
         timeout_s = sock.gettimeout()
@@ -357,7 +358,7 @@
 
     def wrap_error(self, cause: Exception) -> TargetError:
         """Return the TargetError for a connection that broke or timed out."""
-        return target_error(cause, "stream", self._name)
+        return target_error(cause, "stream", self.name)
 
     def close(self) -> None:
         """Close the connection, which also tells the engine that nobody reads it."""
@@ -374,7 +375,7 @@
         try:
             return self._response.read1(MAX_READ_BYTES)
         except (urllib3.exceptions.HTTPError, OSError) as error:
-            raise target_error(error, "stream", self._name) from error
+            raise target_error(error, "stream", self.name) from error
 
 
 def first_event_origin(data: bytes) -> tuple[str, str] | None:
--- a/lentiltally/direct/open_attempts.py
+++ b/lentiltally/direct/open_attempts.py
@@ -23,6 +23,7 @@
         self.number = number
         self.record = record
         self.is_superseded = False
+        self.has_stalled = False
         self._is_given_up = False
         self._attempts = attempts
 
@@ -33,6 +34,7 @@
 
     def stalled(self) -> None:
         """Note that the target has made no progress for too long."""
+        self.has_stalled = True
         self._attempts.stalled(self)
 
     def continue_answer(self) -> None:
@@ -69,12 +71,18 @@
         self._tasks: dict[AttemptTurn, asyncio.Task[ExchangeResult]] = {}
         self._search: asyncio.Task[None] | None = None
         self._changed = asyncio.Event()
+        self._is_closed = False
 
     @property
     def is_empty(self) -> bool:
         """Return whether no attempt is left whose result has not been returned."""
         return not self._tasks
 
+    @property
+    def may_answer(self) -> bool:
+        """Return whether an attempt is left that no other one has superseded."""
+        return any(not turn.is_superseded for turn in self._tasks)
+
     @property
     def records(self) -> list[TargetRecord]:
         """Return the targets of the attempts."""
@@ -118,7 +126,11 @@
             await asyncio.gather(search, return_exceptions=True)
 
     async def close(self) -> None:
-        """Give up all attempts; returns once they have released what they held."""
+        """Give up all attempts; returns once they have released what they held.
+
+        No other attempt is begun, also if one stalls before its task has ended.
+        """
+        self._is_closed = True
         await self.end_search()
         for turn, task in self._tasks.items():
             turn.give_up(task)
@@ -144,7 +156,7 @@
 
     def _search_if_stalled(self) -> None:
         is_searching = self._search is not None and not self._search.done()
-        if self._race.needs_another and not is_searching:
+        if self._race.needs_another and not is_searching and not self._is_closed:
             self._search = asyncio.create_task(self._begin_another())
             self._search.add_done_callback(self._note_change)
 
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -166,3 +166,48 @@
     And direct path engine "e1" answers after 1.45 s
     When direct path gets a stream from "/stream/x" for adapter "a1"
     Then direct path delivered the events 1 to 5 completely
+
+  Scenario: Direct path keeps an answer that is complete right before the deadline
+    # Guards against a complete answer that is cut off, because the deadline passes before the
+    # entry has noticed that the attempt has ended.
+    Given direct path with a store, a configuration and two plain targets
+    And direct path notices the end of an attempt 0.6 s late
+    When direct path gets two requests to "/safe/x" with a deadline of 0.4 s on one connection
+    Then direct path answered both requests on the connection
+
+  Scenario: Direct path tries no more targets than the route allows when the paused engine breaks
+    # Guards against an attempt beyond the route's number, because one that was superseded
+    # counted as one that may still answer.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has a third engine
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" pauses for 1.6 s in the next stream, goes on with one event and leaves the next one out
+    And direct path engine "e2" answers after 0.6 s
+    And direct path engine "e3" answers after 0.6 s
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 3 and aborted
+    And direct path ran request "r1" 2 times
+
+  Scenario Outline: Direct path begins no attempt for a request that ends
+    # Guards against an attempt that nothing ends, and that may write into the answer to the
+    # next request on the connection, because a target stalls right when its request ends.
+    Given direct path open attempts with one attempt and <search> search
+    When direct path open attempts are closed while the attempt stalls
+    Then direct path open attempts search no more
+
+    Examples:
+      | search |
+      | no     |
+      | a      |
+
+  Scenario: Direct path holds it against no sound engine that another one was faster
+    # Guards against requests that avoid an engine which was asked to take over and was given
+    # up because the paused engine went on.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" handles the next request as "pause"
+    And direct path engine "e1" pauses for 1.6 s and takes 0.2 s per event
+    And direct path engine "e2" answers after 0.6 s
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path counts no failure of engine "e2"
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -8,6 +8,9 @@
 from behave import given, then, when
 
 from lentiltally.direct.messages import adapter_key_hash
+from lentiltally.direct.open_attempts import OpenAttempts
+from standins.platform_engine import EngineRun
+from tests.fakes.direct import HOST, DirectSystem
 from tests.steps.direct_streams_steps import headers
 
 
@@ -210,3 +213,141 @@
 @then("direct path agent had pinned the adapter of the request")
 def had_pinned(context):
     assert context.pinned_keys, context.pinned_keys
+
+
+@given("direct path notices the end of an attempt {late_s:g} s late")
+def notices_late(context, late_s):
+    next_result = OpenAttempts.next_result
+
+    async def late(attempts):
+        result = await next_result(attempts)
+        await asyncio.sleep(late_s)
+        return result
+
+    context.add_cleanup(setattr, OpenAttempts, "next_result", next_result)
+    OpenAttempts.next_result = late
+
+
+@when(
+    'direct path gets two requests to "{path}" with a deadline of {deadline_s:g} s on '
+    "one connection"
+)
+def two_requests(context, path, deadline_s):
+    system = context.direct
+    deadline_ms = int(1000 * deadline_s)
+
+    async def act():
+        address = system.entry_address
+        reader, writer = await asyncio.open_connection(address.ip, address.port)
+        heads = []
+        for number in (1, 2):
+            writer.write(
+                f"GET {path} HTTP/1.1\r\nHost: {HOST}\r\nX-Request-Id: r{number}\r\n"
+                f"X-Deadline-Milliseconds: {deadline_ms}\r\n\r\n".encode()
+            )
+            heads.append(await reader.readuntil(b"\r\n\r\n"))
+            await reader.readexactly(len(b"body of r1"))
+            # The first request is over once its deadline has passed.
+            await asyncio.sleep(2 * deadline_s)
+        writer.transport.abort()
+        return heads
+
+    context.heads = system.run(act())
+
+
+@then("direct path answered both requests on the connection")
+def answered_both(context):
+    assert all(head.startswith(b"HTTP/1.1 200 ") for head in context.heads)
+
+
+@given("direct path has a third engine")
+def third_engine(context):
+    system = context.direct
+    system.add_target("e3", service="llm", model="m", slots=2)
+    system.start_agent("e3")
+    assert system.wait_ready()
+
+
+@given(
+    'direct path engine "{name}" pauses for {pause_s:g} s in the next stream, goes on '
+    "with one event and leaves the next one out"
+)
+def engine_breaks_after_pause(context, name, pause_s):
+    """Send the last two events in one piece, so that both are read at once."""
+    engine = context.direct.engines[name]
+    original = engine.exchange
+    unused = [True]
+
+    def chunk(number):
+        event = f"id: {number}\ndata: r1\n\n".encode()
+        return b"%x\r\n%s\r\n" % (len(event), event)
+
+    async def exchange(request, writer):
+        if "x-model" not in request.headers or not unused:
+            return await original(request, writer)
+        unused.clear()
+        request_id = request.headers["x-request-id"]
+        engine.runs.append(
+            EngineRun(request_id, request.path, request.headers, request.body)
+        )
+        writer.write(
+            b"HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+            b"X-Request-Id: r1\r\nX-Response-Signature: proof\r\n"
+            b"Transfer-Encoding: chunked\r\n\r\n" + chunk(1) + chunk(2)
+        )
+        await asyncio.sleep(pause_s)
+        writer.write(chunk(3) + chunk(5))
+        await writer.drain()
+        return await asyncio.sleep(3600, result=False)
+
+    engine.exchange = exchange
+
+
+@given("direct path open attempts with one attempt and {search} search")
+def open_attempts(context, search):
+    """Run an attempt that never ends; a search needs one step to stop."""
+    system = context.direct = DirectSystem()
+    context.add_cleanup(system.close)
+    context.searches = []
+
+    async def begin_another():
+        context.searches.append(asyncio.current_task())
+        try:
+            await asyncio.sleep(3600)
+        finally:
+            await asyncio.sleep(0)
+
+    async def send(turn):
+        context.turn = turn
+        await asyncio.sleep(3600)
+
+    async def act():
+        context.open_attempts = OpenAttempts(begin_another, lambda _: None)
+        context.open_attempts.begin(1, None, send)
+        await asyncio.sleep(0)
+        if search == "a":
+            context.turn.stalled()
+            await asyncio.sleep(0)
+
+    system.run(act())
+
+
+@when("direct path open attempts are closed while the attempt stalls")
+def closed_while_stalling(context):
+    async def act():
+        asyncio.get_running_loop().call_soon(context.turn.stalled)
+        await context.open_attempts.close()
+        await asyncio.sleep(0.01)
+
+    context.direct.run(act())
+
+
+@then("direct path open attempts search no more")
+def search_no_more(context):
+    assert all(search.done() for search in context.searches), context.searches
+
+
+@then('direct path counts no failure of engine "{name}"')
+def no_failure(context, name):
+    view = context.direct.entry._state.choice.view(name)
+    assert view.failure_rate == 0.0, view.failure_rate
