End page connections whose peers never close them

Connections behind a last answer wait for their peer for a second, but nothing checked those of the pages, so each stayed open until its peer closed it. They are checked when a new one is opened. Idle ones end by the same limits as callers' connections.

--- a/lentiltally/direct/pages.py
+++ b/lentiltally/direct/pages.py
@@ -50,7 +50,9 @@
         connection.send_answer(status, [(b"Content-Type", b"text/plain")], body)
 
     def opened(self, connection: CallerConnection) -> None:
-        """Keep track of a new connection."""
+        """Keep track of a new connection, and end older ones that are due."""
+        for older in list(self._connections):
+            older.check_timeouts()
         self._connections.add(connection)
 
     def closed(self, connection: CallerConnection) -> None:
--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -200,3 +200,9 @@
       | is idle      |
       | sends a head |
       | sends a body |
+
+  Scenario: Direct path pages keep no connections whose peers never close them
+    # Guards against descriptors that run out because probes leave their connections open.
+    Given direct path pages with 20 connections whose peers stay after the last answer
+    When direct path pages get two more connections 2 s later
+    Then direct path pages have only those two connections
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -9,9 +9,17 @@
 
 from behave import given, then, when
 
+from lentiltally.direct.pages import PageServer
+from lentiltally.direct.settings import SocketAddress
 from lentiltally.platform import http_headers
 from standins.raw_http import reset
-from tests.fakes.caller_connections import HEAD, LogLines, ScriptedServer, read_all
+from tests.fakes.caller_connections import (
+    HEAD,
+    LogLines,
+    ScriptedServer,
+    StoppedClock,
+    read_all,
+)
 
 DECODERS = {
     "the request": "decode_request",
@@ -567,3 +575,43 @@
         return first, second
 
     context.received = with_server(act)
+
+
+PAGE_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+
+@given(
+    "direct path pages with {count:d} connections whose peers stay after the last "
+    "answer"
+)
+def page_connections(context, count):
+    context.count = count
+
+
+@when("direct path pages get two more connections {pause_s:g} s later")
+def more_page_connections(context, pause_s):
+    async def act():
+        clock = StoppedClock()
+        pages = PageServer({b"/": lambda: (200, b"page")}, clock)
+        server = await pages.listen(SocketAddress("127.0.0.1", 0))
+        address = server.sockets[0].getsockname()
+        streams = []
+        for number in range(context.count + 2):
+            clock.now_s += pause_s if number == context.count else 0.0
+            reader, writer = await asyncio.open_connection(*address)
+            streams.append(writer)
+            writer.write(PAGE_REQUEST)
+            assert b"page" in await reader.readuntil(b"page")
+        await asyncio.sleep(0.02)
+        context.left = len(pages._connections)
+        for writer in streams:
+            writer.transport.abort()
+        server.close()
+        await asyncio.sleep(0.02)
+
+    asyncio.run(act())
+
+
+@then("direct path pages have only those two connections")
+def pages_have(context):
+    assert context.left == 2, context.left
