--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -206,3 +206,33 @@
     Given direct path pages with 20 connections whose peers stay after the last answer
     When direct path pages get two more connections 2 s later
     Then direct path pages have only those two connections
+
+  Scenario Outline: Direct path gives callers an answer when a target's answer is <odd>
+    # Guards against answers of targets that can't be written to the caller, which then gets
+    # the end of its connection.
+    Given direct path with a store, a configuration and two plain targets
+    And direct path targets answer raw "<odd>"
+    When direct path gets a GET to "/safe/x"
+    Then direct path caller has a complete answer with one of "<statuses>"
+
+    Examples:
+      | odd                     | statuses |
+      | 204 without a body      | 204      |
+      | 204 with a body         | 204, 502 |
+      | 304 with a length       | 304, 502 |
+      | status 099              | 502      |
+      | status 999              | 999, 502 |
+      | status 101              | 502      |
+      | a header of odd bytes   | 200, 502 |
+      | a folded header         | 200, 502 |
+      | an empty header name    | 502      |
+      | other transfer coding   | 502      |
+      | two connection options  | 200      |
+
+  Scenario: Direct path limits the lines of a defect that callers can provoke
+    # Guards against tracebacks without number, which fill the log and take processor time.
+    Given direct path with a store, a configuration and two plain targets
+    And direct path handling fails while the request is decoded
+    When direct path gets 20 GETs to "/safe/x"
+    Then direct path answered all with 500
+    And direct path logged one failure within a second for 20 refused requests
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -9,6 +9,8 @@
 
 from behave import given, then, when
 
+from lentiltally.direct.failure_log import FailureLog
+from lentiltally.direct.forwarder import _log as forwarder_log
 from lentiltally.direct.pages import PageServer
 from lentiltally.direct.settings import SocketAddress
 from lentiltally.platform import http_headers
@@ -40,6 +42,7 @@
 
     log_lines(context)
     forwarder = context.direct.entry._forwarder
+    forwarder._failures = FailureLog(forwarder_log, StoppedClock())
     codec = SimpleNamespace(
         decode_request=http_headers.decode_request,
         encode_headers=http_headers.encode_headers,
@@ -615,3 +618,47 @@
 @then("direct path pages have only those two connections")
 def pages_have(context):
     assert context.left == 2, context.left
+
+
+PROOF = b"X-Request-Id: REQUEST\r\nX-Response-Signature: proof\r\n"
+WITH_BODY = PROOF + b"Content-Length: 4\r\n"
+RAW_ANSWERS = {
+    "204 without a body": b"204 No\r\n" + PROOF + b"\r\n",
+    "204 with a body": b"204 No\r\n" + WITH_BODY + b"\r\nbody",
+    "304 with a length": b"304 No\r\n" + WITH_BODY + b"\r\n",
+    "status 099": b"099 Odd\r\n" + WITH_BODY + b"\r\nbody",
+    "status 999": b"999 Odd\r\n" + WITH_BODY + b"\r\nbody",
+    "status 101": b"101 Odd\r\n" + PROOF + b"Upgrade: odd\r\n\r\n",
+    "a header of odd bytes": b"200 OK\r\n"
+    + WITH_BODY
+    + b"X-Odd: \xc3\xa9\x7f\r\n\r\nbody",
+    "a folded header": b"200 OK\r\n" + WITH_BODY + b"X-Odd: a\r\n b\r\n\r\nbody",
+    "an empty header name": b"200 OK\r\n" + WITH_BODY + b": a\r\n\r\nbody",
+    "other transfer coding": (
+        b"200 OK\r\n" + PROOF + b"Transfer-Encoding: gzip\r\n\r\nbody"
+    ),
+    "two connection options": (
+        b"200 OK\r\n" + WITH_BODY + b"Connection: close, x-odd\r\nX-Odd: a\r\n\r\nbody"
+    ),
+}
+
+
+@given('direct path targets answer raw "{odd}"')
+def answer_raw(context, odd):
+    for engine in context.direct.engines.values():
+        engine.raw_answer = b"HTTP/1.1 " + RAW_ANSWERS[odd]
+        engine.script.extend(["raw"] * 4)
+
+
+@then('direct path caller has a complete answer with one of "{statuses}"')
+def has_complete(context, statuses):
+    answer = context.answer
+    assert answer.is_complete, (answer.status, answer.body)
+    assert str(answer.status) in statuses.split(", "), (answer.status, answer.body)
+
+
+@then("direct path logged one failure within a second for {count:d} refused requests")
+def logged_one(context, count):
+    failures = context.log_lines.of("request handler failed")
+    assert len(failures) == 1, len(failures)
+    assert len(context.log_lines.of("request refused")) == count
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1142,4 +1142,20 @@
         "direct/caller_connections",
         "before it calls a caller late",
     ),
+    Mutation(
+        "one traceback a second",
+        "direct/failure_log.py",
+        "        if now_s < self._next_at_s:\n",
+        "        if False:\n",
+        "direct/caller_connections",
+        "limits the lines of a defect",
+    ),
+    Mutation(
+        "end of pages' connections",
+        "direct/pages.py",
+        "            older.check_timeouts()\n",
+        "            pass\n",
+        "direct/caller_connections",
+        "pages keep no connections",
+    ),
 )
