Notice a caller that leaves with a part of its answer unread

When a caller closed its side while a long answer was under way, the entry first waited until all that was written had been taken. The handling was not told, so a target went on working for a caller that had left, since callers' connections no longer time out by unacknowledged data.

The end of the caller's side now ends an answer that is under way at once. Complete answers are still sent.

--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -159,7 +159,8 @@
         """Treat a half-closed connection as closed."""
         if self._transport is not None:
             self._unsent_bytes = self._transport.unsent_bytes
-            self._transport.close("closed by the caller")
+            # An answer that is under way is of no more use; complete ones are sent.
+            self._transport.peer_closed(drops_unsent=self._task is not None)
         return False
 
     def pause_writing(self) -> None:
--- a/lentiltally/direct/caller_transport.py
+++ b/lentiltally/direct/caller_transport.py
@@ -88,6 +88,12 @@
         )
         self.close(reason)
 
+    def peer_closed(self, *, drops_unsent: bool) -> None:
+        """Close because the caller has closed its side."""
+        self.close("closed by the caller")
+        if drops_unsent:
+            self._transport.abort()
+
     def close_after_answer(self, reason: str) -> None:
         """End the written data, and close when the caller has closed.
 
--- a/tests/direct/caller_connections.feature
+++ b/tests/direct/caller_connections.feature
@@ -236,3 +236,10 @@
     When direct path gets 20 GETs to "/safe/x"
     Then direct path answered all with 500
     And direct path logged one failure within a second for 20 refused requests
+
+  Scenario: Direct path connection notices a caller that leaves with an answer unread
+    # Guards against targets that go on with a request whose caller has closed its side,
+    # because the entry first waits until the caller has read what nobody reads.
+    Given direct path connections
+    When direct path caller closes its side with 20000000 bytes of a stream unread
+    Then direct path connection told its handler at once
--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -662,3 +662,36 @@
     failures = context.log_lines.of("request handler failed")
     assert len(failures) == 1, len(failures)
     assert len(context.log_lines.of("request refused")) == count
+
+
+@when("direct path caller closes its side with {size:d} bytes of a stream unread")
+def closes_side(context, size):
+    async def act(server):
+        noticed = asyncio.Event()
+
+        async def stream(connection):
+            connection.on_disconnect = noticed.set
+            connection.start_answer(200, [(b"Transfer-Encoding", b"chunked")])
+            connection.send_data(b"a" * size)
+            await connection.drain()
+
+        server.answers["x"] = stream
+        reader, writer, _ = await server.connect()
+        writer.transport.pause_reading()
+        writer.write(HEAD % b"x")
+        await asyncio.sleep(0.1)
+        writer.write_eof()
+        try:
+            async with asyncio.timeout(1.0):
+                await noticed.wait()
+        except TimeoutError:
+            pass
+        writer.transport.abort()
+        return noticed.is_set()
+
+    context.was_noticed = with_server(act)
+
+
+@then("direct path connection told its handler at once")
+def told_handler(context):
+    assert context.was_noticed
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1158,4 +1158,12 @@
         "direct/caller_connections",
         "pages keep no connections",
     ),
+    Mutation(
+        "callers that leave with an answer unread",
+        "direct/caller_transport.py",
+        "        if drops_unsent:\n",
+        "        if False:\n",
+        "direct/caller_connections",
+        "leaves with an answer unread",
+    ),
 )
