--- a/tests/steps/direct_caller_connections_steps.py
+++ b/tests/steps/direct_caller_connections_steps.py
@@ -9,9 +9,19 @@
 
 from behave import given, then, when
 
+from lentiltally.direct.failure_log import FailureLog
+from lentiltally.direct.forwarder import _log as forwarder_log
+from lentiltally.direct.pages import PageServer
+from lentiltally.direct.settings import SocketAddress
 from lentiltally.platform import http_headers
 from standins.raw_http import reset
-from tests.fakes.caller_connections import HEAD, LogLines, ScriptedServer, read_all
+from tests.fakes.caller_connections import (
+    HEAD,
+    LogLines,
+    ScriptedServer,
+    StoppedClock,
+    read_all,
+)
 
 DECODERS = {
     "the request": "decode_request",
@@ -32,6 +42,7 @@
 
     log_lines(context)
     forwarder = context.direct.entry._forwarder
+    forwarder._failures = FailureLog(forwarder_log, StoppedClock())
     codec = SimpleNamespace(
         decode_request=http_headers.decode_request,
         encode_headers=http_headers.encode_headers,
@@ -567,3 +578,120 @@
         return first, second
 
     context.received = with_server(act)
+
+
+PAGE_REQUEST = b"GET / HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n"
+
+
+@given(
+    "direct path pages with {count:d} connections whose peers stay after the last "
+    "answer"
+)
+def page_connections(context, count):
+    context.count = count
+
+
+@when("direct path pages get two more connections {pause_s:g} s later")
+def more_page_connections(context, pause_s):
+    async def act():
+        clock = StoppedClock()
+        pages = PageServer({b"/": lambda: (200, b"page")}, clock)
+        server = await pages.listen(SocketAddress("127.0.0.1", 0))
+        address = server.sockets[0].getsockname()
+        streams = []
+        for number in range(context.count + 2):
+            clock.now_s += pause_s if number == context.count else 0.0
+            reader, writer = await asyncio.open_connection(*address)
+            streams.append(writer)
+            writer.write(PAGE_REQUEST)
+            assert b"page" in await reader.readuntil(b"page")
+        await asyncio.sleep(0.02)
+        context.left = len(pages._connections)
+        for writer in streams:
+            writer.transport.abort()
+        server.close()
+        await asyncio.sleep(0.02)
+
+    asyncio.run(act())
+
+
+@then("direct path pages have only those two connections")
+def pages_have(context):
+    assert context.left == 2, context.left
+
+
+PROOF = b"X-Request-Id: REQUEST\r\nX-Response-Signature: proof\r\n"
+WITH_BODY = PROOF + b"Content-Length: 4\r\n"
+RAW_ANSWERS = {
+    "204 without a body": b"204 No\r\n" + PROOF + b"\r\n",
+    "204 with a body": b"204 No\r\n" + WITH_BODY + b"\r\nbody",
+    "304 with a length": b"304 No\r\n" + WITH_BODY + b"\r\n",
+    "status 099": b"099 Odd\r\n" + WITH_BODY + b"\r\nbody",
+    "status 999": b"999 Odd\r\n" + WITH_BODY + b"\r\nbody",
+    "status 101": b"101 Odd\r\n" + PROOF + b"Upgrade: odd\r\n\r\n",
+    "a header of odd bytes": b"200 OK\r\n"
+    + WITH_BODY
+    + b"X-Odd: \xc3\xa9\x7f\r\n\r\nbody",
+    "a folded header": b"200 OK\r\n" + WITH_BODY + b"X-Odd: a\r\n b\r\n\r\nbody",
+    "an empty header name": b"200 OK\r\n" + WITH_BODY + b": a\r\n\r\nbody",
+    "other transfer coding": (
+        b"200 OK\r\n" + PROOF + b"Transfer-Encoding: gzip\r\n\r\nbody"
+    ),
+    "two connection options": (
+        b"200 OK\r\n" + WITH_BODY + b"Connection: close, x-odd\r\nX-Odd: a\r\n\r\nbody"
+    ),
+}
+
+
+@given('direct path targets answer raw "{odd}"')
+def answer_raw(context, odd):
+    for engine in context.direct.engines.values():
+        engine.raw_answer = b"HTTP/1.1 " + RAW_ANSWERS[odd]
+        engine.script.extend(["raw"] * 4)
+
+
+@then('direct path caller has a complete answer with one of "{statuses}"')
+def has_complete(context, statuses):
+    answer = context.answer
+    assert answer.is_complete, (answer.status, answer.body)
+    assert str(answer.status) in statuses.split(", "), (answer.status, answer.body)
+
+
+@then("direct path logged one failure within a second for {count:d} refused requests")
+def logged_one(context, count):
+    failures = context.log_lines.of("request handler failed")
+    assert len(failures) == 1, len(failures)
+    assert len(context.log_lines.of("request refused")) == count
+
+
+@when("direct path caller closes its side with {size:d} bytes of a stream unread")
+def closes_side(context, size):
+    async def act(server):
+        noticed = asyncio.Event()
+
+        async def stream(connection):
+            connection.on_disconnect = noticed.set
+            connection.start_answer(200, [(b"Transfer-Encoding", b"chunked")])
+            connection.send_data(b"a" * size)
+            await connection.drain()
+
+        server.answers["x"] = stream
+        reader, writer, _ = await server.connect()
+        writer.transport.pause_reading()
+        writer.write(HEAD % b"x")
+        await asyncio.sleep(0.1)
+        writer.write_eof()
+        try:
+            async with asyncio.timeout(1.0):
+                await noticed.wait()
+        except TimeoutError:
+            pass
+        writer.transport.abort()
+        return noticed.is_set()
+
+    context.was_noticed = with_server(act)
+
+
+@then("direct path connection told its handler at once")
+def told_handler(context):
+    assert context.was_noticed
