Answer a request whose attempt fails with an error of the entry

What callers saw: a closed connection with neither an answer nor a refusal if an error of the entry's own ended the attempt, also while the attempt at another target was under way and sound. Numbers in headers that can't be converted were such errors once. The attempt now fails like one whose connection was lost: others go on, a retry is made where it is allowed, and otherwise the caller gets 502 with execution unknown. The error is logged with its trace.

--- a/lentiltally/direct/target_exchange.py
+++ b/lentiltally/direct/target_exchange.py
@@ -5,6 +5,7 @@
 import asyncio
 import contextlib
 import enum
+import logging
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Protocol
@@ -16,6 +17,7 @@
 from lentiltally.decisions.event_stream import StreamBroken
 from lentiltally.decisions.target_timeouts import TargetTimeouts
 from lentiltally.direct.caller_answer import AnswerPart
+from lentiltally.direct.caller_connection import CallerDisconnectedError
 from lentiltally.direct.http_connection import Event, HttpConnection, PeerError
 from lentiltally.direct.platform_interfaces import HeaderCodec
 from lentiltally.direct.request import AnswerHead, CallerRequest, TargetAttempt
@@ -29,6 +31,8 @@
     "TargetExchange",
 ]
 
+_log = logging.getLogger(__name__)
+
 # Answers to other requests that may arrive on the connection before the right one, and
 # the body that each of them may have.
 MAX_UNRELATED_ANSWERS = 4
@@ -134,7 +138,11 @@
     async def run(
         self, attempt: TargetAttempt, answer: AnswerPart, *, is_stream: bool
     ) -> ExchangeResult:
-        """Send the request and read its answer; a failure is returned, not raised."""
+        """Send the request and read its answer; a failure is returned, not raised.
+
+        Also an error of the entry itself: another attempt may answer the request, and
+        without one the caller gets a failure, not a closed connection.
+        """
         try:
             self._turn.check()
             return await self._exchange(attempt, answer, is_stream)
@@ -144,6 +152,14 @@
             if not self._turn.is_superseded:
                 raise
             return self._superseded()
+        except CallerDisconnectedError:
+            raise
+        except Exception:
+            _log.exception(
+                "attempt failed with an error",
+                extra={"request": self._request.request_id},
+            )
+            return self._failed(ExchangeOutcome.UNKNOWN, "error of the entry")
 
     async def _exchange(
         self, attempt: TargetAttempt, answer: AnswerPart, is_stream: bool
--- a/tests/direct/silence.feature
+++ b/tests/direct/silence.feature
@@ -273,3 +273,21 @@
     When direct path gets a stream from "/stream/x" for adapter "a1"
     Then direct path delivered the events 1 to 5 completely
     And direct path ran request "r1" 1 time
+
+  Scenario: Direct path keeps a request when reading the other target's answer fails
+    # Guards against an error of the entry's own in one attempt, which closes the connection
+    # of a request that its engine goes on with.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e1" only
+    And direct path engine "e1" handles the next request as "pause"
+    And direct path fails to read the answers of engine "e2"
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+
+  Scenario: Direct path answers a request that may run once when reading its answer fails
+    # Guards against the same where no other attempt is allowed: the caller gets no answer.
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path has "a1" loaded on "e2" only
+    And direct path fails to read the answers of engine "e2"
+    When direct path gets a stream from "/stream-once/x" for adapter "a1"
+    Then direct path answers 502 with execution unknown
--- a/tests/steps/direct_silence_steps.py
+++ b/tests/steps/direct_silence_steps.py
@@ -10,6 +10,7 @@
 from lentiltally.direct.attempt_preparation import AttemptPreparation
 from lentiltally.direct.messages import adapter_key_hash
 from lentiltally.direct.open_attempts import OpenAttempts
+from lentiltally.platform import http_headers
 from standins.platform_engine import EngineRun
 from tests.fakes.direct import HOST, DirectSystem
 from tests.steps.direct_streams_steps import headers
@@ -402,3 +403,17 @@
     replacement = AttemptPreparation.replacement
     context.add_cleanup(setattr, AttemptPreparation, "replacement", replacement)
     AttemptPreparation.replacement = fail
+
+
+@given('direct path fails to read the answers of engine "{name}"')
+def reading_fails(context, name):
+    decode = http_headers.decode_answer_head
+
+    def fail(status, headers):
+        head = decode(status, headers)
+        if head.signature == f"proof-{name}":
+            raise ValueError("error in an attempt")
+        return head
+
+    context.add_cleanup(setattr, http_headers, "decode_answer_head", decode)
+    http_headers.decode_answer_head = fail
