Let the stream of a trial move once its answer has begun

What callers saw: a stream that tried a refused prompt part again, and whose engine fell silent after its first events, was aborted at its deadline. No second attempt was begun beside it because it counted as a trial to its end. The answer's beginning has cleared its parts, so the trial is over then.

Evidence: the scenario (the engine of the trial stalls after two events) ended with an aborted stream before; it is resumed now.

--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -188,6 +188,8 @@
         )
 
     def _answer_began(self) -> None:
+        # The trial is over: no part of the prompt has crashed the target.
+        self._on_trial = []
         self._suspects.answer_began(self._traits.parts)
 
     async def _send_until_answered(self) -> None:
--- a/tests/direct/crashes.feature
+++ b/tests/direct/crashes.feature
@@ -105,6 +105,20 @@
     And direct path gets a stream from "/stream/three" with the prompt parts "f0,dead,4"
     Then direct path engines ran "/stream/three" 1 time
 
+  # Guards against a stream that is aborted at its deadline because it was a trial, although
+  # its answer began, which shows that its parts crash no engine.
+  Scenario: Direct path moves the stream of a trial whose engine falls silent after it began
+    Given direct path engines crash on the prompt part "dead"
+    And direct path has served a stream with the prompt parts "f0,5a,1"
+    When direct path gets a stream from "/stream/one" with the prompt parts "f0,dead,2"
+    And direct path crashed engines are back
+    And direct path gets a stream from "/stream/two" with the prompt parts "f0,dead,3"
+    And direct path crashed engines are back
+    And direct path trial of the prompt part "dead" is due
+    And direct path engines crash on no prompt part, and one stalls in the next stream
+    And direct path gets a stream from "/stream/three" with the prompt parts "f0,dead,4"
+    Then direct path delivered the events 1 to 5 completely
+
   # Guards against three more targets for each entry that starts.
   Scenario: Direct path entry that starts learns which requests are refused
     Given direct path engines crash on the body "dead"
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -226,6 +226,15 @@
         engine.script.append("hang")
 
 
+@when("direct path engines crash on no prompt part, and one stalls in the next stream")
+def one_engine_stalls(context):
+    for engine in engines(context):
+        engine.poisoned_part = ""
+    context.execute_steps(
+        'Given direct path one target handles the next request as "stall"'
+    )
+
+
 @then('direct path engines ran "{path}" {times:d} time')
 def engines_ran(context, path, times):
     runs = [run for e in engines(context) for run in e.runs if run.path == path]
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1118,4 +1118,12 @@
         "direct/silence",
         "that was silent when the request came",
     ),
+    Mutation(
+        "trials end when their answers begin",
+        "direct/handling.py",
+        "        self._on_trial = []\n        self._suspects",
+        "        self._suspects",
+        "direct/crashes",
+        "moves the stream of a trial",
+    ),
 )
