--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -1278,4 +1278,12 @@
         "direct/caller_connections",
         "leaves with an answer unread",
     ),
+    Mutation(
+        "trials end when their answers begin",
+        "direct/handling.py",
+        "        self._on_trial = []\n        self._suspects",
+        "        self._suspects",
+        "direct/crashes",
+        "moves the stream of a trial",
+    ),
 )
