--- a/tests/fakes/silent_changes.py
+++ b/tests/fakes/silent_changes.py
@@ -26,13 +26,14 @@
 
 
 def first_routes():
+    # All may be tried at a second target, those that may run once only after a refusal.
     more = {"timeoutMs": TIMEOUT_MS}
     engine = {**more, "gapTargetMs": 150, "stickySessions": True}
     return {
         "safe": route("safe", "safe", "plain", attempts=2, **more),
-        "once": route("once", "unsafe", "plain", attempts=1, **more),
+        "once": route("once", "unsafe", "plain", attempts=2, **more),
         "stream": route("stream", "streaming", "llm", resumable=True, **engine),
-        "stream-once": route("stream-once", "streaming", "llm", attempts=1, **engine),
+        "stream-once": route("stream-once", "streaming", "llm", attempts=2, **engine),
     }
 
 
