Answer the requests that outlast an entry's stop time

What callers saw: on the product's own interface a request that was still open process.drain_s after the SIGTERM to its entry got no answer. The entry went on waiting for it, up to the request's own deadline, until its supervisor killed it. The design promises "executed: unknown" for such requests.

Cause: the drain's end stopped the server, which waits for its threads without a bound, and nothing ended the attempts that they wait for.

When the time is over, all open attempts end now, once the messages that have arrived are read: a request is answered with 502 entry-stopped and an unknown outcome, a stream with the same as its error event. Nothing is retried then. A claim stays open instead of being recorded as unknown, because its agent goes on and knows the outcome; a resend at another entry gets the answer. A line "ending requests that outlast the drain" gives their number.

system/processes, the two scenarios "whose stop time ends before": both failed before, the caller got no answer (status 0) when the entry was killed 5 s after its stop time. They pass now, as do all 11 of the feature. Without the change in claims the resent booking got 409 "the agent that may have run it is gone". pipeline/, routing/ and entry/ pass.

Not covered: a keyed request that waits for the log or for another entry's claim at that moment is not ended early.

--- a/lentiltally/entry/process.py
+++ b/lentiltally/entry/process.py
@@ -207,6 +207,7 @@
             if now_s >= notice_end_s and not self._callers.active_requests:
                 break
             self._clock.sleep(DRAIN_POLL_INTERVAL)
+        self._end_open_requests()
         self._server.stop()
         self._administration.stop()
         self._directory.stop()
@@ -218,6 +219,18 @@
         self._metrics.close()
         _log.info("entry stopped")
 
+    def _end_open_requests(self) -> None:
+        """Let the requests that outlast the drain be answered before the server stops.
+
+        Their outcome is unknown, because agents go on with what must not run twice.
+        """
+        if self._callers.active_requests:
+            _log.warning(
+                "ending requests that outlast the drain",
+                extra={"requests": self._callers.active_requests},
+            )
+            self._pending.end_all()
+
     def _is_ready(self) -> bool:
         return self._has_configuration() and self._directory.has_targets()
 
--- a/lentiltally/pipeline/claim.py
+++ b/lentiltally/pipeline/claim.py
@@ -23,6 +23,7 @@
 from lentiltally.problems import Refusal
 from lentiltally.routing.attempts import AttemptContext
 from lentiltally.routing.claims import ClaimLog
+from lentiltally.routing.pending import ENTRY_STOPPED
 from lentiltally.routing.queries import ClaimQueries
 from lentiltally.wire import ClaimAnswer
 
@@ -187,6 +188,10 @@
         try:
             answer = self._next_handler(exchange)
         except Refusal as refusal:
+            if refusal.reason == ENTRY_STOPPED:
+                # The claim stays open: its agent knows the outcome, and the next entry
+                # that receives the key asks for it.
+                raise
             self._refused_targets.add(record.target)
             _log.info(
                 "claimed attempt refused",
--- a/lentiltally/pipeline/dispatch.py
+++ b/lentiltally/pipeline/dispatch.py
@@ -17,6 +17,7 @@
 from lentiltally.metrics import Metrics
 from lentiltally.problems import Refusal, problem_body
 from lentiltally.routing.attempts import Attempt, AttemptContext
+from lentiltally.routing.pending import ENTRY_STOPPED
 from lentiltally.wire import ANSWER_MISMATCH, TargetState
 
 _log = logging.getLogger(__name__)
@@ -29,6 +30,7 @@
 # left; later ones are queued until a slot is free.
 REJECTABLE_ATTEMPTS = 2
 CALLER_ERROR_REASONS = frozenset({"quarantined"})
+FINAL_REASONS = CALLER_ERROR_REASONS | {ENTRY_STOPPED}
 # Failures that the request can't have caused: the engine is still running, or the agent
 # incarnation to which the attempt was addressed had ended before the attempt arrived.
 UNRELATED_REASONS = frozenset({ANSWER_MISMATCH, RefusalReason.OTHER_INCARNATION.value})
@@ -147,7 +149,7 @@
     def _retry_delay_s(
         self, work: Work, failed: Failed, attempt_number: int, deadline_s: float
     ) -> float | None:
-        if work.is_keyed or failed.reason in CALLER_ERROR_REASONS:
+        if work.is_keyed or failed.reason in FINAL_REASONS:
             return None
         if failed.executed == "unknown" and not work.is_idempotent:
             return None
--- a/lentiltally/routing/attempts.py
+++ b/lentiltally/routing/attempts.py
@@ -20,7 +20,12 @@
 )
 from lentiltally.exchange import Exchange
 from lentiltally.ids import AttemptIds
-from lentiltally.routing.pending import AttemptMessage, PendingAttempt, PendingAttempts
+from lentiltally.routing.pending import (
+    ENTRY_STOPPED,
+    AttemptMessage,
+    PendingAttempt,
+    PendingAttempts,
+)
 from lentiltally.routing.releases import ReleaseSender
 from lentiltally.routing.targets import TargetDirectory
 from lentiltally.wire import (
@@ -195,6 +200,8 @@
         message = self._pending.get(self._timeout_s(now_s, until_s))
         now_s = self._context.clock.monotonic_s()
         if message is None:
+            if self._pending.is_ended:
+                return [Failed("unknown", ENTRY_STOPPED, 0.0)]
             if self._pending.must_request_resume:
                 self._pending.must_request_resume = False
                 return self._execute_actions([RequestResume(self._assembly.next_index)])
@@ -219,6 +226,8 @@
         return self._execute_actions(actions)
 
     def _timeout_s(self, now_s: float, until_s: float | None) -> float:
+        if self._pending.is_ended:
+            return 0.0
         timeout_s = min(
             TICK_INTERVAL_S, max(0.0, self._deadline_s - now_s) or TICK_INTERVAL_S
         )
--- a/lentiltally/routing/pending.py
+++ b/lentiltally/routing/pending.py
@@ -14,6 +14,9 @@
     Refused,
 )
 
+# Why an attempt fails that is open when the time of a stop is over.
+ENTRY_STOPPED = "entry-stopped"
+
 AttemptMessage = AnswerHead | AnswerEvents | AnswerEnd | CompleteAnswer | Refused
 
 
@@ -28,6 +31,7 @@
         self.attempt_id = attempt_id
         self.agent_incarnation = agent_incarnation
         self.must_request_resume = False
+        self.is_ended = False
         self._messages: queue.SimpleQueue[AttemptMessage | int | None] = (
             queue.SimpleQueue()
         )
@@ -66,6 +70,11 @@
         self.must_request_resume = True
         self._messages.put(None)
 
+    def end(self) -> None:
+        """End the attempt once the messages that have arrived are read."""
+        self.is_ended = True
+        self._messages.put(None)
+
 
 class PendingAttempts:
     """All open attempts of the entry, by attempt id."""
@@ -73,12 +82,14 @@
     def __init__(self) -> None:
         """Start without attempts."""
         self._by_id: dict[str, PendingAttempt] = {}
+        self._is_ended = False
         self._lock = threading.Lock()
 
     def open(self, attempt_id: str, agent_incarnation: str) -> PendingAttempt:
         """Register an attempt before it is sent."""
         pending = PendingAttempt(attempt_id, agent_incarnation)
         with self._lock:
+            pending.is_ended = self._is_ended
             self._by_id[attempt_id] = pending
         return pending
 
@@ -111,6 +122,13 @@
         for pending in affected:
             pending.on_agent_restart()
 
+    def end_all(self) -> None:
+        """End all attempts, and those that are opened later: the process stops."""
+        with self._lock:
+            self._is_ended = True
+            for pending in self._by_id.values():
+                pending.end()
+
     def count(self) -> int:
         """Return the number of open attempts."""
         return len(self._by_id)
--- a/tests/pipeline/dispatch.feature
+++ b/tests/pipeline/dispatch.feature
@@ -16,6 +16,13 @@
       | unknown agent restarted                      | idempotent     | 502    | 2        | suspected   |
       | unknown answer-mismatch                      | idempotent     | 200    | 3        | unsuspected |
       | no leaving                                   | non-idempotent | 200    | 3        | unsuspected |
+      | unknown shutdown                             | idempotent     | 502    | 2        | suspected   |
+
+  # Guards against work that is sent once more by an entry that is about to end.
+  Scenario: Dispatch retries no attempt that its entry's stop ends
+    Given dispatch has 3 targets, of which the first 2 fail with unknown entry-stopped
+    When dispatch runs idempotent work
+    Then dispatch ends with 502 after 1 attempts, unsuspected
 
   # Guards against streams that end early and leave no trace: once the status line is
   # sent, no refusal is logged.
@@ -28,5 +35,6 @@
     Examples:
       | cause                   | told             | line                          | reason        |
       | its target fails        | target-failed    | stream ended early            | target-failed |
+      | its entry stops         | entry-stopped    | stream ended early            | entry-stopped |
       | its caller is gone      | nothing          | stream ended early            | caller gone   |
       | an error is not handled | internal         | unexpected error in a stream  | ValueError    |
--- a/tests/steps/dispatch_steps.py
+++ b/tests/steps/dispatch_steps.py
@@ -109,7 +109,7 @@
     """Begins a stream for each attempt; the test delivers the rest."""
 
     def __init__(self, pending):
-        self._pending = pending
+        self.pending = pending
         self.attempt_id = ""
 
     def put(self, address, message):
@@ -120,7 +120,7 @@
         self.deliver(AnswerEvents(self.attempt_id, 0, 1, FIRST_EVENT))
 
     def deliver(self, message):
-        self._pending.deliver(message)
+        self.pending.deliver(message)
 
 
 class RecordingHandler(logging.Handler):
@@ -227,6 +227,8 @@
     attempt_id = context.agents.attempt_id
     if cause == "its caller is gone":
         parts.close()
+    elif cause == "its entry stops":
+        context.agents.pending.end_all()
     elif cause == "its target fails":
         context.agents.deliver(
             Refused(attempt_id, "unknown", "target-failed", "run", "agent", 0.0)
--- a/tests/steps/system_processes_steps.py
+++ b/tests/steps/system_processes_steps.py
@@ -4,10 +4,11 @@
 
 import signal
 import socket
+import subprocess
 import time
 
 import urllib3
-from behave import then, when
+from behave import given, then, when
 
 from lentiltally.decisions.ownership import LEASE_S
 from tests.fakes.system import expected_text
@@ -124,6 +125,50 @@
     context.add_cleanup(context.stopped.result)
 
 
+@given("the system's entry-1 has a stop time of {seconds:d} s")
+def has_stop_time(context, seconds):
+    deployment = context.system.deployment
+    path = deployment.folder / "entry-1.toml"
+    before = path.read_text()
+    assert "drain_s = 30.0" in before
+    context.stop_time_s = seconds
+    context.system.processes.stop("entry-1")
+    path.write_text(before.replace("drain_s = 30.0", f"drain_s = {seconds}.0"))
+    context.add_cleanup(path.write_text, before)
+    context.system.restore()
+
+
+@given("the system's engines are {factor:d} times slower")
+def engines_slower(context, factor):
+    context.system.set_engine_faults(slow_factor=float(factor))
+
+
+@when(
+    "the system's entry-1 is told to stop and killed {seconds:d} s after its stop time"
+)
+def entry_stopped_and_killed(context, seconds):
+    process = context.system.processes.process("entry-1")
+
+    def stop():
+        process.send_signal(signal.SIGTERM)
+        try:
+            process.wait(context.stop_time_s + seconds)
+        except subprocess.TimeoutExpired:
+            process.kill()
+            process.wait()
+
+    stopped = context.system.pool.submit(stop)
+    context.add_cleanup(stopped.result)
+
+
+@then('system answers it with an unknown outcome because of "{reason}"')
+def answers_unknown_because(context, reason):
+    reply = context.pending_reply.result()
+    assert reply.status == 502, reply
+    assert reply.executed == "unknown", reply
+    assert reply.json()["type"].endswith(f":{reason}"), reply
+
+
 @when("system's caller keeps a connection to entry-1")
 def keeps_connection(context):
     context.url = context.system.deployment.entry_urls["entry-1"]
--- a/tests/system/processes.feature
+++ b/tests/system/processes.feature
@@ -64,6 +64,27 @@
     Then system's entry-1 answers on that connection
     And system's entry-1 answers on 2 new connections
 
+  # Guards against requests without any answer, because they outlast the stop time of
+  # their entry and its supervisor ends it then.
+  Scenario: SIGTERM on an entry whose stop time ends before a request
+    Given the system's entry-1 has a stop time of 1 s
+    And the system's engines are 5 times slower
+    When system has a long one-shot request in progress
+    And the system's entry-1 is told to stop and killed 5 s after its stop time
+    Then system answers it with an unknown outcome because of "entry-stopped"
+    And the system's engines executed it 1 time
+
+  # Guards against an outcome that is recorded as unknown although an agent knows it.
+  Scenario: SIGTERM on an entry whose stop time ends before a booking
+    Given the system's entry-1 has a stop time of 1 s
+    And the system's engines are 5 times slower
+    When system has a booking in progress
+    And the system's entry-1 is told to stop and killed 5 s after its stop time
+    Then system answers it with an unknown outcome because of "entry-stopped"
+    When system receives the booking again at entry-2
+    Then system returned the booking's answer each time
+    And the system's engines executed it 1 time
+
   # Guards against streams and queued requests that fail when their agent is told to stop,
   # and against new requests at its target.
   Scenario: SIGTERM on an agent with a stream and queued requests
