Read what has arrived before a stream counts as silent

What callers saw: on the product's own interface a stream of a sound engine could count as silent, and be resumed or given up, because another engine behind the same agent had sent a part of a chunk only.

Cause: one thread reads all streams, and the rest of a chunk is waited for, up to the silence limit. The events of the other streams that arrived in that time were not read before the limits were checked, so all of them had passed theirs.

Connections that can be read are read now before a stream is called silent; the limit itself is unchanged.

agent/streams, "before it calls a stream silent", failed before: the event that had arrived was not passed on. It passes now, as does agent/, and is red without the reading (tools.mutations). The wait itself still delays the other streams.

--- a/lentiltally/agent/stream_reader.py
+++ b/lentiltally/agent/stream_reader.py
@@ -108,12 +108,7 @@
     def _run(self) -> None:
         check_due_s = 0.0
         while not self._stopped.is_set():
-            ready = self._selector.select(TIMEOUT_CHECK_INTERVAL_S)
-            for key, _ in ready:
-                if key.data is None:
-                    self._wake_receiver.recv(4096)
-                else:
-                    self._read(key.data)
+            self._read_ready(TIMEOUT_CHECK_INTERVAL_S)
             while self._new_answers:
                 self._add(self._new_answers.popleft())
             now_s = self._clock.monotonic_s()
@@ -123,6 +118,13 @@
             if len(self._connections) >= COALESCE_MIN_STREAMS:
                 self._stopped.wait(COALESCE_DELAY_S)
 
+    def _read_ready(self, timeout_s: float) -> None:
+        for key, _ in self._selector.select(timeout_s):
+            if key.data is None:
+                self._wake_receiver.recv(4096)
+            else:
+                self._read(key.data)
+
     def _add(self, answer: _FollowedAnswer) -> None:
         for stream in list(answer.handlers):
             # The connection before may have delivered already.
@@ -167,15 +169,27 @@
             self._drop(stream, answer, error)
 
     def _check_timeouts(self, now_s: float) -> None:
-        for answer in {c.answer for c in self._connections.values()}:
-            if now_s - answer.last_event_s > answer.silence_timeout_s:
-                error = StreamSilentError(
-                    f"no event for {answer.silence_timeout_s} s",
-                    step="stream",
-                    peer=next(iter(answer.handlers)).name,
-                    may_have_run=True,
-                )
-                self._end(answer, error)
+        if not self._silent_answers(now_s):
+            return
+        # A connection that sends a part of a chunk holds the reader up, and events of
+        # other streams arrive meanwhile.
+        self._read_ready(0.0)
+        for answer in self._silent_answers(now_s):
+            error = StreamSilentError(
+                f"no event for {answer.silence_timeout_s} s",
+                step="stream",
+                peer=next(iter(answer.handlers)).name,
+                may_have_run=True,
+            )
+            self._end(answer, error)
+
+    def _silent_answers(self, now_s: float) -> set[_FollowedAnswer]:
+        return {
+            connection.answer
+            for connection in self._connections.values()
+            if now_s - connection.answer.last_event_s
+            > connection.answer.silence_timeout_s
+        }
 
     def _keep_only(self, stream: EngineStream, answer: _FollowedAnswer) -> None:
         for other in [other for other in answer.handlers if other is not stream]:
--- a/tests/agent/streams.feature
+++ b/tests/agent/streams.feature
@@ -24,6 +24,12 @@
     Given stream reader reads a stream that gets a byte every 0.05 s
     Then stream reader reports an error after which the request may have run
 
+  Scenario: Stream reader reads what has arrived before it calls a stream silent
+    # Guards against a sound stream that counts as silent because the reader was held up
+    # by the connection of another one.
+    Given stream reader is held up by one stream while events of another arrive
+    Then stream reader has passed on events before the end
+
   Scenario: Engine stream gives up on an event without end
     # Guards against memory that a faulty engine fills with one event.
     Given stream reader reads a stream of one event without end
--- a/tests/steps/streams_steps.py
+++ b/tests/steps/streams_steps.py
@@ -180,3 +180,61 @@
 @given("stream reader reads a stream of one event without end")
 def read_endless_event(context):
     follow_socket(context, b"d" * 16_384, 0.0001)
+
+
+class SteppedClock:
+    """Advances only when it is told to."""
+
+    def __init__(self):
+        self.now_s = 100.0
+
+    def monotonic_s(self):
+        return self.now_s
+
+
+class HoldingResponse(SocketResponse):
+    """Holds the reader up once, until ``while_held`` has returned."""
+
+    def __init__(self, receiver, while_held):
+        super().__init__(receiver)
+        self._while_held = while_held
+
+    def read1(self, size):
+        data = super().read1(size)
+        self._while_held()
+        return data
+
+
+@given("stream reader is held up by one stream while events of another arrive")
+def read_held_up(context):
+    clock = SteppedClock()
+    reader = StreamReader(clock)
+    slow_receiver, slow_sender = socket.socketpair()
+    receiver, sender = socket.socketpair()
+
+    def while_held():
+        sender.sendall(b"id: 1\ndata: {}\n\n")
+        clock.now_s += 100.0
+
+    slow = EngineStream(HoldingResponse(slow_receiver, while_held), "engine")
+    stream = EngineStream(SocketResponse(receiver), "engine")
+    context.blocks = []
+
+    def on_block(block):
+        context.blocks.append(block)
+        return True
+
+    with ThreadPoolExecutor(2) as pool:
+        results = [
+            pool.submit(reader.follow, {slow: lambda block: False}, 10.0),
+            pool.submit(reader.follow, {stream: on_block}, 10.0),
+        ]
+        slow_sender.sendall(b"d")
+        while len(reader._new_answers) < 2:
+            time.sleep(0.001)
+        reader.start()
+        context.add_cleanup(reader.stop)
+        for result in results:
+            result.exception(20.0)
+    for end in (slow_receiver, slow_sender, receiver, sender):
+        end.close()
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -973,6 +973,14 @@
         "agent/streams",
         "events that arrive together with the head",
     ),
+    Mutation(
+        "read before a stream counts as silent, on the own interface",
+        "agent/stream_reader.py",
+        "        self._read_ready(0.0)\n",
+        "",
+        "agent/streams",
+        "before it calls a stream silent",
+    ),
     Mutation(
         "silent connection kept until another one delivers, on the own interface",
         "agent/engine_run.py",
