Move what crashes mean for one request out of its handling

RequestSuspicion has the refusals, the trials and the evidence of one request; the handling keeps attempts and answers (340 lines, 423 before). The two ways to refuse, by content and by a part, are one.

A target that had no permit at first and was sent the request beside a silent one is not waited for again: it could have got the request twice. From the review, by reading; no test shows it.

--- a/lentiltally/direct/attempt_preparation.py
+++ b/lentiltally/direct/attempt_preparation.py
@@ -232,11 +232,14 @@
 
     async def _wait_for_permit(self, attempts: int) -> PreparedAttempt | None:
         """Wait for the next permit, because all targets are limited or excluded."""
-        if not self._search.limited or not self._is_allowed(attempts):
+        limited = [
+            (candidate, wait_s)
+            for target_id, (candidate, wait_s) in self._search.limited.items()
+            if target_id not in self._sent_ids
+        ]
+        if not limited or not self._is_allowed(attempts):
             return None
-        candidate, wait_s = min(
-            self._search.limited.values(), key=lambda limited: limited[1]
-        )
+        candidate, wait_s = min(limited, key=lambda entry: entry[1])
         if wait_s > self._wait_budget_s or not self._state.is_usable(candidate.record):
             return None
         # If it still has none, it is noted again; once sent to, it is not tried twice.
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -4,12 +4,6 @@
 
 import asyncio
 
-from lentiltally.decisions.crash_suspects import (
-    RequestTraits,
-    fingerprint_texts,
-    part_fingerprint,
-    request_fingerprint,
-)
 from lentiltally.decisions.target_timeouts import TargetTimeouts
 from lentiltally.direct.adapter_pin import AdapterPin
 from lentiltally.direct.agent_client import AcquireResult
@@ -24,6 +18,7 @@
 from lentiltally.direct.model import Route, RouteKind, Service, TargetRecord
 from lentiltally.direct.open_attempts import AttemptTurn, OpenAttempts
 from lentiltally.direct.request import CallerRequest, TargetAttempt
+from lentiltally.direct.request_suspicion import RequestSuspicion
 from lentiltally.direct.target_exchange import (
     ExchangeOutcome,
     ExchangeResult,
@@ -53,7 +48,6 @@
         """Prepare to answer a request of a route on its caller's connection."""
         self._context = context
         self._state = context.state
-        self._suspects = context.state.suspects
         self._settings = context.settings
         self._clock = context.clock
         self._request = request
@@ -63,11 +57,12 @@
         self._answer = CallerAnswer(connection, context.clock, request.last_event_id)
         self._pin = AdapterPin(context, request, route.rank)
         self._sender = TargetSender(context, request, route, self._answer, self._pin)
-        self._traits = _traits_of(request)
-        self._on_trial: list[int] = []
-        self._is_content_on_trial = False
-        self._answer.on_started = self._answer_began
-        self._log = HandlingLog(request, route.name, self._traits, context.clock)
+        self._suspicion = RequestSuspicion(
+            context.state.suspects, request, self._answer, context.retry_after_s
+        )
+        self._answer.on_started = self._suspicion.answer_began
+        traits = self._suspicion.traits
+        self._log = HandlingLog(request, route.name, traits, context.clock)
         timeout_s = request.timeout_s or route.timeout_s
         self._deadline_s = request.arrived_s + min(timeout_s, route.timeout_s)
         self._preparation = AttemptPreparation(
@@ -79,7 +74,7 @@
             sender=self._sender,
             pin=self._pin,
             log=self._log,
-            may_be_sent=self._may_be_sent,
+            may_be_sent=self._suspicion.may_be_sent,
         )
         self._open = OpenAttempts(self._begin_another, self._superseded)
         # Requests sent to targets, and those of them that may have been executed.
@@ -101,7 +96,7 @@
         Raises Refusal if the caller gets a refusal instead of an answer, and
         CallerDisconnectedError if it closed the connection.
         """
-        self._check_suspect()
+        self._suspicion.begin()
         task = asyncio.current_task()
         is_stream = self._route.kind is RouteKind.STREAM
         if task is not None and (is_stream or self._route.is_idempotent):
@@ -129,69 +124,6 @@
         if not self._answer.is_complete:
             self._give_up(504, "the deadline passed")
 
-    def _check_suspect(self) -> None:
-        """Raise Refusal if the content has crashed targets, and begin due trials."""
-        content = self._traits.content
-        self._is_content_on_trial = self._suspects.begin_content_trial(content)
-        left_s = self._content_refused_for_s()
-        if left_s is not None:
-            self._give_up_refused_content(left_s)
-        self._on_trial = self._suspects.begin_trials(self._traits.parts)
-
-    def _content_refused_for_s(self) -> float | None:
-        """Return how long the content is refused, None if it may be sent."""
-        if self._is_content_on_trial:
-            return None
-        return self._suspects.content_refused_for_s(self._traits.content)
-
-    def _give_up_refused_content(self, left_s: float) -> None:
-        """Refuse the request because of its content; "not run" only if that is true."""
-        detail = "targets ended while they ran this request"
-        if self._executions > 0 or self._answer.is_started:
-            self._preparation.ended(detail)
-            self._give_up(502)
-            return
-        raise Refusal(
-            503,
-            "crash-suspect",
-            detail,
-            step="suspects",
-            retry_after_s=max(left_s, self._context.retry_after_s()),
-        )
-
-    def _refused_part(self) -> tuple[int, float] | None:
-        """Return a refused part of the prompt and for how long, None if none is.
-
-        A prompt whose answer has begun has no part that crashes its target.
-        """
-        if self._answer.is_started:
-            return None
-        return self._suspects.refused_part(self._traits.parts, self._on_trial)
-
-    def _may_be_sent(self) -> bool:
-        return self._content_refused_for_s() is None and self._refused_part() is None
-
-    def _give_up_refused_part(self, part: int, left_s: float) -> None:
-        """Refuse the request because of a part; "not run" only if that is true."""
-        (text,) = fingerprint_texts((part,))
-        detail = f"targets ended before answers with the prompt part {text} began"
-        if self._executions > 0:
-            self._preparation.ended(detail)
-            self._give_up(502)
-            return
-        raise Refusal(
-            503,
-            "crash-suspect-part",
-            detail,
-            step="suspects",
-            retry_after_s=left_s,
-        )
-
-    def _answer_began(self) -> None:
-        # The trial is over: no part of the prompt has crashed the target.
-        self._on_trial = []
-        self._suspects.answer_began(self._traits.parts)
-
     async def _send_until_answered(self) -> None:
         try:
             while await self._has_open_attempt():
@@ -218,14 +150,13 @@
 
     def _give_up_unsent(self) -> None:
         """Give up because no further attempt is made; may raise Refusal."""
-        content_left_s = self._content_refused_for_s()
-        refused_part = self._refused_part()
-        if content_left_s is not None:
-            self._give_up_refused_content(content_left_s)
-        elif refused_part is not None:
-            self._give_up_refused_part(*refused_part)
-        else:
-            self._give_up(502)
+        refusal = self._suspicion.refusal()
+        if refusal is not None:
+            # "Not run" is only said if it is true.
+            if not self._may_have_run and not self._answer.is_started:
+                raise refusal
+            self._preparation.ended(refusal.message)
+        self._give_up(502)
 
     async def _begin_another(self) -> None:
         """Begin an attempt beside those that have stalled, as soon as one is allowed.
@@ -234,7 +165,7 @@
         one attempt, so none is made beside it.
         """
         self._log.stalled(self._attempts)
-        while self._may_repeat and not self._on_trial:
+        while self._may_repeat and not self._suspicion.is_part_on_trial:
             prepared = await self._preparation.replacement(
                 self._attempts, self._open.records
             )
@@ -256,8 +187,7 @@
     def _begin(self, prepared: PreparedAttempt) -> None:
         """Begin an attempt at a prepared target."""
         record = prepared.record
-        # A trial of a content is one attempt, whatever its outcome.
-        self._is_content_on_trial = False
+        self._suspicion.attempt_begun()
         self._attempts += 1
         self._executions += 1
         self._preparation.sent(record)
@@ -281,7 +211,7 @@
         finally:
             self._preparation.release(record)
             if result is None or result.outcome is ExchangeOutcome.SLOW:
-                self._suspects.attempt_abandoned(record, self._traits.content)
+                self._suspicion.attempt_abandoned(record)
 
     def _target_attempt(
         self, record: TargetRecord, grant: AcquireResult | None
@@ -312,8 +242,8 @@
         """Process the result of an attempt; return whether the request is answered."""
         outcome = result.outcome
         if outcome is ExchangeOutcome.DELIVERED:
-            self._suspects.request_finished(self._traits.content)
-            self._answer_began()
+            self._suspicion.request_finished()
+            self._suspicion.answer_began()
             return True
         if outcome is ExchangeOutcome.SLOW:
             # Another attempt continues the answer.
@@ -338,13 +268,8 @@
 
         Returns whether it gave up.
         """
-        # A trial is one attempt: a retry would end another target.
-        self._on_trial = []
+        self._suspicion.attempt_failed(record, was_reset=result.was_reset)
         if result.was_reset:
-            traits = self._traits
-            if self._answer.is_started:
-                traits = RequestTraits(traits.content)
-            self._suspects.connection_lost(record, traits)
             self._context.probe.begin(record)
         if result.outcome is ExchangeOutcome.ANSWERED:
             self._failed_answer = result
@@ -411,13 +336,5 @@
         self._context.metrics.ended(self._route.kind.value, outcome, took_s)
 
 
-def _traits_of(request: CallerRequest) -> RequestTraits:
-    adapter = request.adapter.key if request.adapter else ""
-    return RequestTraits(
-        request_fingerprint(request.host, request.path, adapter, request.body),
-        tuple(part_fingerprint(part) for part in request.shared_parts),
-    )
-
-
 def _cancel(task: asyncio.Task[None]) -> None:
     task.cancel()
