--- a/review/2/endless_engine.py
+++ b/review/2/endless_engine.py
@@ -42,7 +42,9 @@
                     await asyncio.sleep(ahead_s)
         finally:
             took_s = time.monotonic() - started_s
-            print(f"report without end: {sent_bytes} bytes in {took_s:.2f} s", flush=True)
+            print(
+                f"report without end: {sent_bytes} bytes in {took_s:.2f} s", flush=True
+            )
         return False
 
 
@@ -50,9 +52,7 @@
     """Serve until ended."""
     engine = EndlessEngine(name, model="m0", slots=6, born=int(time.time() * 1000))
     loop = asyncio.get_running_loop()
-    loop.add_signal_handler(
-        signal.SIGUSR1, lambda: setattr(engine, "is_faulty", True)
-    )
+    loop.add_signal_handler(signal.SIGUSR1, lambda: setattr(engine, "is_faulty", True))
     await engine.start(ip, port)
     print(f"ready {engine.born}", flush=True)
     await asyncio.Event().wait()
