--- a/review/2/play.py
+++ b/review/2/play.py
@@ -8,7 +8,6 @@
 from __future__ import annotations
 
 import asyncio
-import os
 import signal
 import sys
 import time
@@ -17,6 +16,7 @@
 
 from review.common.client import send
 from review.common.deployment import ROOT, Deployment, Host, Record, is_troubled
+from review.common.memory import MemoryLimit
 from review.common.script import BROKEN, HELD, NOT_RUN, run
 
 FOLDER = Path(__file__).resolve().parent
@@ -26,8 +26,6 @@
 TROUBLE_AT_S = 6.0
 # The site's sheet: 'side' machines have 232 MB.
 MEMORY_MB = 232.0
-CHECK_INTERVAL_S = 0.01
-RESTART_DELAY_S = 0.5
 ENDS_THAT_COUNT = 3
 MACHINES_THAT_COUNT = 2
 
@@ -65,51 +63,6 @@
     return [route], [service]
 
 
-class Platform:
-    """Watches the memory of one process, kills it above its limit, restarts it."""
-
-    def __init__(self, deployment: Deployment, host: Host) -> None:
-        """Watch the process of a host."""
-        self._deployment = deployment
-        self._host = host
-        self.kills: list[float] = []
-        self.peak_mb = 0.0
-
-    async def watch(self) -> None:
-        """Watch until cancelled."""
-        while True:
-            process = self._host.process
-            assert process is not None
-            memory_mb = _resident_mb(process.pid)
-            self.peak_mb = max(self.peak_mb, memory_mb)
-            if process.returncode is not None:
-                self._note("ended by itself")
-                await self._restart()
-            elif memory_mb > MEMORY_MB:
-                process.kill()
-                await process.wait()
-                self._note(f"killed by the platform: {memory_mb:.0f} MB")
-                await self._restart()
-            await asyncio.sleep(CHECK_INTERVAL_S)
-
-    def _note(self, text: str) -> None:
-        self.kills.append(time.monotonic())
-        self._deployment.record.write(f"{self._host.name} {text}")
-
-    async def _restart(self) -> None:
-        await asyncio.sleep(RESTART_DELAY_S)
-        await self._deployment.start(self._host)
-
-
-def _resident_mb(pid: int) -> float:
-    """Return the memory of a process, 0 if it has ended."""
-    try:
-        fields = Path(f"/proc/{pid}/statm").read_text().split()
-    except OSError:
-        return 0.0
-    return int(fields[1]) * os.sysconf("SC_PAGE_SIZE") / 1e6
-
-
 class Play:
     """One play of the case."""
 
@@ -118,7 +71,7 @@
         self.record = record
         self.deployment = Deployment(record)
         self.engines: list[asyncio.subprocess.Process] = []
-        self.platforms: list[Platform] = []
+        self.limits: list[MemoryLimit] = []
         self.entry = Host("front-a-1", "entry", "127.0.1.1")
         self.served = 0
         self.requests = 0
@@ -136,7 +89,7 @@
             deployment.put_server(name, "llm", f"{ip}:{port}", born)
             side = Host(f"side-a-{number}", "agent", ip, port, "llm")
             await deployment.start(side)
-            self.platforms.append(Platform(deployment, side))
+            self.limits.append(MemoryLimit(deployment, side, MEMORY_MB))
         await deployment.start(self.entry)
         return await deployment.wait_until_ready(self.entry)
 
@@ -164,7 +117,7 @@
 
     async def run(self) -> None:
         """Send requests at a steady rate, and begin the disruption on the way."""
-        watches = [asyncio.create_task(p.watch()) for p in self.platforms]
+        watches = [asyncio.create_task(p.watch()) for p in self.limits]
         started_s = time.monotonic()
         has_trouble = False
         tasks = []
@@ -205,9 +158,9 @@
 
     def judge(self) -> bool:
         """Return whether the rule was broken."""
-        ended = [p for p in self.platforms if len(p.kills) >= ENDS_THAT_COUNT]
-        counts = [len(p.kills) for p in self.platforms]
-        peaks = [round(p.peak_mb) for p in self.platforms]
+        ended = [p for p in self.limits if p.ends >= ENDS_THAT_COUNT]
+        counts = [p.ends for p in self.limits]
+        peaks = [round(p.peak_mb) for p in self.limits]
         self.record.write(
             f"summary: ends of the agents {counts}, peak memory {peaks} MB of "
             f"{MEMORY_MB:.0f} MB, {self.served} of {self.requests} requests served"
