--- a/review/1/play.py
+++ b/review/1/play.py
@@ -21,9 +21,13 @@
 PLAY_S = 20.0
 TROUBLE_AT_S = 6.0
 LATE_S = 0.5
-# How long a client stays to see whether an answer comes late.
-STAY_S = 3.0
 TIMEOUT_MS = {"book": 1000, "lookup": 1000, "draft": 4000}
+# The site's sheet: 'slot-book' and 'hold-check' have a deadline of 4,000 ms.
+DEADLINE_MS = 4000
+# A client abandons an idempotent request that was not read after one second. Bookings
+# are not abandoned, so the rule is judged on them alone.
+WAIT_S = {"book": 4.0, "lookup": 1.0, "draft": 4.0}
+JUDGED_ROUTE = "book"
 # A line of the event in a chunk of its own; the blank line that ends it never comes.
 LINE = b"data: token\n"
 CHUNK = b"%x\r\n%s\r\n" % (len(LINE), LINE)
@@ -199,8 +203,8 @@
             f"/{route}/{number:x}",
             headers=headers,
             body=body,
-            deadline_ms=TIMEOUT_MS[route],
-            wait_s=TIMEOUT_MS[route] / 1000 + STAY_S,
+            deadline_ms=DEADLINE_MS,
+            wait_s=WAIT_S[route],
         )
         self.answers.append(answer)
         self.record.write(answer.text())
@@ -219,6 +223,8 @@
         unanswered = 0
         for answer in self.answers:
             assert answer.ended_at_s is not None
+            if answer.route != JUDGED_ROUTE:
+                continue
             timeout_s = TIMEOUT_MS[answer.route] / 1000
             took_s = answer.ended_at_s - answer.sent_at_s
             if took_s > timeout_s:
@@ -233,13 +239,13 @@
         sent_bytes = self.faulty.sent_bytes if self.faulty else 0
         misses = sum(not is_ready for _, is_ready in self.readiness)
         self.record.write(
-            f"summary: {len(self.answers)} requests, {unanswered} unanswered at "
-            f"timeoutMs, {late} of them without an answer {LATE_S} s later; bookings "
-            f"that ran and whose client got no whole answer: {len(lost)}; readiness "
-            f"missed {misses} of {len(self.readiness)} times; "
+            f"summary: {len(self.answers)} requests; of the bookings {unanswered} "
+            f"unanswered at timeoutMs, {late} of them without an answer {LATE_S} s "
+            f"later; bookings that ran and whose client got no whole answer: "
+            f"{len(lost)}; readiness missed {misses} of {len(self.readiness)} times; "
             f"the faulty engine sent {sent_bytes} bytes"
         )
-        return unanswered >= 8 and late > unanswered / 2
+        return late > unanswered / 2
 
 
 async def main(record: Record) -> int:
