--- a/lentiltally/decisions/event_stream.py
+++ b/lentiltally/decisions/event_stream.py
@@ -55,8 +55,10 @@
         Raises StreamBroken if an event is too large, or its id is too long or does not
         follow the last one.
         """
+        # An event may come in many pieces, so what was searched is not searched again.
+        searched_bytes = max(0, len(self._buffer) - 1)
         self._buffer += data
-        end = self._buffer.rfind(b"\n\n")
+        end = self._buffer.rfind(b"\n\n", searched_bytes)
         if len(self._buffer) - max(end, 0) > MAX_EVENT_BYTES:
             raise StreamBroken(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         if end < 0:
--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -13,6 +13,7 @@
 from lentiltally.direct.caller_transport import CallerTransport
 from lentiltally.direct.model import CallerLimits
 from lentiltally.direct.raw_request import PartialRequest, RawHeaders, RawRequest
+from lentiltally.direct.read_turns import MAX_PIECES_PER_TURN, ReadTurns
 from lentiltally.problems import (
     Refusal,
     internal_error,
@@ -73,10 +74,16 @@
     is read meanwhile, so that a disconnect is noticed while a request is handled.
     """
 
-    def __init__(self, handler: RequestHandler, clock: Clock) -> None:
-        """Serve requests with the handler."""
+    def __init__(
+        self, handler: RequestHandler, clock: Clock, turns: ReadTurns | None = None
+    ) -> None:
+        """Serve requests with the handler.
+
+        Connections with the same ``turns`` take turns at what they have received.
+        """
         self._handler = handler
         self._clock = clock
+        self._turns = turns or ReadTurns()
         # The largest limits in force since the last answer: the caller may still go by
         # those from before a change.
         self._limits = handler.limits
@@ -85,6 +92,8 @@
         )
         self._transport: CallerTransport | None = None
         self._requests = 0
+        # Received since the present request was complete.
+        self._pipelined_bytes = 0
         # The id of the present request, once the handler knows it.
         self.request_id = ""
         self._unsent_bytes = 0
@@ -151,8 +160,10 @@
         self._http.receive_data(data)
         if self._task is None:
             self._process_input()
+            return
         # Limits the pipelined data that is buffered while a request is handled.
-        elif len(self._http.trailing_data[0]) > self._current_limits().body_bytes:
+        self._pipelined_bytes += len(data)
+        if self._pipelined_bytes > self._current_limits().body_bytes:
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -308,7 +319,8 @@
             self._reject(Refusal(status, "bad-request", detail, step="read"))
 
     def _read_events(self) -> None:
-        while self._task is None:
+        """Process what has arrived, up to the end of a request or of the turn."""
+        for _ in range(MAX_PIECES_PER_TURN):
             event = self._http.next_event()
             if event is h11.NEED_DATA:
                 self._note_partial_head()
@@ -323,6 +335,16 @@
                 self._request.add(event.data, self._current_limits())
             elif isinstance(event, h11.EndOfMessage) and self._request is not None:
                 self._start_handling(self._request.complete())
+                return
+        assert self._transport is not None
+        self._transport.pause_reading()
+        self._turns.call(self._read_on)
+
+    def _read_on(self) -> None:
+        """Go on where the last turn ended."""
+        if self._transport is not None and not self._is_closing:
+            self._transport.resume_reading()
+            self._process_input()
 
     def _current_limits(self) -> CallerLimits:
         self._limits = self._limits.or_larger(self._handler.limits)
@@ -348,6 +370,7 @@
 
     def _start_handling(self, request: RawRequest) -> None:
         self._requests += 1
+        self._pipelined_bytes = len(self._http.trailing_data[0])
         self._task = asyncio.get_running_loop().create_task(self._serve(request))
 
     async def _serve(self, request: RawRequest) -> None:
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -39,6 +39,7 @@
 from lentiltally.direct.permit_client import PermitClient
 from lentiltally.direct.platform_interfaces import HeaderCodec
 from lentiltally.direct.raw_request import RawRequest
+from lentiltally.direct.read_turns import ReadTurns
 from lentiltally.direct.settings import HostSettings, SocketAddress
 from lentiltally.direct.settings_watch import SettingsWatch
 from lentiltally.direct.state_subscriber import StateSubscriber
@@ -109,7 +110,8 @@
         self._clock = clock
         self._metrics = EntryMetrics()
         self._state = EntryState(settings, clock, random.random())
-        self._pool = TargetPool(clock)
+        self._turns = ReadTurns()
+        self._pool = TargetPool(clock, self._turns)
         self._connections: set[CallerConnection] = set()
         # Connections close after their current answer.
         self.is_stopping = False
@@ -206,7 +208,7 @@
         assert self._settings.callers is not None
         pages = await self._open_pages()
         server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self, self._clock),
+            lambda: CallerConnection(self, self._clock, self._turns),
             self._settings.callers.ip,
             self._settings.callers.port,
             reuse_address=True,
--- a/lentiltally/direct/http_connection.py
+++ b/lentiltally/direct/http_connection.py
@@ -13,6 +13,7 @@
 
 import h11
 
+from lentiltally.direct.read_turns import MAX_PIECES_PER_TURN, ReadTurns
 from lentiltally.direct.settings import SocketAddress
 from lentiltally.errors import LentiltallyError
 
@@ -61,8 +62,11 @@
     and how long the peer keeps it open while it is idle, None if unknown.
     """
 
-    def __init__(self, address: SocketAddress) -> None:
-        """Create the protocol; ``open_connection`` connects it."""
+    def __init__(self, address: SocketAddress, turns: ReadTurns | None = None) -> None:
+        """Create the protocol; ``open_connection`` connects it.
+
+        Connections with the same ``turns`` take turns at what they have received.
+        """
         self.address = address
         self.used_at_s = 0.0
         self.keep_alive_s: float | None = None
@@ -80,6 +84,8 @@
         self._interim_responses = 0
         self._unread_bytes = 0
         self._is_reading_paused = False
+        self._turns = turns or ReadTurns()
+        self._pieces_in_turn = 0
 
     @property
     def is_reusable(self) -> bool:
@@ -159,6 +165,7 @@
         Raises PeerError if the connection is lost or the answer is malformed.
         """
         while True:
+            await self._end_turn_if_long()
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -179,6 +186,14 @@
                 raise self._peer_error("connection closed")
             self._wake = asyncio.get_running_loop().create_future()
             await self._wake
+            self._pieces_in_turn = 0
+
+    async def _end_turn_if_long(self) -> None:
+        """Let other work go on after each ``MAX_PIECES_PER_TURN`` pieces."""
+        self._pieces_in_turn += 1
+        if self._pieces_in_turn > MAX_PIECES_PER_TURN:
+            await self._turns.wait()
+            self._pieces_in_turn = 1
 
     def skip_answer(self) -> None:
         """Discard an answer to another request and read on for the right one."""
@@ -267,11 +282,13 @@
 
 
 async def open_connection(
-    address: SocketAddress, timeout_s: float = CONNECT_TIMEOUT_S
+    address: SocketAddress,
+    timeout_s: float = CONNECT_TIMEOUT_S,
+    turns: ReadTurns | None = None,
 ) -> HttpConnection:
     """Open a connection; raises ConnectError on failure or timeout."""
     loop = asyncio.get_running_loop()
-    connection = HttpConnection(address)
+    connection = HttpConnection(address, turns)
     try:
         async with asyncio.timeout(timeout_s):
             await loop.create_connection(lambda: connection, address.ip, address.port)
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -7,6 +7,7 @@
 from tools._mutations_crashes import CRASHES_MUTATIONS
 from tools._mutations_decisions import DECISIONS_MUTATIONS
 from tools._mutations_own import OWN_MUTATIONS
+from tools._mutations_reading import READING_MUTATIONS
 from tools._mutations_targets import TARGETS_MUTATIONS
 
 __all__ = ["MUTATIONS", "Mutation"]
@@ -16,5 +17,6 @@
     *CRASHES_MUTATIONS,
     *CALLERS_MUTATIONS,
     *TARGETS_MUTATIONS,
+    *READING_MUTATIONS,
     *OWN_MUTATIONS,
 )
