--- a/lentiltally/direct/http_client.py
+++ b/lentiltally/direct/http_client.py
@@ -7,6 +7,11 @@
 
 import h11
 
+from lentiltally.decisions.message_size import (
+    MessageLimits,
+    MessageSize,
+    MessageTooLargeError,
+)
 from lentiltally.direct.http_connection import (
     HttpConnection,
     PeerError,
@@ -29,9 +34,10 @@
 class HttpClient:
     """Makes one call at a time to one address over a persistent connection."""
 
-    def __init__(self, address: SocketAddress) -> None:
-        """Connect on the first call."""
+    def __init__(self, address: SocketAddress, limits: MessageLimits) -> None:
+        """Connect on the first call; ``limits`` are those of a response's body."""
         self.address = address
+        self._limits = limits
         self._connection: HttpConnection | None = None
 
     async def call(
@@ -46,9 +52,9 @@
         """Make a call and return the response.
 
         Raises ConnectError if no connection can be opened, and PeerError if the
-        connection is lost, the response is malformed, or it does not arrive within
-        ``timeout_s``. After any failure the connection is replaced, because one on
-        which a response was lost may never deliver another.
+        connection is lost, the response is malformed or too large, or it does not
+        arrive within ``timeout_s``. After any failure the connection is replaced,
+        because one on which a response was lost may never deliver another.
         """
         is_done = False
         try:
@@ -58,11 +64,7 @@
             is_done = True
             return response
         except TimeoutError as error:
-            raise PeerError(
-                f"no answer within {timeout_s:.1f} s",
-                step="call",
-                peer=str(self.address),
-            ) from error
+            raise self._error(f"no answer within {timeout_s:.1f} s") from error
         finally:
             if not is_done:
                 self.close()
@@ -94,12 +96,22 @@
         connection.send(method, path, fields, body)
         head = await connection.next_event()
         if not isinstance(head, h11.Response):
-            raise PeerError(
-                "answer without a head", step="call", peer=str(self.address)
-            )
+            raise self._error("answer without a head")
+        body = await self._read_body(connection)
+        if not connection.finish():
+            self._connection = None
+        return HttpResponse(head.status_code, dict(head.headers), body)
+
+    async def _read_body(self, connection: HttpConnection) -> bytes:
         data = bytearray()
+        size = MessageSize(self._limits)
         while isinstance(part := await connection.next_event(), h11.Data):
+            try:
+                size.add(len(part.data))
+            except MessageTooLargeError as error:
+                raise self._error(f"response too large: {error}") from error
             data += part.data
-        if not connection.finish():
-            self._connection = None
-        return HttpResponse(head.status_code, dict(head.headers), bytes(data))
+        return bytes(data)
+
+    def _error(self, detail: str) -> PeerError:
+        return PeerError(detail, step="call", peer=str(self.address))
--- a/lentiltally/direct/keyed_feed.py
+++ b/lentiltally/direct/keyed_feed.py
@@ -11,7 +11,7 @@
 import asyncio
 import contextlib
 import logging
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Protocol
 
@@ -43,6 +43,8 @@
 LONG_POLL_MAX_S = 30.0
 # A feed that is behind by more reads the newest record of each key instead.
 MIN_DISTANCE_FOR_NEWEST = 100
+# Records that are processed before the event loop goes on with other work.
+RECORDS_PER_TURN = 32
 
 
 class FeedError(LentiltallyError):
@@ -271,8 +273,7 @@
         """Read the newest record of each key; return the end of the topic."""
         page = await self._topic.newest()
         self._read_succeeded()
-        for record in page.records:
-            self._pass_on(record)
+        await self._pass_on_all(page.records)
         self._listener.on_snapshot_keys({record.key for record in page.records})
         # Skip deleted records: those that are still the newest of their key are part
         # of this read.
@@ -286,12 +287,21 @@
         """Read the records from an offset on; return the end of the topic."""
         page = await self._topic.read(offset, wait_s)
         self._read_succeeded()
-        for record in page.records:
-            if record.offset > self._newest_offsets.get(record.key, -1):
-                self._pass_on(record)
+        await self._pass_on_all(
+            record
+            for record in page.records
+            if record.offset > self._newest_offsets.get(record.key, -1)
+        )
         self._next_offset = max(offset, page.next_offset)
         return page.end if page.records else self._next_offset
 
+    async def _pass_on_all(self, records: Iterable[FeedRecord]) -> None:
+        """Pass on records in order, beside the other work of the process."""
+        for number, record in enumerate(records, start=1):
+            self._pass_on(record)
+            if number % RECORDS_PER_TURN == 0:
+                await asyncio.sleep(0)
+
     def _pass_on(self, record: FeedRecord) -> None:
         """Pass on one record; a listener that fails must not stop the feed."""
         try:
--- a/lentiltally/platform/engine_control.py
+++ b/lentiltally/platform/engine_control.py
@@ -14,6 +14,7 @@
     LoadedAdapter,
     LoadedModel,
 )
+from lentiltally.decisions.message_size import MessageLimits
 from lentiltally.direct.http_client import HttpClient
 from lentiltally.direct.http_connection import PeerError
 from lentiltally.direct.settings import SocketAddress
@@ -31,6 +32,8 @@
 # makes it safe to send again, so a longer timeout gains nothing.
 ORDER_TIMEOUT_S = 0.1
 IDENTIFY_TIMEOUT_S = 0.3
+# A report lists the adapters in the slots of an engine; other answers are shorter.
+RESPONSE_LIMITS = MessageLimits(max_bytes=256 * 1024)
 # Constant, because the holder of an engine never changes: the holder is a host, and
 # only the agent on that host sends orders to the engine.
 _FENCING_TOKEN = 1
@@ -75,7 +78,7 @@
 
     def __init__(self, address: SocketAddress, holder: str) -> None:
         """Prepare the client; ``holder`` identifies this host in orders."""
-        self._client = HttpClient(address)
+        self._client = HttpClient(address, RESPONSE_LIMITS)
         self._holder = holder
         self._instance_id: str | None = None
 
--- a/lentiltally/platform/store_client.py
+++ b/lentiltally/platform/store_client.py
@@ -18,6 +18,11 @@
 import msgspec
 from msgspec import Struct
 
+from lentiltally.decisions.message_size import (
+    MessageLimits,
+    MessageSize,
+    MessageTooLargeError,
+)
 from lentiltally.direct.http_client import HttpClient, HttpResponse
 from lentiltally.direct.http_connection import ConnectError, PeerError
 from lentiltally.direct.keyed_feed import (
@@ -40,6 +45,14 @@
 # CALL_TIMEOUT_S.
 LONG_POLL_GRACE_S = 0.4
 
+# The store ends a page at 1 MB, which Base64 makes larger, or after one record more.
+PAGE_LIMITS = MessageLimits(max_bytes=4 * 1024 * 1024)
+# All newest records of a topic together; each page counts as one piece.
+NEWEST_LIMITS = MessageLimits(max_bytes=64 * 1024 * 1024, min_piece_bytes=4096)
+# Records that are decoded of one page of a log; the next read starts after them. A page
+# of newest records has at most 500.
+MAX_PAGE_RECORDS = 8_192
+
 # A page of a log starts with the end offset and the first offset. Each record follows
 # as its length, the length of its key in one byte, the key and the value.
 _PAGE_HEADER = struct.Struct(">QQ")
@@ -86,7 +99,7 @@
     @classmethod
     def from_address(cls, name: str, address: SocketAddress) -> StoreTopic:
         """Return a reader with its own connection to the store at ``address``."""
-        return cls(name, HttpClient(address))
+        return cls(name, HttpClient(address, PAGE_LIMITS))
 
     async def newest(self) -> FeedPage:
         """Return the newest record of each key, from all pages; raises FeedError.
@@ -102,13 +115,19 @@
         end: int | None = None
         next_offset = 0
         after_key = ""
+        size = MessageSize(NEWEST_LIMITS)
         while True:
             query = {"topic": self.name, "part": "0"}
             if after_key:
                 query["after"] = after_key
-            page = self._decode_newest_page(
-                await self._get("/-/log-newest", query, 0.0)
-            )
+            answer = await self._get("/-/log-newest", query, 0.0)
+            try:
+                size.add(len(answer.body))
+            except MessageTooLargeError as error:
+                raise self._error(f"newest records too large: {error}") from error
+            page = self._decode_newest_page(answer)
+            if len(page.items) > MAX_PAGE_RECORDS:
+                raise self._error(f"page with {len(page.items)} items")
             if end is None:
                 end = page.end
                 next_offset = _next_offset(page)
@@ -183,7 +202,10 @@
         end, _first = _PAGE_HEADER.unpack_from(body)
         records: list[FeedRecord] = []
         position = _PAGE_HEADER.size
-        while position + _RECORD_LENGTH.size <= len(body):
+        while (
+            position + _RECORD_LENGTH.size <= len(body)
+            and len(records) < MAX_PAGE_RECORDS
+        ):
             (size,) = _RECORD_LENGTH.unpack_from(body, position)
             position += _RECORD_LENGTH.size
             content = body[position : position + size]
