--- a/lentiltally/clock.py
+++ b/lentiltally/clock.py
@@ -21,6 +21,13 @@
         """Return a monotonic time in seconds, from an arbitrary origin."""
         ...
 
+    def suspended_s(self) -> float:
+        """Return how long the host was suspended, which ``monotonic_s`` leaves out.
+
+        In seconds, from an arbitrary origin.
+        """
+        ...
+
     def sleep(self, duration: timedelta) -> None:
         """Block the calling thread for the duration."""
         ...
@@ -37,6 +44,10 @@
         """Return the value of the system's monotonic clock in seconds."""
         return time.monotonic()
 
+    def suspended_s(self) -> float:
+        """Return how much the clock that counts suspensions is ahead."""
+        return time.clock_gettime(time.CLOCK_BOOTTIME) - time.monotonic()
+
     def sleep(self, duration: timedelta) -> None:
         """Block the calling thread for the duration."""
         time.sleep(duration.total_seconds())
@@ -58,6 +69,10 @@
         """Return the current manual monotonic reading in seconds."""
         return self._monotonic_s
 
+    def suspended_s(self) -> float:
+        """Return 0: a manual clock is never suspended."""
+        return 0.0
+
     def sleep(self, duration: timedelta) -> None:
         """Advance the clock instead of blocking."""
         self.advance(duration)
--- a/lentiltally/decisions/shared_reads.py
+++ b/lentiltally/decisions/shared_reads.py
@@ -47,6 +47,7 @@
         "_covered_until_s",
         "_max_coverage_s",
         "_newest_change",
+        "_newest_change_at_s",
         "_pause_s",
         "_reads_by_agent",
     )
@@ -57,6 +58,7 @@
         self._pause_s = pause_s
         self._covered_until_s = -math.inf
         self._newest_change = -1
+        self._newest_change_at_s = -math.inf
         self._reads_by_agent: dict[str, deque[float]] = {}
 
     def reported(
@@ -70,7 +72,9 @@
             return
         self._note_read(agent, now_s - age_s)
         self._covered_until_s = max(self._covered_until_s, now_s - age_s)
-        self._newest_change = max(self._newest_change, changed_at)
+        if changed_at > self._newest_change:
+            self._newest_change = changed_at
+            self._newest_change_at_s = now_s
 
     def was_outage(self, returned_at_s: float, agent: str) -> bool:
         """Return whether the store was away when an agent says that it returned.
@@ -94,9 +98,13 @@
         """Return the number of records from an offset to the end of the news."""
         return max(0, self._newest_change + 1 - next_offset)
 
-    def caught_up(self) -> None:
-        """Note that all news has been read; a false report must not last."""
-        self._newest_change = -1
+    def caught_up(self, read_began_s: float) -> None:
+        """Note a read, which has found all news that was reported before it began.
+
+        A false report must not last. What was reported later may be missing in it.
+        """
+        if self._newest_change_at_s <= read_began_s:
+            self._newest_change = -1
 
     def is_covered(self, now_s: float) -> bool:
         """Return whether an agent has read so lately that an entry need not."""
--- a/lentiltally/decisions/target_directory.py
+++ b/lentiltally/decisions/target_directory.py
@@ -76,6 +76,11 @@
         known = self._known.get(target_id)
         return known is not None and self._is_eligible(known)
 
+    def is_missing(self, target_id: str) -> bool:
+        """Return whether a target is missing from the list within the grace period."""
+        known = self._known.get(target_id)
+        return known is not None and known.missing_since_s is not None
+
     def all(self) -> list[TargetRecord]:
         """Return the records of all targets that were not removed."""
         return [known.record for known in self._known.values() if not known.is_removed]
--- a/lentiltally/direct/entry_feeds.py
+++ b/lentiltally/direct/entry_feeds.py
@@ -58,7 +58,7 @@
                 extra={"key": record.key, "offset": record.offset, "error": str(error)},
             )
 
-    def on_snapshot_keys(self, keys: set[str]) -> None:
+    def on_snapshot_keys(self, keys: set[str], end: int) -> None:
         """Do nothing: configuration is replaced but never removed."""
 
     def on_store_recovered(self) -> None:
@@ -97,7 +97,7 @@
         self._undecodable.discard(record.key)
         self._report(directory.updated(target))
 
-    def on_snapshot_keys(self, keys: set[str]) -> None:
+    def on_snapshot_keys(self, keys: set[str], end: int) -> None:
         """Remove the targets that the complete list does not contain."""
         for change in self._directory.listed(keys, self._clock.monotonic_s()):
             self._report(change)
--- a/lentiltally/direct/keyed_feed.py
+++ b/lentiltally/direct/keyed_feed.py
@@ -71,7 +71,8 @@
     """The records of one read; ``next_offset`` is where the next read starts.
 
     After a read of the newest records, ``next_offset`` may be before ``end``, the end
-    of the topic: a record that was appended while they were collected is read next.
+    of the topic after it: a record that was appended while they were collected is read
+    next.
     """
 
     end: int
@@ -101,8 +102,12 @@
         """Process one record."""
         ...
 
-    def on_snapshot_keys(self, keys: set[str]) -> None:
-        """Process the complete set of keys, after the newest record of each."""
+    def on_snapshot_keys(self, keys: set[str], end: int) -> None:
+        """Process the complete set of keys, after the newest record of each.
+
+        ``end`` is the end of the topic after the set was read: all that it lacks has
+        been removed by a record before that.
+        """
         ...
 
     def on_store_recovered(self) -> None:
@@ -117,8 +122,8 @@
     store for a record (a long poll). With ``shared`` reads, the feed only reads if it
     lacks news or agents have not read lately; a long poll then lasts
     ``covered_wait_s``. ``is_current`` says whether the newest records have been read,
-    ``is_down`` whether the last read failed. ``last_read_at_s`` is when the last
-    successful read was sent, and for a long poll when it was answered.
+    ``is_down`` whether the last read failed. ``last_read_at_s`` is when the last read
+    that reached the end of the topic was sent, for a long poll when it was answered.
     """
 
     def __init__(
@@ -251,10 +256,12 @@
         else:
             end = await self._read_following(self._next_offset, wait_s)
         self._must_confirm = False
-        self.last_read_at_s = self._clock.monotonic_s() if wait_s else started_s
+        is_behind = self.next_offset < end
+        if not is_behind:
+            self.last_read_at_s = self._clock.monotonic_s() if wait_s else started_s
         if self._shared is not None:
-            self._shared.caught_up()
-        return self.next_offset < end
+            self._shared.caught_up(started_s)
+        return is_behind
 
     def _long_poll_s(self, now_s: float) -> float:
         """Return how long the next read waits at the store."""
@@ -274,14 +281,14 @@
         page = await self._topic.newest()
         self._read_succeeded()
         await self._pass_on_all(page.records)
-        self._listener.on_snapshot_keys({record.key for record in page.records})
+        keys = {record.key for record in page.records}
+        self._listener.on_snapshot_keys(keys, page.end)
         # Skip deleted records: those that are still the newest of their key are part
         # of this read.
         self._next_offset = max(page.next_offset, self._first_offset)
         self._newest_offsets = {record.key: record.offset for record in page.records}
         self.is_current = True
-        # A record that was appended meanwhile is read after the next pause.
-        return self._next_offset
+        return page.end
 
     async def _read_following(self, offset: int, wait_s: float) -> int:
         """Read the records from an offset on; return the end of the topic."""
--- a/lentiltally/direct/store_reader.py
+++ b/lentiltally/direct/store_reader.py
@@ -2,8 +2,10 @@
 
 from __future__ import annotations
 
+import logging
+import math
 import random
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.shared_reads import turn_interval_s
@@ -15,10 +17,13 @@
 )
 from lentiltally.direct.keyed_feed import FeedRecord, KeyedFeed, KeyedTopic
 from lentiltally.direct.messages import StoreReport
+from lentiltally.direct.model import TargetRecord
 from lentiltally.direct.settings import HostSettings
 
 __all__ = ["StoreReader", "StoreTopics"]
 
+_log = logging.getLogger(__name__)
+
 # An agent without a desired state reads the configuration at this interval.
 FIRST_READ_INTERVAL_S = 1.0
 # While the start of the agent's engine is not in the list, it is read at this interval.
@@ -26,6 +31,8 @@
 # The turns of different agents must not fall together.
 TURN_JITTER = 0.25
 OUTAGE_REPORT_S = 2.0
+# Both clocks are read one after the other, so a difference of less may be none.
+MIN_SUSPENSION_S = 0.1
 
 
 class _TargetNews:
@@ -33,6 +40,8 @@
 
     Agents read the same records at different times. News is therefore told by the
     offset of the record that brings it: it is no news to an entry that has read it.
+    What changes the list without a record that can be named may be news to every entry
+    that has not read as far as this agent.
     """
 
     def __init__(
@@ -48,32 +57,54 @@
         self.outage_ended_at_s: float | None = None
 
     def on_record(self, record: FeedRecord) -> None:
-        """Apply one record. A target that ends its slow start is news, too."""
-        before = self._directory.get(record.key)
-        was_usable = self._directory.is_usable(record.key)
-        self._has_changed = False
+        """Apply one record; a change of anything but the sequence is news."""
+        before = self._view(record.key)
         self._feed.on_record(record)
-        after = self._directory.get(record.key)
-        if before is not None and after is not None:
-            has_warmed_up = before.slow_start_left_s > 0.0 == after.slow_start_left_s
-            self._has_changed |= has_warmed_up
-        self._has_changed |= self._directory.is_usable(record.key) != was_usable
-        if self._has_list and self._has_changed:
-            self.changed_at = max(self.changed_at, record.offset)
-
-    def on_snapshot_keys(self, keys: set[str]) -> None:
-        """Remove the targets that the complete list does not contain."""
-        self._feed.on_snapshot_keys(keys)
-        self._has_list = True
+        if self._has_list and self._view(record.key) != before:
+            self._tell(record.offset)
+
+    def on_snapshot_keys(self, keys: set[str], end: int) -> None:
+        """Remove the targets that the complete list does not contain.
+
+        The records that removed them may have been deleted. The first list is news as a
+        whole: an agent that has just started can't tell what entries know of it.
+        """
+        has_vanished = any(r.target_id not in keys for r in self._directory.all())
+        self._feed.on_snapshot_keys(keys, end)
+        if has_vanished or not self._has_list:
+            self._has_list = True
+            self._tell(end - 1)
 
     def on_store_recovered(self) -> None:
         """Note the end of an outage, in which records may have vanished."""
         self.outage_ended_at_s = self._clock.monotonic_s()
         self._feed.on_store_recovered()
 
-    def tick(self) -> None:
-        """Remove targets whose records did not return within the grace period."""
+    def tick(self, next_offset: int) -> None:
+        """Remove targets whose records did not return within the grace period.
+
+        ``next_offset`` is that of the first record which has not been read.
+        """
+        self._has_changed = False
         self._feed.tick()
+        if self._has_changed:
+            self._tell(next_offset - 1)
+
+    def _view(self, target_id: str) -> tuple[TargetRecord | None, bool, bool, bool]:
+        """Return what requests depend on; neither sequence nor time is part of it."""
+        directory = self._directory
+        record = directory.get(target_id)
+        if record is None:
+            return None, False, False, False
+        return (
+            replace(record, sequence=0, slow_start_left_s=0.0),
+            record.slow_start_left_s > 0.0,
+            directory.is_usable(target_id),
+            directory.is_missing(target_id),
+        )
+
+    def _tell(self, offset: int) -> None:
+        self.changed_at = max(self.changed_at, offset)
 
     def _changed(self, change: DirectoryChange) -> None:
         del change
@@ -116,6 +147,8 @@
         self._news = _TargetNews(decode_target, self._directory, clock)
         self._known_version = 0
         self._started_ms: int | None = None
+        self._suspended_s = clock.suspended_s()
+        self._suspended_at_s = -math.inf
         self.configuration = KeyedFeed(
             "configuration",
             topics.configuration,
@@ -149,10 +182,18 @@
             self.targets.request_read()
 
     def report(self, now_s: float) -> StoreReport | None:
-        """Return what was read, None before the first read."""
-        if not self.configuration.is_current or not self.targets.is_current:
+        """Return what was read, None before the first read.
+
+        After a suspension the ages of the reads before it are not known, so both topics
+        are read again first.
+        """
+        self._note_suspension(now_s)
+        feeds = (self.configuration, self.targets)
+        if not all(feed.is_current for feed in feeds):
+            return None
+        self._news.tick(self.targets.next_offset)
+        if any(feed.last_read_at_s < self._suspended_at_s for feed in feeds):
             return None
-        self._news.tick()
         return StoreReport(
             self.configuration.next_offset - 1,
             _age_ms(self.configuration.last_read_at_s, now_s),
@@ -161,6 +202,18 @@
             self._outage_ended_ms(now_s),
         )
 
+    def _note_suspension(self, now_s: float) -> None:
+        suspended_s = self._clock.suspended_s()
+        if suspended_s - self._suspended_s > MIN_SUSPENSION_S:
+            self._suspended_at_s = now_s
+            self.configuration.request_read()
+            self.targets.request_read()
+            _log.info(
+                "host was suspended",
+                extra={"suspended_s": round(suspended_s - self._suspended_s, 3)},
+            )
+        self._suspended_s = suspended_s
+
     def _outage_ended_ms(self, now_s: float) -> int:
         at_s = self._news.outage_ended_at_s
         if at_s is None or now_s - at_s > OUTAGE_REPORT_S:
--- a/lentiltally/platform/store_client.py
+++ b/lentiltally/platform/store_client.py
@@ -112,8 +112,7 @@
         item without a key or an offset is left out.
         """
         records: list[FeedRecord] = []
-        end: int | None = None
-        next_offset = 0
+        next_offset: int | None = None
         after_key = ""
         size = MessageSize(NEWEST_LIMITS)
         while True:
@@ -128,12 +127,11 @@
             page = self._decode_newest_page(answer)
             if len(page.items) > MAX_PAGE_RECORDS:
                 raise self._error(f"page with {len(page.items)} items")
-            if end is None:
-                end = page.end
+            if next_offset is None:
                 next_offset = _next_offset(page)
             records += [_decode_item(item) for item in page.items]
             if not page.more or not page.items:
-                return FeedPage(end, tuple(records), next_offset)
+                return FeedPage(page.end, tuple(records), next_offset)
             # The store does not know a key with replaced characters.
             keys = [item.key for item in page.items if REPLACEMENT not in item.key]
             if not keys or keys[-1] == after_key:
--- a/tests/decisions/shared_reads.feature
+++ b/tests/decisions/shared_reads.feature
@@ -34,6 +34,12 @@
     When shared reads get news at offset 1000000 and the entry has read up to 7
     Then shared reads have no news for the entry
 
+  Scenario: Shared reads keep news that arrives while the entry reads
+    # Guards against news that a read forgets which the store answered before it.
+    Given shared reads of an entry
+    When shared reads get news at offset 7 during a read that ends at 7
+    Then shared reads have news for the entry
+
   Scenario Outline: Shared reads tell an outage of the store from an agent that was cut off
     # Guards against targets that get work after they were removed, because one agent that
     # lost its way to the store says that the store was away.
--- a/tests/steps/feed_pace_steps.py
+++ b/tests/steps/feed_pace_steps.py
@@ -55,7 +55,7 @@
     def on_record(self, record):
         pass
 
-    def on_snapshot_keys(self, keys):
+    def on_snapshot_keys(self, keys, end):
         pass
 
     def on_store_recovered(self):
--- a/tests/steps/malformed_steps.py
+++ b/tests/steps/malformed_steps.py
@@ -168,7 +168,7 @@
             raise ValueError("can't process this record")
         self.keys.append(record.key)
 
-    def on_snapshot_keys(self, keys):
+    def on_snapshot_keys(self, keys, end):
         pass
 
     def on_store_recovered(self):
--- a/tests/steps/shared_reads_steps.py
+++ b/tests/steps/shared_reads_steps.py
@@ -50,7 +50,7 @@
             self.world.calls += 1
             self.read_at_s = now_s
             self.next_offset = self.world.newest_change + 1
-            self.shared.caught_up()
+            self.shared.caught_up(now_s)
 
 
 class World:
@@ -139,7 +139,7 @@
 def false_news(context, offset, end):
     context.shared.reported(offset, 0.0, 10.0)
     assert context.shared.has_news(end)
-    context.shared.caught_up()
+    context.shared.caught_up(10.0)
     context.next_offset = end
 
 
@@ -164,3 +164,15 @@
 @then("shared reads take that for an outage: {expected}")
 def takes_for_outage(context, expected):
     assert context.was_outage == (expected == "yes")
+
+
+@when("shared reads get news at offset {offset:d} during a read that ends at {end:d}")
+def news_during_read(context, offset, end):
+    context.shared.reported(offset, 0.0, 10.0)
+    context.shared.caught_up(9.9)
+    context.next_offset = end
+
+
+@then("shared reads have news for the entry")
+def has_news(context):
+    assert context.shared.has_news(context.next_offset)
--- a/tests/steps/store_reader_steps.py
+++ b/tests/steps/store_reader_steps.py
@@ -6,6 +6,7 @@
 import json
 import random
 import struct
+from base64 import b64encode
 
 from behave import given, then, when
 
@@ -13,7 +14,13 @@
 from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.direct.entry_feeds import ConfigurationFeed
 from lentiltally.direct.http_client import HttpResponse
-from lentiltally.direct.keyed_feed import FeedError, FeedPage, FeedRecord, KeyedFeed
+from lentiltally.direct.keyed_feed import (
+    FeedError,
+    FeedPage,
+    FeedRecord,
+    FeedTruncatedError,
+    KeyedFeed,
+)
 from lentiltally.direct.settings import HostBounds, HostSettings, SocketAddress
 from lentiltally.direct.store_reader import StoreReader, StoreTopics
 from lentiltally.platform.store_client import StoreTopic
@@ -162,6 +169,191 @@
     assert 0 <= last_report(context).outage_ended_ms < 2000, last_report(context)
 
 
+def list_without(number, end):
+    """Return the newest records of all engines but one; ``end`` is the topic's end."""
+    records = [engine_record(n, n) for n in range(60) if n != number]
+    return FeedPage(end, tuple(records), 60)
+
+
+def meet(context, pages, newest=()):
+    """Read the first list, and then each of ``pages``; errors are taken as a feed does.
+
+    Lists in ``newest`` replace the first one after a truncation.
+    """
+    feed, newest = context.reader.targets, list(newest)
+
+    async def act():
+        await context.reader.configuration.read_once()
+        await feed.read_once()
+        context.topic.pages = list(pages)
+        while context.topic.pages or newest:
+            try:
+                await feed.read_once()
+            except FeedTruncatedError as error:
+                feed._reset_position(error.first_offset)
+                context.topic.page = newest.pop(0)
+                await feed.read_once()
+            except FeedError as error:
+                feed._read_failed(error)
+
+    asyncio.run(act())
+
+
+def truncated(first_offset):
+    error = FeedTruncatedError("deleted", step="read")
+    error.first_offset = first_offset
+    return error
+
+
+REMOVED = FeedRecord("e7", None, 60)
+OUTAGE = FeedError("down", step="read")
+
+
+@when("store reader meets its first list")
+def first_list(context):
+    meet(context, [])
+
+
+@when("store reader meets a list after deleted records that lacks an engine")
+def list_after_deletion(context):
+    meet(context, [truncated(71)], [list_without(7, 71)])
+
+
+@when("store reader meets a list whose engine vanishes between two pages")
+def vanishes_between_pages(context):
+    async def newest():
+        return await topic.newest()
+
+    class Client:
+        """Has two pages; the engine's removal is appended between them."""
+
+        address = SocketAddress("127.0.0.1", 1)
+        ends = [80, 82]
+
+        async def call(self, method, path, *, timeout_s):
+            is_second = b"after" in path
+            numbers = range(30, 60) if is_second else range(30)
+            items = [
+                {"key": r.key, "value": b64encode(r.value).decode(), "offset": r.offset}
+                for r in (engine_record(n, n) for n in numbers if n != 37)
+            ]
+            page = {"items": items, "more": not is_second, "end": self.ends[is_second]}
+            return HttpResponse(200, {}, json.dumps(page).encode())
+
+    topic = StoreTopic("keyed.servers", Client())
+    meet(context, [truncated(60)], [asyncio.run(newest())])
+
+
+@when("store reader meets an engine that vanishes after an outage")
+def vanishes_after_outage(context):
+    meet(context, [OUTAGE, FeedPage(60, (), 60), FeedPage(61, (REMOVED,), 61)])
+    assert context.reader._directory.is_usable("e7"), "no grace period"
+
+
+@when("store reader meets an engine that is still missing after that")
+def still_missing(context):
+    vanishes_after_outage(context)
+    reader = context.reader
+    reader._news.changed_at = -1
+    reader._directory._store_returned_at_s -= 2.0
+    last_report(context)
+    assert not reader._directory.is_usable("e7")
+
+
+@when("store reader meets an engine at another address")
+def another_address(context):
+    moved = engine_record(7, 60, address="10.0.0.7:81")
+    meet(context, [FeedPage(61, (moved,), 61)])
+
+
+@when("store reader meets an engine that is listed again")
+def listed_again(context):
+    again = engine_record(7, 61, sequence=61)
+    meet(context, [FeedPage(61, (REMOVED,), 61), FeedPage(62, (again,), 62)])
+
+
+@when("store reader meets an engine with an unreadable record")
+def unreadable(context):
+    meet(context, [FeedPage(61, (FeedRecord("e7", b"{", 60),), 61)])
+
+
+@then("store reader reports news at offset {offset:d}")
+def reports_news(context, offset):
+    assert last_report(context).targets_changed_at == offset, last_report(context)
+
+
+class SuspendedClock(SystemClock):
+    """A clock whose host was suspended for a time."""
+
+    suspended = 0.0
+
+    def suspended_s(self):
+        return self.suspended
+
+
+def suspend(context):
+    meet(context, [])
+    clock = SuspendedClock()
+    context.reader._clock = clock
+    assert last_report(context) is not None
+    clock.suspended = 5.0
+
+
+@when("store reader reports after its host was suspended")
+def reports_after_suspension(context):
+    suspend(context)
+
+
+@when("store reader reports after its host was suspended and it has read again")
+def reports_after_reading(context):
+    suspend(context)
+    assert last_report(context) is None
+    read_all(context, 1)
+
+
+@when("store reader reports while further records are still to be read")
+def reports_while_behind(context):
+    records = tuple(engine_record(n, 60 + n) for n in range(10))
+    meet(context, [])
+    context.reader.targets.last_read_at_s -= 1.0
+    context.topic.pages = [FeedPage(200, records, 70)]
+    read_all(context, 1)
+
+
+@when("store reader reports after a list that a record has overtaken")
+def reports_after_overtaken(context):
+    context.topic.page = FeedPage(61, context.topic.page.records, 60)
+    context.reader.targets.last_read_at_s -= 1.0
+    read_all(context, 1)
+
+
+@then("store reader reports no read of this moment")
+def reports_no_read(context):
+    report = last_report(context)
+    assert report is None or report.targets_age_ms >= 1000, report
+
+
+@when(
+    'direct path target "{name}" leaves the list and the store deletes its old records'
+)
+def leaves_and_deletes(context, name):
+    system = context.direct
+    # The entry relies on the agents' reads by then.
+    system.run(asyncio.sleep(1.0))
+
+    def act():
+        system.store.put("keyed.servers", name, None)
+        system.store.compact_topic("keyed.servers")
+
+    system.call(act)
+
+
+@then('direct path entry does not use target "{name}" within {limit_s:g} s')
+def does_not_use(context, name, limit_s):
+    directory = context.direct.entry._state.directory
+    assert context.direct.wait(lambda: not directory.is_usable(name), limit_s)
+
+
 class SilentTopic:
     """Answers reads without a wait; long polls are never answered."""
 
@@ -187,7 +379,7 @@
     def on_record(self, record):
         self.records.append(record)
 
-    def on_snapshot_keys(self, keys):
+    def on_snapshot_keys(self, keys, end):
         pass
 
     def on_store_recovered(self):
--- a/tools/_mutations_callers.py
+++ b/tools/_mutations_callers.py
@@ -106,7 +106,7 @@
     Mutation(
         "news by its record",
         "direct/store_reader.py",
-        "self.changed_at = max(self.changed_at, record.offset)",
+        "self._tell(record.offset)",
         "self.changed_at = 10**6",
         "direct/store_reader",
         "tells news by its record",
