--- a/lentiltally/agent/engine_client.py
+++ b/lentiltally/agent/engine_client.py
@@ -20,6 +20,7 @@
     new_pool,
     target_error,
 )
+from lentiltally.http_bodies import read_body
 
 _Document = TypeVar("_Document")
 
@@ -27,6 +28,13 @@
 ORDER_TIMEOUT_S = 10.0
 REPORT_TIMEOUT_S = 2.0
 MAX_READ_BYTES = 65_536
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
+# Reports and answers to orders; an engine has some ten adapters.
+MAX_CONTROL_BYTES = 1024 * 1024
+MAX_CONTROL_S = 10.0
+# A body that nobody gets is only read to use the connection again.
+MAX_UNUSED_BYTES = 64 * 1024
+MAX_UNUSED_S = 1.0
 # An event is kept until it is complete; a faulty engine may send bytes without end.
 MAX_UNREAD_BYTES = 1024 * 1024
 EVENT_END = b"\n\n"
@@ -129,15 +137,13 @@
             headers=headers,
             timeout=self._first_byte_timeout,
             step="run",
-            reads_body=True,
-        )
-        origin = (
-            _decode_origin(response.data) if response.status == 200 else _AnswerOrigin()
         )
+        data = self._read(response, "run", MAX_ANSWER_BYTES)
+        origin = _decode_origin(data) if response.status == 200 else _AnswerOrigin()
         return EngineAnswer(
             response.status,
             response.headers.get("Content-Type", "application/json"),
-            response.data,
+            data,
             origin.model,
             origin.system_fingerprint or "",
         )
@@ -159,21 +165,20 @@
             headers=headers,
             timeout=self._silence_timeout,
             step="stream",
-            reads_body=False,
         )
         return EngineStream(response, self._name)
 
     def cancel(self, request_id: str) -> None:
         """Ask the engine to cancel a request; raises TargetError."""
-        self._request(
+        response = self._request(
             "POST",
             f"/v1/cancel/{request_id}",
             body=b"",
             headers=BASE_HEADERS,
             timeout=urllib3.Timeout(REPORT_TIMEOUT_S),
             step="cancel",
-            reads_body=True,
         )
+        self._read(response, "cancel", MAX_CONTROL_BYTES, MAX_CONTROL_S)
 
     def list_adapters(self) -> AdapterListing:
         """Return the loaded adapters; raises TargetError."""
@@ -221,8 +226,8 @@
             headers=headers,
             timeout=timeout,
             step="order",
-            reads_body=True,
         )
+        self._read(response, "order", MAX_CONTROL_BYTES, MAX_CONTROL_S)
         if response.status not in (200, already_done_status):
             raise OrderRefusedError(
                 f"{path} answered {response.status}",
@@ -240,8 +245,8 @@
             headers=BASE_HEADERS,
             timeout=timeout,
             step="report",
-            reads_body=True,
         )
+        data = self._read(response, "report", MAX_CONTROL_BYTES, MAX_CONTROL_S)
         if response.status != 200:
             raise TargetError(
                 f"{path} answered {response.status}",
@@ -250,7 +255,7 @@
                 may_have_run=False,
             )
         try:
-            return msgspec.json.decode(response.data, type=kind)
+            return msgspec.json.decode(data, type=kind)
         except (msgspec.MsgspecError, RecursionError) as error:
             raise target_error(error, "report", self._name) from error
 
@@ -263,7 +268,6 @@
         headers: dict[str, str],
         timeout: urllib3.Timeout,
         step: str,
-        reads_body: bool,
     ) -> urllib3.BaseHTTPResponse:
         try:
             return self._pool.urlopen(
@@ -272,7 +276,7 @@
                 body=body,
                 headers=headers,
                 timeout=timeout,
-                preload_content=reads_body,
+                preload_content=False,
                 decode_content=False,
                 redirect=False,
                 retries=False,
@@ -281,6 +285,18 @@
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise target_error(error, step, self._name) from error
 
+    def _read(
+        self,
+        response: urllib3.BaseHTTPResponse,
+        step: str,
+        max_bytes: int,
+        max_s: float | None = None,
+    ) -> bytes:
+        try:
+            return read_body(response, max_bytes, max_s)
+        except (urllib3.exceptions.HTTPError, OSError) as error:
+            raise target_error(error, step, self._name) from error
+
 
 class EngineStream:
     """The events of a streamed answer, as they arrive on one connection."""
@@ -296,7 +312,7 @@
     def read_body(self) -> bytes:
         """Return the body of an answer that is not a stream; raises TargetError."""
         try:
-            return self._response.read()
+            return read_body(self._response, MAX_ANSWER_BYTES)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise target_error(error, "stream", self.name) from error
 
@@ -367,7 +383,7 @@
     def finish(self) -> None:
         """Read the body to its end, so that the connection can be used again."""
         try:
-            self._response.drain_conn()
+            read_body(self._response, MAX_UNUSED_BYTES, MAX_UNUSED_S)
         except (urllib3.exceptions.HTTPError, OSError):
             self._response.close()
 
--- a/lentiltally/agent/service_client.py
+++ b/lentiltally/agent/service_client.py
@@ -8,8 +8,10 @@
 import urllib3
 
 from lentiltally.agent._http import BASE_HEADERS, new_pool, target_error
+from lentiltally.http_bodies import read_body
 
 CONNECT_TIMEOUT_S = 1.0
+MAX_ANSWER_BYTES = 16 * 1024 * 1024
 
 
 class ServiceAnswer(msgspec.Struct, frozen=True):
@@ -50,11 +52,13 @@
                 redirect=False,
                 retries=False,
                 assert_same_host=False,
+                preload_content=False,
             )
+            data = read_body(response, MAX_ANSWER_BYTES)
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise target_error(error, "call", self._name) from error
         return ServiceAnswer(
             response.status,
             response.headers.get("Content-Type", "application/octet-stream"),
-            response.data,
+            data,
         )
--- a/lentiltally/decisions/event_stream.py
+++ b/lentiltally/decisions/event_stream.py
@@ -9,11 +9,13 @@
 
 from dataclasses import dataclass
 
+from lentiltally.decisions.message_size import MessageLimits, MessageSize
+
 __all__ = ["EventStream", "StreamBroken"]
 
 # A partial event is kept until it is complete. Events of the engines have some hundred
 # bytes, but a faulty engine may send bytes without end.
-MAX_EVENT_BYTES = 1024 * 1024
+EVENT_LIMITS = MessageLimits(max_bytes=256 * 1024, small_pieces=1024)
 # An id fits 64 bits, so a header can name it.
 MAX_ID_DIGITS = 18
 
@@ -22,7 +24,7 @@
 class StreamBroken(Exception):  # noqa: N818 - says what happened
     """The stream can't be continued.
 
-    An event is missing, repeated or too large, or its id is too long.
+    An event is missing or repeated, or its id is too long.
     """
 
     detail: str
@@ -31,12 +33,13 @@
 class EventStream:
     """The part of a stream that one target produces."""
 
-    __slots__ = ("_buffer", "_last_id", "complete_events")
+    __slots__ = ("_buffer", "_last_id", "_size", "complete_events")
 
     def __init__(self, resume_after: int | None) -> None:
         """Start after the last event that the caller has received, if any."""
         self._buffer = bytearray()
         self._last_id = resume_after
+        self._size = MessageSize(EVENT_LIMITS)
         self.complete_events = 0
 
     @property
@@ -49,22 +52,28 @@
         """Return whether the target has sent an event only in part."""
         return bool(self._buffer)
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return how much of an event is kept until it is complete."""
+        return len(self._buffer)
+
     def received(self, data: bytes) -> bytes:
         """Add bytes from the target and return the events that they complete.
 
-        Raises StreamBroken if an event is too large, or its id is too long or does not
-        follow the last one.
+        Raises MessageTooLargeError if an event is too large, and StreamBroken if its id
+        is too long or does not follow the last one.
         """
         # An event may come in many pieces, so what was searched is not searched again.
         searched_bytes = max(0, len(self._buffer) - 1)
         self._buffer += data
         end = self._buffer.rfind(b"\n\n", searched_bytes)
-        if len(self._buffer) - max(end, 0) > MAX_EVENT_BYTES:
-            raise StreamBroken(f"an event exceeds {MAX_EVENT_BYTES} bytes")
         if end < 0:
+            self._size.add(len(data))
             return b""
         complete = bytes(self._buffer[: end + 2])
         del self._buffer[: end + 2]
+        self._size = MessageSize(EVENT_LIMITS)
+        self._size.add(len(self._buffer))
         for event in complete.split(b"\n\n"):
             if event.strip():
                 self._check(event)
--- a/lentiltally/decisions/target_choice.py
+++ b/lentiltally/decisions/target_choice.py
@@ -54,7 +54,9 @@
     - ``failure_penalty_s`` is the time lost on a target that fails every request. It is
       multiplied by the excess of the target's failure rate over the lowest one, less a
       tolerance of 0.1, so no target is avoided if all fail alike.
-    - ``avoided_penalty_s`` is added during the cooldown of a target.
+    - ``avoided_penalty_s`` is added during the cooldown of a target. After an answer
+      that has no end, the cooldown is ``endless_cooldown_s``; each further one doubles
+      it, up to ``max_endless_cooldown_s``, until the target completes an answer.
 
     Plain services: the counts of a load report are used for ``load_max_age_s``; the
     slowness that it reports decays with ``slowness_half_life_s``. ``default_latency_s``
@@ -75,6 +77,8 @@
     remote_domain_penalty_s: float = 0.003
     failure_penalty_s: float = 1.0
     avoided_penalty_s: float = 5.0
+    endless_cooldown_s: float = 1.0
+    max_endless_cooldown_s: float = 8.0
     unknown_state_penalty_s: float = 0.5
     load_max_age_s: float = 1.0
     slowness_half_life_s: float = 0.3
@@ -90,7 +94,8 @@
     time to the first byte; all other fields in seconds are times on the entry's
     monotonic clock. ``failure_rate`` is the smoothed fraction of requests without a
     proper answer, before its decay since ``last_failure_s``. ``permit_at_s`` is when a
-    target that names a limit may get the next request.
+    target that names a limit may get the next request. ``endless_answers`` counts the
+    answers without end since the last complete one.
     """
 
     in_flight: int = 0
@@ -102,6 +107,7 @@
     last_failure_s: float = 0.0
     avoid_until_s: float = 0.0
     permit_at_s: float = 0.0
+    endless_answers: int = 0
     state: EngineState | None = None
     # Hashes of the adapters that the engine has cached in host memory.
     cached: frozenset[int] = frozenset()
@@ -202,6 +208,23 @@
         view = self.view(target_id)
         view.avoid_until_s = max(view.avoid_until_s, until_s)
 
+    def answer_had_no_end(self, target_id: str, now_s: float) -> None:
+        """Avoid a target for the longer, the more answers without end it has sent."""
+        settings = self._settings
+        view = self.view(target_id)
+        # Several answers may be under way when the first one is given up.
+        if view.avoid_until_s <= now_s or view.endless_answers == 0:
+            view.endless_answers += 1
+        cooldown_s = min(
+            settings.max_endless_cooldown_s,
+            settings.endless_cooldown_s * 2.0 ** min(16, view.endless_answers - 1),
+        )
+        self.avoid(target_id, now_s + cooldown_s)
+
+    def answer_completed(self, target_id: str) -> None:
+        """Note that a target ends its answers."""
+        self.view(target_id).endless_answers = 0
+
     def limited(self, target_id: str, permit_at_s: float) -> None:
         """Note when a target that names a limit may get the next request."""
         self.view(target_id).permit_at_s = permit_at_s
--- a/lentiltally/direct/caller_answer.py
+++ b/lentiltally/direct/caller_answer.py
@@ -128,6 +128,11 @@
         """Return whether the target has sent an event only in part."""
         return self._stream.has_partial_event
 
+    @property
+    def partial_bytes(self) -> int:
+        """Return how much of an event is kept until it is complete."""
+        return self._stream.partial_bytes
+
     def can_continue_with(self, head: AnswerHead) -> bool:
         """Return whether the target's answer may follow what the caller has."""
         return self._answer.can_continue_with(head)
--- a/lentiltally/direct/caller_connection.py
+++ b/lentiltally/direct/caller_connection.py
@@ -13,7 +13,8 @@
 from lentiltally.direct.caller_transport import CallerTransport
 from lentiltally.direct.model import CallerLimits
 from lentiltally.direct.raw_request import PartialRequest, RawHeaders, RawRequest
-from lentiltally.direct.read_turns import MAX_PIECES_PER_TURN, ReadTurns
+from lentiltally.direct.read_resources import ReadResources
+from lentiltally.direct.read_turns import MAX_PIECES_PER_TURN
 from lentiltally.problems import (
     Refusal,
     internal_error,
@@ -32,6 +33,11 @@
 
 # The parser's own limit can't be changed later, so it is above all limits on heads.
 MAX_INCOMPLETE_BYTES = 16 * 1024 * 1024
+# Reading pauses while this much is received behind a request that is being handled.
+MAX_PIPELINED_BYTES = 64 * 1024
+# Bound on what a connection holds that shares its resources with no other.
+MAX_HELD_ALONE_BYTES = 64 * 1024 * 1024
+RETRY_AFTER_S = 1.0
 LAST_ANSWER = "last answer"
 
 
@@ -75,15 +81,18 @@
     """
 
     def __init__(
-        self, handler: RequestHandler, clock: Clock, turns: ReadTurns | None = None
+        self,
+        handler: RequestHandler,
+        clock: Clock,
+        resources: ReadResources | None = None,
     ) -> None:
-        """Serve requests with the handler.
-
-        Connections with the same ``turns`` take turns at what they have received.
-        """
+        """Serve requests with the handler; without ``resources`` none are shared."""
         self._handler = handler
         self._clock = clock
-        self._turns = turns or ReadTurns()
+        resources = resources or ReadResources.from_limit(MAX_HELD_ALONE_BYTES)
+        self._turns = resources.turns
+        self._holding = resources.held.open(self._give_up)
+        self._unsent = resources.held.open(self._give_up_sending)
         # The largest limits in force since the last answer: the caller may still go by
         # those from before a change.
         self._limits = handler.limits
@@ -161,9 +170,8 @@
         if self._task is None:
             self._process_input()
             return
-        # Limits the pipelined data that is buffered while a request is handled.
         self._pipelined_bytes += len(data)
-        if self._pipelined_bytes > self._current_limits().body_bytes:
+        if self._pipelined_bytes > MAX_PIPELINED_BYTES:
             self._transport.pause_reading()
 
     def eof_received(self) -> bool:
@@ -180,11 +188,14 @@
 
     def resume_writing(self) -> None:
         """Let ``drain`` return."""
+        self._count_unsent()
         self._can_write.set()
 
     def connection_lost(self, error: Exception | None) -> None:
         """Notify the handler, and the request through ``on_disconnect``."""
         self._is_lost = True
+        self._holding.close()
+        self._unsent.close()
         phase = self._phase()
         if phase and self._transport is not None:
             self._transport.log_early_end(phase, self.request_id, self._requests, error)
@@ -198,6 +209,7 @@
         if self._transport is None:
             return
         self._unsent_bytes = self._transport.unsent_bytes
+        self._count_unsent()
         if self._is_closing:
             self._transport.check_closing(self._limits.idle_timeout_s)
         if self._is_closing or self._task is not None:
@@ -242,6 +254,7 @@
     def send_data(self, data: bytes) -> None:
         """Write a part of the body."""
         self._write(h11.Data(data=data))
+        self._count_unsent()
 
     def end_answer(self) -> None:
         """Complete the answer."""
@@ -329,10 +342,14 @@
                 return
             if event is h11.PAUSED or isinstance(event, h11.ConnectionClosed):
                 return
+            if self._is_closing:
+                # Refused while it was being read.
+                return
             if isinstance(event, h11.Request):
                 self._begin_request(event)
             elif isinstance(event, h11.Data) and self._request is not None:
                 self._request.add(event.data, self._current_limits())
+                self._holding.resize(self._request.body_bytes)
             elif isinstance(event, h11.EndOfMessage) and self._request is not None:
                 self._start_handling(self._request.complete())
                 return
@@ -370,6 +387,8 @@
 
     def _start_handling(self, request: RawRequest) -> None:
         self._requests += 1
+        # It may run from now on, so it can't be refused any more.
+        self._holding.may_be_given_up = False
         self._pipelined_bytes = len(self._http.trailing_data[0])
         self._task = asyncio.get_running_loop().create_task(self._serve(request))
 
@@ -387,6 +406,8 @@
 
     def _next_request(self) -> None:
         self._request = None
+        self._holding.resize(0)
+        self._holding.may_be_given_up = True
         self._limits = self._handler.limits
         self._waiting_since_s = self._clock.monotonic_s()
         if self.is_disconnected:
@@ -406,6 +427,29 @@
         else:
             self.abort()
 
+    def _give_up(self) -> None:
+        """Refuse the request that is being read: all requests together hold too much.
+
+        It holds the most of those that have not begun to run.
+        """
+        self._request = None
+        if self.is_disconnected:
+            return
+        detail = "too many large requests at the same time"
+        refusal = Refusal(
+            503, "too-many-bytes", detail, step="read", retry_after_s=RETRY_AFTER_S
+        )
+        self._reject(refusal)
+
+    def _count_unsent(self) -> None:
+        if self._transport is not None:
+            self._unsent.resize(self._transport.unsent_bytes)
+
+    def _give_up_sending(self) -> None:
+        """Reset the connection: its caller reads the least of what all have to."""
+        if self._transport is not None:
+            self._transport.reset("caller does not read")
+
     def _reject(self, refusal: Refusal) -> None:
         """Refuse a request that is still being read, and close."""
         assert self._transport is not None
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.held_bytes import HeldBytes
 from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.decisions.target_directory import DirectoryChange
 from lentiltally.direct.agent_client import AgentClient
@@ -39,6 +40,7 @@
 from lentiltally.direct.permit_client import PermitClient
 from lentiltally.direct.platform_interfaces import HeaderCodec
 from lentiltally.direct.raw_request import RawRequest
+from lentiltally.direct.read_resources import ReadResources
 from lentiltally.direct.read_turns import ReadTurns
 from lentiltally.direct.settings import HostSettings, SocketAddress
 from lentiltally.direct.settings_watch import SettingsWatch
@@ -75,6 +77,10 @@
 # A connection may be accepted this long before its request arrives. When none has been
 # opened for this long, the listener is closed.
 QUIET_BEFORE_CLOSE_S = 0.3
+# Parts of targets' answers and of callers' requests that are held at the same time. A
+# request is held until it is answered, and copied for each attempt.
+MAX_HELD_ANSWER_BYTES = 32 * 1024 * 1024
+MAX_HELD_REQUEST_BYTES = 48 * 1024 * 1024
 # The settings file may also change without SIGHUP.
 SETTINGS_CHECK_INTERVAL_S = 5.0
 
@@ -110,8 +116,10 @@
         self._clock = clock
         self._metrics = EntryMetrics()
         self._state = EntryState(settings, clock, random.random())
-        self._turns = ReadTurns()
-        self._pool = TargetPool(clock, self._turns)
+        turns = ReadTurns()
+        answers = ReadResources(turns, HeldBytes(MAX_HELD_ANSWER_BYTES))
+        self._requests = ReadResources(turns, HeldBytes(MAX_HELD_REQUEST_BYTES))
+        self._pool = TargetPool(clock, answers)
         self._connections: set[CallerConnection] = set()
         # Connections close after their current answer.
         self.is_stopping = False
@@ -208,7 +216,7 @@
         assert self._settings.callers is not None
         pages = await self._open_pages()
         server = await asyncio.get_running_loop().create_server(
-            lambda: CallerConnection(self, self._clock, self._turns),
+            lambda: CallerConnection(self, self._clock, self._requests),
             self._settings.callers.ip,
             self._settings.callers.port,
             reuse_address=True,
--- a/lentiltally/direct/http_connection.py
+++ b/lentiltally/direct/http_connection.py
@@ -13,7 +13,9 @@
 
 import h11
 
-from lentiltally.direct.read_turns import MAX_PIECES_PER_TURN, ReadTurns
+from lentiltally.decisions.message_size import MessageTooLargeError
+from lentiltally.direct.read_resources import ReadResources
+from lentiltally.direct.read_turns import MAX_PIECES_PER_TURN
 from lentiltally.direct.settings import SocketAddress
 from lentiltally.errors import LentiltallyError
 
@@ -30,8 +32,11 @@
 # Informational responses (1xx) that may precede the head of an answer.
 MAX_INTERIM_RESPONSES = 16
 # Reading pauses while this much of an answer has not been processed, for instance
-# because the caller reads slowly.
-MAX_UNREAD_BYTES = 256 * 1024
+# because the caller reads slowly. The kernel then holds some more.
+MAX_UNREAD_BYTES = 64 * 1024
+RECEIVE_BUFFER_BYTES = 64 * 1024
+# Bound on what a connection holds that shares its resources with no other.
+MAX_HELD_ALONE_BYTES = 64 * 1024 * 1024
 
 RawHeaders = Sequence[tuple[bytes, bytes]]
 Event = h11.Response | h11.Data | h11.EndOfMessage
@@ -55,17 +60,19 @@
     """The connection was lost, or the peer did not send a valid answer."""
 
 
-class HttpConnection(asyncio.Protocol):
+class HttpConnection(asyncio.BufferedProtocol):
     """One client connection.
 
     ``used_at_s`` and ``keep_alive_s`` are for a pool: when the connection was last used
     and how long the peer keeps it open while it is idle, None if unknown.
     """
 
-    def __init__(self, address: SocketAddress, turns: ReadTurns | None = None) -> None:
+    def __init__(
+        self, address: SocketAddress, resources: ReadResources | None = None
+    ) -> None:
         """Create the protocol; ``open_connection`` connects it.
 
-        Connections with the same ``turns`` take turns at what they have received.
+        Without ``resources`` the connection shares none.
         """
         self.address = address
         self.used_at_s = 0.0
@@ -84,8 +91,13 @@
         self._interim_responses = 0
         self._unread_bytes = 0
         self._is_reading_paused = False
-        self._turns = turns or ReadTurns()
+        resources = resources or ReadResources.from_limit(MAX_HELD_ALONE_BYTES)
+        self._turns = resources.turns
         self._pieces_in_turn = 0
+        self._receive_buffer = resources.buffer
+        self._holding = resources.held.open(self._give_up)
+        self._kept_bytes = 0
+        self._is_given_up = False
 
     @property
     def is_reusable(self) -> bool:
@@ -106,7 +118,18 @@
         """Set the options that detect a dead connection."""
         assert isinstance(transport, asyncio.Transport)
         self._transport = transport
-        set_socket_options(transport.get_extra_info("socket"))
+        sock = transport.get_extra_info("socket")
+        set_socket_options(sock)
+        sock.setsockopt(socket.SOL_SOCKET, socket.SO_RCVBUF, RECEIVE_BUFFER_BYTES)
+
+    def get_buffer(self, sizehint: int) -> bytearray:
+        """Return the buffer for the next bytes; it is free again when they are used."""
+        del sizehint
+        return self._receive_buffer
+
+    def buffer_updated(self, nbytes: int) -> None:
+        """Process the bytes in the buffer."""
+        self.data_received(bytes(memoryview(self._receive_buffer)[:nbytes]))
 
     def data_received(self, data: bytes) -> None:
         """Pass bytes to the parser, or close if no request is open."""
@@ -119,6 +142,7 @@
         except (h11.RemoteProtocolError, RuntimeError):
             self._record_error("bytes after the end")
         self._unread_bytes += len(data)
+        self._update_holding()
         if self._unread_bytes > MAX_UNREAD_BYTES and self._transport is not None:
             self._is_reading_paused = True
             self._transport.pause_reading()
@@ -133,6 +157,7 @@
     def connection_lost(self, error: Exception | None) -> None:
         """Mark the connection as closed; an error means that it was reset."""
         self._is_closed = True
+        self._holding.close()
         if error is not None:
             self._record_error(f"connection lost: {error}")
         self._notify()
@@ -162,10 +187,13 @@
     async def next_event(self) -> Event:
         """Return the next event of the answer.
 
-        Raises PeerError if the connection is lost or the answer is malformed.
+        Raises PeerError if the connection is lost or the answer is malformed, and
+        MessageTooLargeError if it was given up to keep the bound on all answers.
         """
         while True:
             await self._end_turn_if_long()
+            if self._is_given_up:
+                raise MessageTooLargeError("the most of too many bytes that are held")
             try:
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
@@ -195,6 +223,11 @@
             await self._turns.wait()
             self._pieces_in_turn = 1
 
+    def keep(self, size_bytes: int) -> None:
+        """Note how much of the answer its reader keeps until it is complete."""
+        self._kept_bytes = size_bytes
+        self._update_holding()
+
     def skip_answer(self) -> None:
         """Discard an answer to another request and read on for the right one."""
         trailing, _ = self._http.trailing_data
@@ -224,18 +257,31 @@
             return False
         self._is_busy = False
         self._body = b""
+        self._kept_bytes = 0
         self._resume_reading()
         return True
 
     def close(self) -> None:
         """Close at once, which makes most targets cancel the request."""
         self._is_closed = True
+        self._body = b""
+        self._holding.close()
         if self._transport is not None:
             self._transport.abort()
 
+    def _give_up(self) -> None:
+        """Close, because the answers of all connections hold too much."""
+        self._is_given_up = True
+        self.close()
+        self._notify()
+
+    def _update_holding(self) -> None:
+        self._holding.resize(self._unread_bytes + self._kept_bytes)
+
     def _resume_reading(self) -> None:
         """Read on: the parser has processed all bytes that it can."""
         self._unread_bytes = 0
+        self._update_holding()
         if self._is_reading_paused and not self._is_closed:
             self._is_reading_paused = False
             assert self._transport is not None
@@ -284,11 +330,11 @@
 async def open_connection(
     address: SocketAddress,
     timeout_s: float = CONNECT_TIMEOUT_S,
-    turns: ReadTurns | None = None,
+    resources: ReadResources | None = None,
 ) -> HttpConnection:
     """Open a connection; raises ConnectError on failure or timeout."""
     loop = asyncio.get_running_loop()
-    connection = HttpConnection(address, turns)
+    connection = HttpConnection(address, resources)
     try:
         async with asyncio.timeout(timeout_s):
             await loop.create_connection(lambda: connection, address.ip, address.port)
--- a/lentiltally/direct/raw_request.py
+++ b/lentiltally/direct/raw_request.py
@@ -56,6 +56,11 @@
         if names.count(b"host") != 1 and head.http_version != b"1.0":
             raise h11.RemoteProtocolError("no single host")
 
+    @property
+    def body_bytes(self) -> int:
+        """Return how much of the body has been read."""
+        return len(self._body)
+
     def add(self, data: bytes, limits: CallerLimits) -> None:
         """Add a part of the body; raises h11.RemoteProtocolError."""
         self._body += data
--- a/lentiltally/direct/target_exchange.py
+++ b/lentiltally/direct/target_exchange.py
@@ -15,6 +15,11 @@
 from lentiltally.clock import Clock
 from lentiltally.decisions.answer_progress import AnswerProgress
 from lentiltally.decisions.event_stream import StreamBroken
+from lentiltally.decisions.message_size import (
+    MessageLimits,
+    MessageSize,
+    MessageTooLargeError,
+)
 from lentiltally.decisions.target_timeouts import TargetTimeouts
 from lentiltally.direct.caller_answer import AnswerPart
 from lentiltally.direct.caller_connection import CallerDisconnectedError
@@ -36,8 +41,17 @@
 # Answers to other requests that may arrive on the connection before the right one, and
 # the body that each of them may have.
 MAX_UNRELATED_ANSWERS = 4
-MAX_UNRELATED_BODY_BYTES = 256 * 1024
-MAX_ANSWER_BODY_BYTES = 16 * 1024 * 1024
+UNRELATED_LIMITS = MessageLimits(max_bytes=256 * 1024, small_pieces=256)
+ANSWER_LIMITS = MessageLimits(max_bytes=16 * 1024 * 1024)
+# The body of an error is only of use if no other target may answer.
+ERROR_LIMITS = MessageLimits(max_bytes=64 * 1024, small_pieces=512)
+ERROR_BODY_TIMEOUT_S = 0.25
+# A body that nobody gets is only read to use the connection again.
+UNUSED_LIMITS = MessageLimits(max_bytes=16 * 1024, small_pieces=64)
+UNUSED_BODY_TIMEOUT_S = 0.05
+# An answer, or an event, that is cut off after more than this may have no end.
+LARGE_ANSWER_BYTES = 64 * 1024
+LARGE_EVENT_BYTES = 4 * 1024
 
 
 class SupersededError(Exception):
@@ -99,7 +113,8 @@
     """The outcome of an attempt, with head and body of an error answer.
 
     ``was_reset`` is set if the connection was lost or the answer was malformed, which
-    may be a sign of a crash.
+    may be a sign of a crash. ``is_too_large`` is set if the answer exceeded its limits,
+    so that it may have no end.
     """
 
     outcome: ExchangeOutcome
@@ -107,6 +122,7 @@
     head: AnswerHead | None = None
     body: bytes = b""
     was_reset: bool = False
+    is_too_large: bool = False
 
 
 class TargetExchange:
@@ -132,9 +148,19 @@
         self._listener = listener
         self._turn = turn
         self._has_begun = False
+        self._body_bytes = 0
+        self._partial_event_bytes = 0
         self.head: AnswerHead | None = None
         self.sent_at_s = 0.0
 
+    @property
+    def has_large_answer(self) -> bool:
+        """Return whether more was received than most answers or events have."""
+        return (
+            self._body_bytes > LARGE_ANSWER_BYTES
+            or self._partial_event_bytes > LARGE_EVENT_BYTES
+        )
+
     async def run(
         self, attempt: TargetAttempt, answer: AnswerPart, *, is_stream: bool
     ) -> ExchangeResult:
@@ -177,12 +203,16 @@
                 head = await self._own_head()
         except PeerError as error:
             return self._failed(ExchangeOutcome.UNKNOWN, str(error), was_reset=True)
+        except MessageTooLargeError as error:
+            return self._too_large(ExchangeOutcome.UNKNOWN, error)
         self.head = head
         self._listener.head_received(head)
         try:
             return await self._read_answer(head, answer, is_stream)
         except (PeerError, StreamBroken) as error:
             return self._failed(ExchangeOutcome.BROKEN, str(error), was_reset=True)
+        except MessageTooLargeError as error:
+            return self._too_large(ExchangeOutcome.BROKEN, error)
 
     async def _own_head(self) -> AnswerHead:
         """Return the head of this request's answer; skip answers to other requests.
@@ -203,7 +233,7 @@
                 if self._connection.requests == 1:
                     return head
                 raise self._protocol_error("rejection without an id")
-            await self._discard_body()
+            await self._discard_body(UNRELATED_LIMITS)
             self._connection.skip_answer()
         raise self._protocol_error("answers to other requests only")
 
@@ -219,19 +249,17 @@
             if not answer.can_continue_with(head):
                 return self._failed(ExchangeOutcome.BROKEN, "no continuation")
             return await self._relay(head, answer)
-        if not head.did_not_run:
-            self._record_begin()
-        body = await self._read_body()
         if head.did_not_run:
+            await self._discard_unused_body()
             return ExchangeResult(
                 ExchangeOutcome.NOT_RUN, f"answered {head.status}", head
             )
+        self._record_begin()
         if not _is_signed_and_unencoded(head):
             return self._failed(ExchangeOutcome.BROKEN, "answer without a proof")
         if not is_success:
-            return ExchangeResult(
-                ExchangeOutcome.ANSWERED, f"answered {head.status}", head, body
-            )
+            return await self._read_error(head)
+        body = await self._read_body(ANSWER_LIMITS)
         answer.send_whole(head, body)
         return ExchangeResult(ExchangeOutcome.DELIVERED, "", head)
 
@@ -240,31 +268,58 @@
         progress = AnswerProgress(self._timeouts, self._clock.monotonic_s())
         while isinstance(event := await self._next_event(progress), h11.Data):
             self._record_begin()
+            self._body_bytes += len(event.data)
             if await answer.data_received(head, bytes(event.data)):
                 progress.event_completed(self._clock.monotonic_s())
+            self._partial_event_bytes = answer.partial_bytes
+            self._connection.keep(answer.partial_bytes)
         if answer.has_partial_event:
             return self._failed(ExchangeOutcome.BROKEN, "ended within an event")
         answer.end_stream(head)
         return ExchangeResult(ExchangeOutcome.DELIVERED, "", head)
 
-    async def _read_body(self) -> bytes:
-        """Read the body to its end; raises PeerError if it is too large."""
+    async def _read_error(self, head: AnswerHead) -> ExchangeResult:
+        """Read the body of an error; raises MessageTooLargeError.
+
+        If another target may answer, the body is not waited for any longer than a
+        sound target needs to send it.
+        """
+        may_retry = self._timeouts.first_byte_s is not None
+        try:
+            async with asyncio.timeout(ERROR_BODY_TIMEOUT_S if may_retry else None):
+                body = await self._read_body(ERROR_LIMITS)
+        except TimeoutError as error:
+            raise MessageTooLargeError("an error that does not end") from error
+        return ExchangeResult(
+            ExchangeOutcome.ANSWERED, f"answered {head.status}", head, body
+        )
+
+    async def _read_body(self, limits: MessageLimits) -> bytes:
+        """Read the body to its end; raises MessageTooLargeError."""
         body = bytearray()
+        size = MessageSize(limits)
         progress = AnswerProgress(self._timeouts, self._clock.monotonic_s())
         while isinstance(event := await self._next_event(progress), h11.Data):
+            size.add(len(event.data))
             body += event.data
+            self._body_bytes = size.bytes
+            self._connection.keep(size.bytes)
             progress.body_received(len(event.data), self._clock.monotonic_s())
-            if len(body) > MAX_ANSWER_BODY_BYTES:
-                raise self._protocol_error("answer too large")
         return bytes(body)
 
-    async def _discard_body(self) -> None:
-        """Read the body of an unrelated answer; raises PeerError if it is too large."""
-        size_bytes = 0
+    async def _discard_body(self, limits: MessageLimits) -> None:
+        """Read a body that nobody gets; raises MessageTooLargeError."""
+        size = MessageSize(limits)
         while isinstance(event := await self._connection.next_event(), h11.Data):
-            size_bytes += len(event.data)
-            if size_bytes > MAX_UNRELATED_BODY_BYTES:
-                raise self._protocol_error("unrelated answer too large")
+            size.add(len(event.data))
+
+    async def _discard_unused_body(self) -> None:
+        """Read the body of a rejection if it ends soon, else close the connection."""
+        try:
+            async with asyncio.timeout(UNUSED_BODY_TIMEOUT_S):
+                await self._discard_body(UNUSED_LIMITS)
+        except (PeerError, MessageTooLargeError, TimeoutError):
+            self._connection.close()
 
     async def _next_event(self, progress: AnswerProgress) -> Event:
         """Return the next event, and tell if the answer stalls before it comes."""
@@ -303,6 +358,13 @@
         self._connection.close()
         return ExchangeResult(outcome, detail, self.head, was_reset=was_reset)
 
+    def _too_large(
+        self, outcome: ExchangeOutcome, error: MessageTooLargeError
+    ) -> ExchangeResult:
+        self._connection.close()
+        detail = f"answer too large: {error}"
+        return ExchangeResult(outcome, detail, self.head, is_too_large=True)
+
     def _protocol_error(self, detail: str) -> PeerError:
         return PeerError(detail, step="answer", peer=str(self._connection.address))
 
--- a/lentiltally/direct/target_pool.py
+++ b/lentiltally/direct/target_pool.py
@@ -7,7 +7,7 @@
 from lentiltally.clock import Clock
 from lentiltally.direct.http_connection import HttpConnection, open_connection
 from lentiltally.direct.model import TargetRecord
-from lentiltally.direct.read_turns import ReadTurns
+from lentiltally.direct.read_resources import ReadResources
 from lentiltally.direct.settings import SocketAddress
 
 __all__ = ["TargetPool"]
@@ -24,10 +24,10 @@
 class TargetPool:
     """Idle connections by target id; the most recently used is taken first."""
 
-    def __init__(self, clock: Clock, turns: ReadTurns) -> None:
-        """Start without connections; all of them share ``turns``."""
+    def __init__(self, clock: Clock, resources: ReadResources) -> None:
+        """Start without connections; all of them share ``resources``."""
         self._clock = clock
-        self._turns = turns
+        self._resources = resources
         self._idle: dict[str, deque[HttpConnection]] = {}
         self.opened = 0
 
@@ -94,7 +94,7 @@
     async def _open(self, target: TargetRecord, timeout_s: float) -> HttpConnection:
         self.opened += 1
         address = SocketAddress.from_text(target.address)
-        return await open_connection(address, timeout_s, self._turns)
+        return await open_connection(address, timeout_s, self._resources)
 
     @staticmethod
     def _is_stale(connection: HttpConnection, now_s: float) -> bool:
--- a/lentiltally/direct/target_sender.py
+++ b/lentiltally/direct/target_sender.py
@@ -20,6 +20,9 @@
 
 __all__ = ["TargetSender"]
 
+# An attempt may be cancelled this much before the time that it was given.
+TIMER_TOLERANCE_S = 0.01
+
 _NOT_FAILURES = frozenset({ExchangeOutcome.DELIVERED, ExchangeOutcome.NOT_RUN})
 _COMPLETE_ANSWERS = frozenset(
     {ExchangeOutcome.DELIVERED, ExchangeOutcome.ANSWERED, ExchangeOutcome.NOT_RUN}
@@ -59,18 +62,35 @@
         self._choice.first_byte(self._record.target_id, self._tokens, after_s)
         self._pin.prefill_finished(self._record)
 
-    def ended(self, result: ExchangeResult | None, *, has_stalled: bool) -> None:
+    def ended(
+        self,
+        result: ExchangeResult | None,
+        *,
+        has_stalled: bool,
+        has_large_answer: bool,
+        is_late: bool,
+    ) -> None:
         """Record the end of the attempt; ``result`` is None if it was cancelled.
 
-        A target that did not stall has not failed because another one was faster.
+        A target that did not stall has not failed because another one was faster. One
+        whose answer has begun and did not end before the deadline, ``is_late``, has.
         """
         target_id = self._record.target_id
+        now_s = self._clock.monotonic_s()
+        is_cut_off = result is None or result.outcome is ExchangeOutcome.SLOW
+        if (result is not None and result.is_too_large) or (
+            is_cut_off and has_large_answer
+        ):
+            self._choice.answer_had_no_end(target_id, now_s)
+        elif result is not None and result.outcome is ExchangeOutcome.DELIVERED:
+            self._choice.answer_completed(target_id)
         if not self._has_begun:
             self._choice.ended_without_answer(target_id, self._tokens)
         is_failure = result is not None and result.outcome not in _NOT_FAILURES
         if result is not None and result.outcome is ExchangeOutcome.SLOW:
             is_failure = has_stalled
-        now_s = self._clock.monotonic_s()
+        if result is None:
+            is_failure = is_late and self._has_begun
         self._choice.ended(target_id, is_failure=is_failure, now_s=now_s)
 
 
@@ -140,7 +160,13 @@
             result = await exchange.run(attempt, part, is_stream=is_stream)
             return result
         finally:
-            observer.ended(result, has_stalled=turn.has_stalled)
+            took_s = self._clock.monotonic_s() - exchange.sent_at_s
+            observer.ended(
+                result,
+                has_stalled=turn.has_stalled,
+                has_large_answer=exchange.has_large_answer,
+                is_late=took_s >= attempt.left_s - TIMER_TOLERANCE_S,
+            )
             self._return_connection(record, connection, exchange, result)
 
     def _return_connection(
--- a/lentiltally/platform/_http.py
+++ b/lentiltally/platform/_http.py
@@ -2,16 +2,48 @@
 
 from __future__ import annotations
 
+from dataclasses import dataclass
+from typing import Any
+
 import urllib3
 
+from lentiltally.http_bodies import read_body
+
 _MAX_IDLE_CONNECTIONS = 8
 
 
+@dataclass(frozen=True, slots=True)
+class HttpAnswer:
+    """A response with its complete body."""
+
+    status: int
+    headers: urllib3.HTTPHeaderDict
+    data: bytes
+
+
 def new_pool() -> urllib3.PoolManager:
     """Return a connection pool that sends each request once, without retries."""
     return urllib3.PoolManager(retries=False, maxsize=_MAX_IDLE_CONNECTIONS)
 
 
+def call(
+    pool: urllib3.PoolManager,
+    method: str,
+    url: str,
+    *,
+    max_bytes: int,
+    max_s: float,
+    **more: Any,
+) -> HttpAnswer:
+    """Make a request and read its body within limits.
+
+    Raises an HTTPError of urllib3 or OSError.
+    """
+    answer = pool.request(method, url, preload_content=False, redirect=False, **more)
+    data = read_body(answer, max_bytes, max_s)
+    return HttpAnswer(answer.status, answer.headers, data)
+
+
 def may_have_arrived(error: Exception) -> bool:
     """Return whether the request may have reached the server before the failure."""
     never_connected = (
@@ -22,7 +54,7 @@
     return not isinstance(error, never_connected)
 
 
-def retry_after_s(answer: urllib3.BaseHTTPResponse) -> float | None:
+def retry_after_s(answer: HttpAnswer) -> float | None:
     """Return the seconds of the ``Retry-After`` header, None without a valid one."""
     try:
         return max(0.0, float(answer.headers.get("Retry-After", "")))
--- a/lentiltally/platform/host_list.py
+++ b/lentiltally/platform/host_list.py
@@ -6,9 +6,12 @@
 import urllib3
 
 from lentiltally.errors import LentiltallyError
-from lentiltally.platform._http import new_pool
+from lentiltally.platform._http import call, new_pool
 from lentiltally.platform._json import decode_json
 
+MAX_LIST_BYTES = 16 * 1024 * 1024
+MAX_LIST_S = 30.0
+
 
 class HostListError(LentiltallyError):
     """The host list could not be read; the copy read last stays in use."""
@@ -43,11 +46,13 @@
     def fetch(self) -> tuple[HostRecord, ...]:
         """Return all hosts of the list; raises HostListError."""
         try:
-            answer = self._pool.request(
+            answer = call(
+                self._pool,
                 "GET",
                 self._base_url + "/hosts",
+                max_bytes=MAX_LIST_BYTES,
+                max_s=MAX_LIST_S,
                 timeout=self._timeout_s,
-                redirect=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             raise self._error(f"no answer: {error}") from error
--- a/lentiltally/platform/log_client.py
+++ b/lentiltally/platform/log_client.py
@@ -12,11 +12,21 @@
 
 from lentiltally.clock import Clock
 from lentiltally.errors import LentiltallyError
-from lentiltally.platform._http import may_have_arrived, new_pool, retry_after_s
+from lentiltally.platform._http import (
+    HttpAnswer,
+    call,
+    may_have_arrived,
+    new_pool,
+    retry_after_s,
+)
 from lentiltally.platform._json import decode_json
 
 _Decoded = TypeVar("_Decoded")
 
+# A page of the log has at most 1,000 records.
+MAX_PAGE_BYTES = 32 * 1024 * 1024
+MAX_PAGE_S = 30.0
+
 
 class LogError(LentiltallyError):
     """A call to the log failed."""
@@ -126,13 +136,15 @@
             [msgspec.Raw(v) if isinstance(v, bytes) else v for v in values]
         )
         try:
-            answer = self._pool.request(
+            answer = call(
+                self._pool,
                 "POST",
                 self._url(stream) + "/records",
+                max_bytes=MAX_PAGE_BYTES,
+                max_s=MAX_PAGE_S,
                 body=body,
                 headers={"Content-Type": "application/json"},
                 timeout=self._timeout(0.0),
-                redirect=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             if may_have_arrived(error):
@@ -181,15 +193,15 @@
         answer = self._get(stream, "", "bounds", 0.0)
         return self._decode(answer, LogBounds, "bounds")
 
-    def _get(
-        self, stream: str, query: str, step: str, wait_s: float
-    ) -> urllib3.BaseHTTPResponse:
+    def _get(self, stream: str, query: str, step: str, wait_s: float) -> HttpAnswer:
         try:
-            answer = self._pool.request(
+            answer = call(
+                self._pool,
                 "GET",
                 self._url(stream) + query,
+                max_bytes=MAX_PAGE_BYTES,
+                max_s=MAX_PAGE_S,
                 timeout=self._timeout(wait_s),
-                redirect=False,
             )
         except (urllib3.exceptions.HTTPError, OSError) as error:
             self._raise_unavailable(f"no answer: {error}", step, error)
@@ -202,7 +214,7 @@
         self._check_status(answer, step)
         return answer
 
-    def _check_status(self, answer: urllib3.BaseHTTPResponse, step: str) -> None:
+    def _check_status(self, answer: HttpAnswer, step: str) -> None:
         if answer.status == 200:
             return
         if answer.status == 429:
@@ -216,9 +228,7 @@
             f"the log answered {answer.status}", step=step, peer=self._base_url
         )
 
-    def _decode(
-        self, answer: urllib3.BaseHTTPResponse, kind: type[_Decoded], step: str
-    ) -> _Decoded:
+    def _decode(self, answer: HttpAnswer, kind: type[_Decoded], step: str) -> _Decoded:
         try:
             return decode_json(answer.data, kind)
         except msgspec.MsgspecError as error:
--- a/tests/decisions/direct_choice.feature
+++ b/tests/decisions/direct_choice.feature
@@ -111,3 +111,22 @@
   Scenario: Hashes of adapters tell 10,000 adapters apart
     # Guards against hashes so short that engines seem to have adapters that they lack.
     Then hashes of 10000 adapters are all different but for 3 at most
+
+  # Load pattern: engines send answers without end for as long as they are faulty.
+  Scenario: Target choice avoids a target whose answers have no end for longer each time
+    # Guards against a constant share of all requests that first go to such a target.
+    Given target choice of 3 engines
+    When target choice sees only answers of "e1" without end for 40 s
+    Then target choice has tried "e1" 8 times and other targets otherwise
+
+  Scenario: Target choice counts answers without end at the same time once
+    # Guards against a target that is left alone for long because of one moment.
+    Given target choice of 3 engines
+    When target choice sees 30 answers of "e1" without end at once
+    Then target choice uses "e1" again after 1 s
+
+  Scenario: Target choice forgets answers without end once a target has ended one
+    # Guards against a target that is left alone for long after it has become sound.
+    Given target choice of 3 engines
+    When target choice sees answers of "e1" without end 3 times and then a complete one
+    Then target choice uses "e1" again 1 s after the next answer without end
--- a/tests/direct/faulty_targets.feature
+++ b/tests/direct/faulty_targets.feature
@@ -39,6 +39,42 @@
     Then direct path closed the connection to the target of "r1" within 1.0 s
     And direct path request "r1" ran 1 time
 
+  # Guards against callers that wait for an answer without end until their deadline, and
+  # against memory and work for bytes that no caller gets.
+  Scenario Outline: Direct path answers at another target if one sends <step>
+    Given direct path with a store, a configuration and two plain targets
+    And direct path one target handles the next request as "<step>"
+    When direct path gets a GET to "/safe/x"
+    Then direct path answers 200 with the target's body and signature
+    And direct path closed the connection to the target of "r1" within 1.0 s
+    And direct path counts <ends> answers without end
+
+    Examples:
+      | step             | ends |
+      | endless-refusal  | 0    |
+      | endless-unsigned | 0    |
+      | endless-error    | 1    |
+      | slow-error       | 1    |
+      | endless-answer   | 1    |
+      | endless-chunks   | 1    |
+
+  Scenario: Direct path resumes a stream although an event of one engine has no end
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path engines have "a1" loaded
+    And direct path one target handles the next request as "endless-event"
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path counts 1 answers without end
+
+  # Guards against requests that end with 504 to the last second, because nothing avoids a
+  # target whose answers begin and don't end before the deadline.
+  Scenario: Direct path takes an answer that is late for a failure of its target
+    Given direct path with a store, a configuration and two plain targets
+    And direct path targets handle the next request as "drip"
+    When direct path gets a POST to "/once/x" with body "b"
+    Then direct path answers 504 with execution unknown
+    And direct path counts 1 failure of a target
+
   # Guards against stalled answers that never end because a byte arrives now and then.
   Scenario: Direct path resumes a stream whose engine only sends single bytes
     Given direct path with a store, a configuration and two engines of 2 adapter slots
--- /dev/null
+++ b/tests/direct/held_bytes.feature
@@ -0,0 +1,48 @@
+Feature: Bytes that connections hold together
+
+  # Guards against an entry that exceeds its memory because many answers have no end, and
+  # against sound answers that are given up because of them.
+  Scenario: Connections to targets give up the answers that hold the most
+    Given connections to 40 targets that may hold 1000000 bytes together
+    When connections get 10000 bytes of 20 answers and 400000 of the others by turns
+    Then connections have never held more than their bound
+    And connections end 20 small answers, and no large one for its size
+
+  # Guards against memory that a connection holds on after it has ended.
+  Scenario: Connections to targets hold nothing once their answers have ended
+    Given connections to 4 targets that may hold 1000000 bytes together
+    When connections get 10000 bytes of 4 answers and 0 of the others by turns
+    And connections are closed
+    Then connections hold nothing
+
+  # Guards against the same with the bodies of callers. What has not begun to run can be
+  # refused.
+  Scenario: Caller connections refuse the request that holds the most
+    Given caller connections that may hold 300000 bytes together
+    When caller connections get 100000 bytes of "a", 150000 of "b" and 100000 of "c"
+    And caller connections get the rest of "a" and "c"
+    Then caller connection "b" answers 503 that has not run and closes
+    And caller connections "a" and "c" answer 200
+    And caller connections hold nothing
+
+  Scenario: Caller connections refuse no request that may run
+    Given caller connections that may hold 300000 bytes together
+    And caller connections whose requests run on
+    When caller connections get 200000 bytes of "a" and all of it
+    And caller connections get 150000 bytes of "b"
+    Then caller connection "b" answers 503 that has not run and closes
+    And caller connection "a" answers nothing yet
+
+  # Guards against answers that fill the process because callers don't read them.
+  Scenario: Caller connections end the one that reads the least
+    Given caller connections that may hold 300000 bytes together
+    And caller connections whose callers "a" and "b" don't read
+    When caller connections write 200000 bytes to "a" and 120000 to "b"
+    Then caller connection "a" is closed and "b" is not
+
+  # Guards against pipelined bytes that fill the process while a request runs.
+  Scenario: Caller connections stop reading behind a request
+    Given caller connections that may hold 300000 bytes together
+    And caller connections whose requests run on
+    When caller connections get 1000 bytes of "a" and all of it
+    Then caller connection "a" stops reading after 64 KB more
--- a/tests/steps/direct_choice_steps.py
+++ b/tests/steps/direct_choice_steps.py
@@ -237,3 +237,69 @@
     )
     by_name = {c.record.target_id: c.residency for c in ranked}
     assert by_name[name] == residency, by_name
+
+
+def first_choice(context, now_s):
+    """Return the first engine for a request; the states of all engines are fresh."""
+    for target in context.records:
+        context.choice.view(target.target_id).state_received_s = now_s
+    ranked = context.choice.rank_engines(
+        context.records, KEY, 100, (), now_s, needs_adapter=False
+    )
+    return ranked[0].record.target_id
+
+
+def is_tried(context, name, now_s):
+    """Return whether a target is chosen although another one has more requests."""
+    for target in context.records:
+        context.choice.view(target.target_id).in_flight = 1
+    context.choice.view(name).in_flight = 0
+    return first_choice(context, now_s) == name
+
+
+@when('target choice sees only answers of "{name}" without end for {duration_s:g} s')
+def only_endless(context, name, duration_s):
+    context.tried_at_s = []
+    for step in range(int(duration_s * 10)):
+        now_s = NOW_S + step / 10
+        if is_tried(context, name, now_s):
+            context.tried_at_s.append(now_s)
+            context.choice.answer_had_no_end(name, now_s)
+
+
+@then('target choice has tried "{name}" {count:d} times and other targets otherwise')
+def tried_times(context, name, count):
+    pauses = [round(s - NOW_S, 1) for s in context.tried_at_s]
+    assert pauses == [0, 1, 3, 7, 15, 23, 31, 39] and len(pauses) == count, pauses
+
+
+@when('target choice sees {count:d} answers of "{name}" without end at once')
+def endless_at_once(context, count, name):
+    for _ in range(count):
+        context.choice.answer_had_no_end(name, NOW_S)
+    assert not is_tried(context, name, NOW_S + 0.9)
+
+
+@then('target choice uses "{name}" again after {pause_s:g} s')
+def used_again(context, name, pause_s):
+    assert is_tried(context, name, NOW_S + pause_s)
+
+
+@when(
+    'target choice sees answers of "{name}" without end {count:d} times and then a '
+    "complete one"
+)
+def endless_then_complete(context, name, count):
+    for number in range(count):
+        context.choice.answer_had_no_end(name, NOW_S + 10 * number)
+    context.choice.answer_completed(name)
+    context.now_s = NOW_S + 100
+
+
+@then(
+    'target choice uses "{name}" again {pause_s:g} s after the next answer without end'
+)
+def used_after_next(context, name, pause_s):
+    context.choice.answer_had_no_end(name, context.now_s)
+    assert not is_tried(context, name, context.now_s + pause_s - 0.1)
+    assert is_tried(context, name, context.now_s + pause_s)
--- a/tests/steps/faulty_targets_steps.py
+++ b/tests/steps/faulty_targets_steps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from behave import given
+from behave import given, then
 
 LONG_NUMBER = "9" * 5000
 
@@ -13,3 +13,19 @@
     value = value.replace("5000 digits", LONG_NUMBER)
     for engine in context.direct.engines.values():
         engine.answer_headers[header] = value
+
+
+def views(context):
+    return context.direct.entry._state.choice._views.values()
+
+
+@then("direct path counts {count:d} answers without end")
+def counts_endless(context, count):
+    counted = sum(view.endless_answers for view in views(context))
+    assert counted == count, counted
+
+
+@then("direct path counts {count:d} failure of a target")
+def counts_failures(context, count):
+    failed = [view.failure_rate for view in views(context) if view.failure_rate]
+    assert len(failed) == count, failed
--- a/tools/_mutations_decisions.py
+++ b/tools/_mutations_decisions.py
@@ -162,8 +162,8 @@
     Mutation(
         "bound on an event",
         "decisions/event_stream.py",
-        "if len(self._buffer) - max(end, 0) > MAX_EVENT_BYTES:",
-        "if False:",
+        '            self._size.add(len(data))\n            return b""\n',
+        '            return b""\n',
         "decisions/answer_progress",
         "gives up on an event without end",
     ),
