--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -313,7 +313,7 @@
         # Further requests are refused, on new connections and on kept ones: an answer
         # that began before the stop had no "Connection: close".
         self._forwarder.stop_accepting()
-        until_s = started_s + self._settings.bounds.stop_s - STOP_MARGIN_S
+        until_s = started_s + self._state.bounds.stop_s - STOP_MARGIN_S
         while (now_s := self._clock.monotonic_s()) < until_s:
             # Closing the listener resets connections that are not accepted yet.
             if now_s - self._last_opened_at_s > QUIET_BEFORE_CLOSE_S:
--- a/tests/direct/platform.feature
+++ b/tests/direct/platform.feature
@@ -73,6 +73,14 @@
     Then direct path answered that request with 200
     And direct path entry had not exited before the answer
 
+  Scenario: Direct path goes by the time to stop that its settings name now
+    # Guards against requests that are cut by a stop: the platform ends a process after
+    # the time in the present settings, which may differ from that at its start.
+    Given direct path with a store, a configuration and two plain targets
+    And direct path has reloaded settings with 6.0 s to stop, and requests may take 8 s
+    When direct path is asked to stop while a request runs for 4.2 s
+    Then direct path answered that request with 200
+
   Scenario: Direct path keeps an answer whose caller sends too much behind its request
     # Guards against an answer that is cut off because the caller's next request exceeds the
     # limits, which a new configuration may have lowered.
--- a/tests/steps/direct_platform_steps.py
+++ b/tests/steps/direct_platform_steps.py
@@ -3,9 +3,10 @@
 from __future__ import annotations
 
 import asyncio
+from dataclasses import replace
 
 import urllib3
-from behave import then, when
+from behave import given, then, when
 
 from tests.fakes.direct import HOST, configuration, route
 
@@ -20,6 +21,22 @@
     system.run(asyncio.sleep(0.1))
 
 
+@given(
+    "direct path has reloaded settings with {stop_s:g} s to stop, and requests may "
+    "take {timeout_s:d} s"
+)
+def reloaded(context, stop_s, timeout_s):
+    system = context.direct
+    system.bounds = replace(system.bounds, stop_s=stop_s)
+    system.call(system.entry.reload)
+    routes = [
+        route(name, kind, "plain", attempts=1, timeoutMs=timeout_s * 1000)
+        for name, kind in (("safe", "safe"), ("once", "unsafe"))
+    ]
+    system.configure(configuration(10, routes))
+    assert system.wait(lambda: system.entry._state.table.state.version == 10)
+
+
 @when('direct path store deletes its old records after version 6 without "safe"')
 def deletes_records(context):
     system = context.direct
--- a/tools/_mutations_reading.py
+++ b/tools/_mutations_reading.py
@@ -287,4 +287,12 @@
         "agent/large_bodies",
         "ends a body that takes too long",
     ),
+    Mutation(
+        "time to stop of reloaded settings",
+        "direct/entry_process.py",
+        "started_s + self._state.bounds.stop_s",
+        "started_s + self._settings.bounds.stop_s",
+        "direct/platform",
+        "goes by the time to stop",
+    ),
 )
