--- a/lentiltally/agent/engine_client.py
+++ b/lentiltally/agent/engine_client.py
@@ -20,6 +20,11 @@
     new_pool,
     target_error,
 )
+from lentiltally.decisions.message_size import (
+    MessageLimits,
+    MessageSize,
+    MessageTooLargeError,
+)
 from lentiltally.http_bodies import read_body
 
 _Document = TypeVar("_Document")
@@ -36,7 +41,10 @@
 MAX_UNUSED_BYTES = 64 * 1024
 MAX_UNUSED_S = 1.0
 # An event is kept until it is complete; a faulty engine may send bytes without end.
-MAX_UNREAD_BYTES = 1024 * 1024
+EVENT_LIMITS = MessageLimits(max_bytes=1024 * 1024)
+# Chunks that are read before the reader goes on with other streams. A chunk may have a
+# single byte.
+MAX_READS_PER_TURN = 64
 EVENT_END = b"\n\n"
 LINE_END = b"\r\n"
 HTTP_CONFLICT = 409
@@ -299,13 +307,21 @@
 
 
 class EngineStream:
-    """The events of a streamed answer, as they arrive on one connection."""
+    """The events of a streamed answer, as they arrive on one connection.
+
+    ``has_more`` says that the last turn of ``read_events`` has left bytes that need not
+    make the connection readable.
+    """
 
     def __init__(self, response: urllib3.BaseHTTPResponse, name: str) -> None:
         """Read nothing yet; ``name`` is the target's name, used in errors."""
         self._response = response
         self.name = name
-        self._buffer = b""
+        self._buffer = bytearray()
+        # Where the last complete event in the buffer ends, 0 without one.
+        self._events_end = 0
+        self._event_size = MessageSize(EVENT_LIMITS)
+        self.has_more = False
         self.status = response.status
         self.content_type = response.headers.get("Content-Type", "text/event-stream")
 
@@ -346,31 +362,52 @@
     def read_events(self) -> Iterator[EventBlock | None]:
         """Yield the events that have arrived, and None at the end of the body.
 
-        To be called when the connection is readable; it waits only for the rest of a
-        chunk that has arrived in part. Events that have arrived together are yielded
-        together, in blocks of about ``MAX_READ_BYTES``. Raises TargetError if the
-        connection breaks.
+        To be called when the connection is readable or ``has_more`` is set; it waits
+        only for the rest of a chunk that has arrived in part. Events that have arrived
+        together are yielded together, in blocks of about ``MAX_READ_BYTES``. It ends
+        after ``MAX_READS_PER_TURN`` chunks. Raises TargetError if the connection breaks
+        or an event has no end.
         """
-        is_at_end = False
-        has_more_data = True
-        while has_more_data and not is_at_end:
+        self.has_more = False
+        for _ in range(MAX_READS_PER_TURN):
             data = self._read_chunk()
-            is_at_end = not data
-            self._buffer += data
-            if len(self._buffer) > MAX_UNREAD_BYTES:
-                raise self.wrap_error(ValueError("an event without end"))
-            has_more_data = not is_at_end and self.has_buffered_data()
-            end = self._buffer.rfind(EVENT_END)
-            if end >= 0 and not (has_more_data and len(self._buffer) < MAX_READ_BYTES):
-                events, self._buffer = self._buffer[: end + 2], self._buffer[end + 2 :]
-                yield EventBlock(
-                    events.count(EVENT_END),
-                    events,
-                    _last_id(events[: events.index(EVENT_END) + 2]),
-                    _last_id(events),
-                )
-        if is_at_end:
-            yield None
+            self._add(data)
+            self.has_more = bool(data) and self.has_buffered_data()
+            is_block_full = len(self._buffer) >= MAX_READ_BYTES
+            if self._events_end and (is_block_full or not self.has_more):
+                yield self._take_events()
+            if not data:
+                yield None
+            if not self.has_more:
+                return
+        if self._events_end:
+            yield self._take_events()
+
+    def _add(self, data: bytes) -> None:
+        """Add bytes to the buffer; only they are searched for the end of an event."""
+        searched_bytes = max(0, len(self._buffer) - 1)
+        self._buffer += data
+        end = self._buffer.rfind(EVENT_END, searched_bytes)
+        size_bytes = len(data)
+        if end >= 0:
+            self._events_end = end + len(EVENT_END)
+            self._event_size = MessageSize(EVENT_LIMITS)
+            size_bytes = len(self._buffer) - self._events_end
+        try:
+            self._event_size.add(size_bytes)
+        except MessageTooLargeError as error:
+            raise self.wrap_error(error) from error
+
+    def _take_events(self) -> EventBlock:
+        events = bytes(self._buffer[: self._events_end])
+        del self._buffer[: self._events_end]
+        self._events_end = 0
+        return EventBlock(
+            events.count(EVENT_END),
+            events,
+            _last_id(events[: events.index(EVENT_END) + len(EVENT_END)]),
+            _last_id(events),
+        )
 
     def wrap_error(self, cause: Exception) -> TargetError:
         """Return the TargetError for a connection that broke or timed out."""
--- a/lentiltally/agent/stream_reader.py
+++ b/lentiltally/agent/stream_reader.py
@@ -69,6 +69,8 @@
         self._selector.register(self._wake_receiver, selectors.EVENT_READ)
         self._new_answers: deque[_FollowedAnswer] = deque()
         self._connections: dict[EngineStream, _Connection] = {}
+        # Connections whose last turn has left something to read.
+        self._unfinished: list[_Connection] = []
         self._stopped = threading.Event()
         self._thread = threading.Thread(target=self._run, daemon=True, name="streams")
 
@@ -108,7 +110,8 @@
     def _run(self) -> None:
         check_due_s = 0.0
         while not self._stopped.is_set():
-            self._read_ready(TIMEOUT_CHECK_INTERVAL_S)
+            self._read_ready(0.0 if self._unfinished else TIMEOUT_CHECK_INTERVAL_S)
+            self._read_unfinished()
             while self._new_answers:
                 self._add(self._new_answers.popleft())
             now_s = self._clock.monotonic_s()
@@ -125,6 +128,12 @@
             else:
                 self._read(key.data)
 
+    def _read_unfinished(self) -> None:
+        """Give each connection that has more to read its next turn."""
+        connections, self._unfinished = self._unfinished, []
+        for connection in connections:
+            self._read(connection)
+
     def _add(self, answer: _FollowedAnswer) -> None:
         for stream in list(answer.handlers):
             # The connection before may have delivered already.
@@ -163,6 +172,8 @@
                 if is_last:
                     self._end(answer, None)
                     return
+            if stream.has_more:
+                self._unfinished.append(connection)
         except Exception as error:
             if not isinstance(error, TargetError):
                 _log.exception("unexpected error while reading an engine stream")
--- a/tests/agent/streams.feature
+++ b/tests/agent/streams.feature
@@ -34,3 +34,24 @@
     # Guards against memory that a faulty engine fills with one event.
     Given stream reader reads a stream of one event without end
     Then stream reader reports an error after which the request may have run
+
+  # Guards against a reader that stands still for all streams, because one engine sends
+  # more than it can read, or one event in very small pieces.
+  Scenario Outline: Engine stream ends its turn while <what> arrive
+    Given engine stream of an engine that sends <what>
+    When engine stream is read for one turn
+    Then engine stream has read 64 chunks and has more
+
+    Examples:
+      | what                       |
+      | events without end         |
+      | single bytes without end   |
+
+  Scenario: Engine stream searches single bytes only once
+    Given engine stream of an engine that sends single bytes without end
+    When engine stream is read until it fails
+    Then engine stream has searched at most 2 bytes for each byte
+
+  Scenario: Stream reader passes on the events of a stream beside another without end
+    Given stream reader reads a stream beside one that sends events without end
+    Then stream reader has passed on events of both
--- a/tests/steps/streams_steps.py
+++ b/tests/steps/streams_steps.py
@@ -10,7 +10,7 @@
 from concurrent.futures import ThreadPoolExecutor
 
 import urllib3
-from behave import given, then
+from behave import given, then, when
 
 from lentiltally.agent._http import TargetError
 from lentiltally.agent.engine_client import EngineClient, EngineStream
@@ -238,3 +238,119 @@
             result.exception(20.0)
     for end in (slow_receiver, slow_sender, receiver, sender):
         end.close()
+
+
+PIECES = {
+    "events without end": b"id: 1\ndata: {}\n\n",
+    "single bytes without end": b"a",
+}
+
+
+class EndlessResponse:
+    """Always has one more piece."""
+
+    status = 200
+    headers: dict[str, str] = {}
+
+    def __init__(self, piece):
+        self._piece = piece
+        self.reads = 0
+
+    def read1(self, size):
+        self.reads += 1
+        return self._piece
+
+
+class EndlessStream(EngineStream):
+    """A stream of a response that always has more."""
+
+    def has_buffered_data(self):
+        return True
+
+
+class CountingBuffer(bytearray):
+    """Counts the bytes that are searched."""
+
+    searched_bytes = 0
+
+    def rfind(self, what, start=0):
+        type(self).searched_bytes += len(self) - start
+        return super().rfind(what, start)
+
+
+@given("engine stream of an engine that sends {what}")
+def endless_stream(context, what):
+    context.response = EndlessResponse(PIECES[what])
+    context.stream = EndlessStream(context.response, "engine")
+    CountingBuffer.searched_bytes = 0
+    context.stream._buffer = CountingBuffer()
+
+
+@when("engine stream is read for one turn")
+def read_turn(context):
+    for _ in zip(range(1000), context.stream.read_events(), strict=False):
+        pass
+
+
+@then("engine stream has read {count:d} chunks and has more")
+def has_read(context, count):
+    assert context.response.reads == count, context.response.reads
+    assert context.stream.has_more
+
+
+@when("engine stream is read until it fails")
+def read_until_failure(context):
+    context.error = None
+    while context.error is None and context.response.reads < 100_000:
+        try:
+            list(context.stream.read_events())
+        except TargetError as error:
+            context.error = error
+
+
+@then("engine stream has searched at most {count:d} bytes for each byte")
+def searched_once(context, count):
+    assert context.error is not None
+    limit = count * context.response.reads
+    assert 0 < CountingBuffer.searched_bytes <= limit, CountingBuffer.searched_bytes
+
+
+@given("stream reader reads a stream beside one that sends events without end")
+def beside_endless(context):
+    reader = StreamReader(SystemClock())
+    context.add_cleanup(reader.stop)
+    receiver, sender = socket.socketpair()
+    endless_receiver, endless_sender = socket.socketpair()
+    context.counts = [0, 0]
+
+    def on_endless(block):
+        context.counts[0] += block.count
+        return context.counts[0] > 100 and context.counts[1] > 0
+
+    def on_block(block):
+        context.counts[1] += block.count
+        return True
+
+    class Endless(EndlessResponse):
+        def fileno(self):
+            return endless_receiver.fileno()
+
+    endless = EndlessStream(Endless(PIECES["events without end"]), "engine")
+    stream = EngineStream(SocketResponse(receiver), "engine")
+    # What it has left after a turn makes its connection readable no more.
+    with ThreadPoolExecutor(2) as pool:
+        results = [
+            pool.submit(reader.follow, {endless: on_endless}, 10.0),
+            pool.submit(reader.follow, {stream: on_block}, 10.0),
+        ]
+        reader.start()
+        sender.sendall(PIECES["events without end"])
+        for result in results:
+            result.exception(20.0)
+    for end in (receiver, sender, endless_receiver, endless_sender):
+        end.close()
+
+
+@then("stream reader has passed on events of both")
+def events_of_both(context):
+    assert context.counts[0] > 100 and context.counts[1] == 1, context.counts
--- a/tools/_mutations_reading.py
+++ b/tools/_mutations_reading.py
@@ -295,4 +295,28 @@
         "direct/platform",
         "goes by the time to stop",
     ),
+    Mutation(
+        "turns of streams, on the own interface",
+        "agent/engine_client.py",
+        "for _ in range(MAX_READS_PER_TURN):",
+        "for _ in range(100 * MAX_READS_PER_TURN):",
+        "agent/streams",
+        "ends its turn while",
+    ),
+    Mutation(
+        "search of unfinished events, on the own interface",
+        "agent/engine_client.py",
+        "self._buffer.rfind(EVENT_END, searched_bytes)",
+        "self._buffer.rfind(EVENT_END)",
+        "agent/streams",
+        "searches single bytes only once",
+    ),
+    Mutation(
+        "streams that have more to read, on the own interface",
+        "agent/stream_reader.py",
+        "                self._unfinished.append(connection)\n",
+        "                pass\n",
+        "agent/streams",
+        "beside another without end",
+    ),
 )
