--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -32,6 +32,12 @@
         f"X-Request-Id: REQUEST\r\n{SIGNATURE_HEADER}: proof\r\n\r\nid: 1\n",
         "data: " + "a" * 16_384 + "\n",
     ),
+    "endless-small-event": (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        "Transfer-Encoding: chunked\r\n"
+        f"X-Request-Id: REQUEST\r\n{SIGNATURE_HEADER}: proof\r\n\r\n",
+        "1\r\na\r\n" * 10_000,
+    ),
     "endless-refusal": (
         "HTTP/1.1 503 Full\r\nX-Request-Id: REQUEST\r\nX-Not-Executed: 1\r\n\r\n",
         "a" * 8192,
@@ -105,6 +111,7 @@
     - ``endless-head``, ``endless-interim``, ``endless-body``, ``endless-event``:
       executes and sends header lines, informational responses, the body of an answer to
       another request, or one event, until the caller closes the connection
+    - ``endless-small-event``: the same with one event in chunks of one byte
     - ``endless-refusal``, ``endless-unsigned``, ``endless-error``, ``slow-error``,
       ``endless-answer``, ``endless-chunks``: the same with the body of a refusal, of an
       answer without a signature, of an error (also slowly), or of a regular answer
