--- a/lentiltally/direct/pages.py
+++ b/lentiltally/direct/pages.py
@@ -9,12 +9,16 @@
 from lentiltally.direct.caller_connection import CallerConnection
 from lentiltally.direct.model import CallerLimits
 from lentiltally.direct.raw_request import RawRequest
+from lentiltally.direct.read_resources import ReadResources
 from lentiltally.direct.settings import SocketAddress
 from lentiltally.problems import Refusal
 
 __all__ = ["METRICS_PATH", "PageServer"]
 
 METRICS_PATH = b"/metrics"
+# What callers of pages may hold together: requests, which have no body, and pages that
+# they don't read.
+MAX_HELD_BYTES = 8 * 1024 * 1024
 
 Page = Callable[[], tuple[int, bytes]]
 
@@ -26,6 +30,7 @@
         """Serve the page of each path; a page returns its status and body."""
         self._pages = pages
         self._clock = clock
+        self._resources = ReadResources.from_limit(MAX_HELD_BYTES)
         self._connections: set[CallerConnection] = set()
         self.limits = CallerLimits(body_bytes=0)
         self.is_stopping = False
@@ -34,7 +39,7 @@
         """Listen on an address; raises OSError."""
         loop = asyncio.get_running_loop()
         return await loop.create_server(
-            lambda: CallerConnection(self, self._clock),
+            lambda: CallerConnection(self, self._clock, self._resources),
             address.ip,
             address.port,
             reuse_address=True,
--- a/lentiltally/direct/target_sender.py
+++ b/lentiltally/direct/target_sender.py
@@ -77,20 +77,21 @@
         """
         target_id = self._record.target_id
         now_s = self._clock.monotonic_s()
-        is_cut_off = result is None or result.outcome is ExchangeOutcome.SLOW
-        if (result is not None and result.is_too_large) or (
-            is_cut_off and has_large_answer
-        ):
+        is_cut_off = False
+        if result is None:
+            is_cut_off = is_late
+            is_failure = is_late and self._has_begun
+        elif result.outcome is ExchangeOutcome.SLOW:
+            is_cut_off = is_failure = has_stalled
+        else:
+            is_failure = result.outcome not in _NOT_FAILURES
+        is_too_large = result is not None and result.is_too_large
+        if is_too_large or (is_cut_off and has_large_answer):
             self._choice.answer_had_no_end(target_id, now_s)
         elif result is not None and result.outcome is ExchangeOutcome.DELIVERED:
             self._choice.answer_completed(target_id)
         if not self._has_begun:
             self._choice.ended_without_answer(target_id, self._tokens)
-        is_failure = result is not None and result.outcome not in _NOT_FAILURES
-        if result is not None and result.outcome is ExchangeOutcome.SLOW:
-            is_failure = has_stalled
-        if result is None:
-            is_failure = is_late and self._has_begun
         self._choice.ended(target_id, is_failure=is_failure, now_s=now_s)
 
 
--- a/tests/direct/faulty_targets.feature
+++ b/tests/direct/faulty_targets.feature
@@ -75,6 +75,14 @@
     Then direct path answers 504 with execution unknown
     And direct path counts 1 failure of a target
 
+  # Guards against sound targets that are avoided because callers leave.
+  Scenario: Direct path holds it against no target that a caller left during an answer
+    Given direct path with a store, a configuration and two plain targets
+    And direct path targets handle the next request as "endless-answer"
+    When direct path gets a GET to "/safe/x" whose caller leaves after 0.05 s
+    Then direct path closed the connection to the target of "r1" within 1.0 s
+    And direct path counts 0 answers without end
+
   # Guards against stalled answers that never end because a byte arrives now and then.
   Scenario: Direct path resumes a stream whose engine only sends single bytes
     Given direct path with a store, a configuration and two engines of 2 adapter slots
--- a/tests/steps/faulty_targets_steps.py
+++ b/tests/steps/faulty_targets_steps.py
@@ -2,7 +2,7 @@
 
 from __future__ import annotations
 
-from behave import given, then
+from behave import given, then, when
 
 LONG_NUMBER = "9" * 5000
 
@@ -29,3 +29,8 @@
 def counts_failures(context, count):
     failed = [view.failure_rate for view in views(context) if view.failure_rate]
     assert len(failed) == count, failed
+
+
+@when('direct path gets a GET to "{path}" whose caller leaves after {after_s:g} s')
+def caller_leaves(context, path, after_s):
+    context.direct.send(path, disconnect_after_s=after_s)
--- a/tools/_mutations_reading.py
+++ b/tools/_mutations_reading.py
@@ -319,4 +319,12 @@
         "agent/streams",
         "beside another without end",
     ),
+    Mutation(
+        "callers that leave during an answer",
+        "direct/target_sender.py",
+        "            is_cut_off = is_late\n",
+        "            is_cut_off = True\n",
+        "direct/faulty_targets",
+        "that a caller left during an answer",
+    ),
 )
--- a/tools/_mutations_targets.py
+++ b/tools/_mutations_targets.py
@@ -276,8 +276,8 @@
     Mutation(
         "superseded is no failure",
         "direct/target_sender.py",
-        "            is_failure = has_stalled\n",
-        "            is_failure = True\n",
+        "            is_cut_off = is_failure = has_stalled\n",
+        "            is_cut_off = is_failure = True\n",
         "direct/silence",
         "holds it against no sound engine",
     ),
