--- a/lentiltally/decisions/event_stream.py
+++ b/lentiltally/decisions/event_stream.py
@@ -16,6 +16,8 @@
 # A partial event is kept until it is complete. Events of the engines have some hundred
 # bytes, but a faulty engine may send bytes without end.
 EVENT_LIMITS = MessageLimits(max_bytes=256 * 1024, small_pieces=1024)
+EVENT_END = b"\n\n"
+DATA = b"data"
 # An id fits 64 bits, so a header can name it.
 MAX_ID_DIGITS = 18
 
@@ -31,15 +33,33 @@
 
 
 class EventStream:
-    """The part of a stream that one target produces."""
+    """The part of a stream that one target produces.
 
-    __slots__ = ("_buffer", "_last_id", "_size", "complete_events")
+    Events that say nothing are held back until one that does: a faulty target may send
+    them without end, and a stream that has begun with them can't be answered
+    otherwise any more. These are comments, and in a stream that another target may
+    continue (``needs_ids``) all events without an id. ``checked_events`` counts the
+    events of the last data.
+    """
 
-    def __init__(self, resume_after: int | None) -> None:
+    __slots__ = (
+        "_buffer",
+        "_held",
+        "_last_id",
+        "_needs_ids",
+        "_size",
+        "checked_events",
+        "complete_events",
+    )
+
+    def __init__(self, resume_after: int | None, *, needs_ids: bool = False) -> None:
         """Start after the last event that the caller has received, if any."""
         self._buffer = bytearray()
+        self._held = bytearray()
         self._last_id = resume_after
+        self._needs_ids = needs_ids
         self._size = MessageSize(EVENT_LIMITS)
+        self.checked_events = 0
         self.complete_events = 0
 
     @property
@@ -54,40 +74,62 @@
 
     @property
     def partial_bytes(self) -> int:
-        """Return how much of an event is kept until it is complete."""
-        return len(self._buffer)
+        """Return how much is kept until an event is complete that says something."""
+        return len(self._buffer) + len(self._held)
+
+    @property
+    def held_back(self) -> bytes:
+        """Return the complete events that no other event has followed yet."""
+        return bytes(self._held)
 
     def received(self, data: bytes) -> bytes:
         """Add bytes from the target and return the events that they complete.
 
-        Raises MessageTooLargeError if an event is too large, and StreamBroken if its id
-        is too long or does not follow the last one.
+        Raises MessageTooLargeError if an event is too large, also with what is held
+        back before it, and StreamBroken if its id is too long or does not follow the
+        last one.
         """
         # An event may come in many pieces, so what was searched is not searched again.
         searched_bytes = max(0, len(self._buffer) - 1)
         self._buffer += data
-        end = self._buffer.rfind(b"\n\n", searched_bytes)
+        self.checked_events = 0
+        end = self._buffer.rfind(EVENT_END, searched_bytes)
         if end < 0:
             self._size.add(len(data))
             return b""
-        complete = bytes(self._buffer[: end + 2])
-        del self._buffer[: end + 2]
+        complete = bytes(self._buffer[: end + len(EVENT_END)])
+        del self._buffer[: end + len(EVENT_END)]
+        told_bytes = self._check_events(complete)
+        if not told_bytes:
+            self._held += complete
+            self._size.add(len(data), self.checked_events)
+            return b""
+        events = bytes(self._held) + complete[:told_bytes]
+        self._held[:] = complete[told_bytes:]
         self._size = MessageSize(EVENT_LIMITS)
-        self._size.add(len(self._buffer))
-        for event in complete.split(b"\n\n"):
-            if event.strip():
-                self._check(event)
-        return complete
-
-    def _check(self, event: bytes) -> None:
+        self._size.add(self.partial_bytes)
+        return events
+
+    def _check_events(self, events: bytes) -> int:
+        """Check complete events; return where the last one ends that says something."""
+        told_bytes = start = 0
+        while (end := events.find(EVENT_END, start)) >= 0:
+            self.checked_events += 1
+            if self._says_something(events[start:end]):
+                told_bytes = end + len(EVENT_END)
+            start = end + len(EVENT_END)
+        return told_bytes
+
+    def _says_something(self, event: bytes) -> bool:
         number = _parse_event_id(event)
         if number is None:
-            # Comments and notices have no id and are passed on unchanged.
-            return
+            has_data = event.startswith(DATA) or b"\n" + DATA in event
+            return has_data and not self._needs_ids
         if self._last_id is not None and number != self._last_id + 1:
             raise StreamBroken(f"event {number} follows event {self._last_id}")
         self._last_id = number
         self.complete_events += 1
+        return True
 
 
 def _parse_event_id(event: bytes) -> int | None:
--- a/lentiltally/decisions/message_size.py
+++ b/lentiltally/decisions/message_size.py
@@ -39,11 +39,11 @@
         self._pieces = 0
         self.bytes = 0
 
-    def add(self, piece_bytes: int) -> None:
-        """Count one piece; raises MessageTooLargeError."""
+    def add(self, size_bytes: int, pieces: int = 1) -> None:
+        """Count bytes that came in a number of pieces; raises MessageTooLargeError."""
         limits = self._limits
-        self._pieces += 1
-        self.bytes += piece_bytes
+        self._pieces += pieces
+        self.bytes += size_bytes
         if self.bytes > limits.max_bytes:
             raise MessageTooLargeError(f"more than {limits.max_bytes} bytes")
         large_pieces = self.bytes // limits.min_piece_bytes
--- a/lentiltally/direct/caller_answer.py
+++ b/lentiltally/direct/caller_answer.py
@@ -72,9 +72,11 @@
         self._connection.send_data(events)
         await self._connection.drain()
 
-    def end_stream(self, head: AnswerHead) -> None:
+    def end_stream(self, head: AnswerHead, last_events: bytes) -> None:
         """Complete the stream."""
         self._send_head(head)
+        if last_events:
+            self._connection.send_data(last_events)
         self._connection.end_answer()
         self.is_complete = True
 
@@ -116,12 +118,19 @@
     __slots__ = ("_answer", "_continue_answer", "_stream")
 
     def __init__(
-        self, answer: CallerAnswer, continue_answer: Callable[[], None]
+        self,
+        answer: CallerAnswer,
+        continue_answer: Callable[[], None],
+        *,
+        is_resumable: bool,
     ) -> None:
-        """Continue the answer after what the caller has received so far."""
+        """Continue the answer after what the caller has received so far.
+
+        A stream that ``is_resumable`` needs an id in each event.
+        """
         self._answer = answer
         self._continue_answer = continue_answer
-        self._stream = EventStream(answer.last_event_id)
+        self._stream = EventStream(answer.last_event_id, needs_ids=is_resumable)
 
     @property
     def has_partial_event(self) -> bool:
@@ -130,15 +139,20 @@
 
     @property
     def partial_bytes(self) -> int:
-        """Return how much of an event is kept until it is complete."""
+        """Return how much is kept until an event is complete that says something."""
         return self._stream.partial_bytes
 
+    @property
+    def checked_events(self) -> int:
+        """Return how many events the last data had."""
+        return self._stream.checked_events
+
     def can_continue_with(self, head: AnswerHead) -> bool:
         """Return whether the target's answer may follow what the caller has."""
         return self._answer.can_continue_with(head)
 
     async def data_received(self, head: AnswerHead, data: bytes) -> bool:
-        """Forward the complete events in the data; return whether there were any."""
+        """Forward complete events; return whether one of them says something."""
         events_before = self._stream.complete_events
         events = self._stream.received(data)
         if not events:
@@ -153,7 +167,7 @@
     def end_stream(self, head: AnswerHead) -> None:
         """Complete the stream."""
         self._continue_answer()
-        self._answer.end_stream(head)
+        self._answer.end_stream(head, self._stream.held_back)
 
     def send_whole(self, head: AnswerHead, body: bytes) -> None:
         """Write an answer that was received completely."""
--- a/lentiltally/direct/http_connection.py
+++ b/lentiltally/direct/http_connection.py
@@ -223,6 +223,10 @@
             await self._turns.wait()
             self._pieces_in_turn = 1
 
+    def count_pieces(self, pieces: int) -> None:
+        """Count work of the reader as that many pieces, towards the end of its turn."""
+        self._pieces_in_turn += pieces
+
     def keep(self, size_bytes: int) -> None:
         """Note how much of the answer its reader keeps until it is complete."""
         self._kept_bytes = size_bytes
--- a/lentiltally/direct/read_resources.py
+++ b/lentiltally/direct/read_resources.py
@@ -9,7 +9,8 @@
 
 __all__ = ["ReadResources"]
 
-RECEIVE_BYTES = 64 * 1024
+# What one read of a socket gives is processed in one step.
+RECEIVE_BYTES = 16 * 1024
 
 
 @dataclass(frozen=True, slots=True)
--- a/lentiltally/direct/target_exchange.py
+++ b/lentiltally/direct/target_exchange.py
@@ -49,6 +49,8 @@
 # A body that nobody gets is only read to use the connection again.
 UNUSED_LIMITS = MessageLimits(max_bytes=16 * 1024, small_pieces=64)
 UNUSED_BODY_TIMEOUT_S = 0.05
+# So many events take about as much work as one piece of the parser.
+EVENTS_PER_PIECE = 16
 # An answer, or an event, that is cut off after more than this may have no end.
 LARGE_ANSWER_BYTES = 64 * 1024
 LARGE_EVENT_BYTES = 4 * 1024
@@ -273,6 +275,9 @@
                 progress.event_completed(self._clock.monotonic_s())
             self._partial_event_bytes = answer.partial_bytes
             self._connection.keep(answer.partial_bytes)
+            self._connection.count_pieces(answer.checked_events // EVENTS_PER_PIECE)
+            if self._body_bytes > ANSWER_LIMITS.max_bytes:
+                raise MessageTooLargeError(f"more than {ANSWER_LIMITS.max_bytes} bytes")
         if answer.has_partial_event:
             return self._failed(ExchangeOutcome.BROKEN, "ended within an event")
         answer.end_stream(head)
--- a/lentiltally/direct/target_sender.py
+++ b/lentiltally/direct/target_sender.py
@@ -157,7 +157,11 @@
         is_stream = self._route.kind is RouteKind.STREAM
         result: ExchangeResult | None = None
         try:
-            part = AnswerPart(self._answer, turn.continue_answer)
+            part = AnswerPart(
+                self._answer,
+                turn.continue_answer,
+                is_resumable=self._route.is_resumable,
+            )
             result = await exchange.run(attempt, part, is_stream=is_stream)
             return result
         finally:
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -38,6 +38,21 @@
         f"X-Request-Id: REQUEST\r\n{SIGNATURE_HEADER}: proof\r\n\r\n",
         "1\r\na\r\n" * 10_000,
     ),
+    "endless-comments": (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Request-Id: REQUEST\r\n{SIGNATURE_HEADER}: proof\r\n\r\n",
+        ":\n\n" * 5_000,
+    ),
+    "endless-blank-lines": (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Request-Id: REQUEST\r\n{SIGNATURE_HEADER}: proof\r\n\r\n",
+        "\n" * 16_384,
+    ),
+    "endless-data": (
+        "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\n"
+        f"X-Request-Id: REQUEST\r\n{SIGNATURE_HEADER}: proof\r\n\r\n",
+        "data: a\n\n" * 2_000,
+    ),
     "endless-refusal": (
         "HTTP/1.1 503 Full\r\nX-Request-Id: REQUEST\r\nX-Not-Executed: 1\r\n\r\n",
         "a" * 8192,
@@ -100,6 +115,7 @@
     - ``cut``: resets the connection in the middle of the third event of a stream
     - ``skip``: leaves the third event of a stream out
     - ``long-id``, ``longest-id``: the id of the third event has 25 or 5,000 digits
+    - ``last-comment``: sends a comment behind the last event of a stream
     - ``stall``: sends two events of a stream and then nothing more
     - ``pause``: sends two events of a stream, nothing for ``pause_s``, then the rest
     - ``drip``: sends two events of a stream, or a part of a body, and then a byte every
@@ -112,6 +128,8 @@
       executes and sends header lines, informational responses, the body of an answer to
       another request, or one event, until the caller closes the connection
     - ``endless-small-event``: the same with one event in chunks of one byte
+    - ``endless-comments``, ``endless-blank-lines``, ``endless-data``: the same with
+      events that say nothing or have no id
     - ``endless-refusal``, ``endless-unsigned``, ``endless-error``, ``slow-error``,
       ``endless-answer``, ``endless-chunks``: the same with the body of a refusal, of an
       answer without a signature, of an error (also slowly), or of a regular answer
@@ -400,6 +418,8 @@
             if step == "drip" and number == first_id + 1:
                 await _drip(writer, b"1\r\n:\r\n")
             await asyncio.sleep(self.event_s)
+        if step == "last-comment":
+            writer.write(b"b\r\n: the end\n\n\r\n")
         writer.write(b"0\r\n\r\n")
         await writer.drain()
         return True
--- a/tests/decisions/answer_progress.feature
+++ b/tests/decisions/answer_progress.feature
@@ -24,3 +24,30 @@
   Scenario: Event stream gives up on an event without end
     # Guards against memory that a faulty engine fills with one event.
     Then event stream is broken by an event of 2 MB and takes 1000 events of 4 kB
+
+  Scenario Outline: Event stream passes on <events> as <parts>
+    # Guards against streams that begin with, or go on with, events that say nothing, and
+    # against such events of a sound engine that are lost.
+    Given event stream that <needs> ids
+    When event stream gets the events <events>
+    Then event stream has passed on <parts> and holds <rest> back
+
+    Examples:
+      | needs        | events   | parts      | rest |
+      | needs        | 1 c 2 c  | 1 c2       | c    |
+      | needs        | c d 1 2  | cd1 2      | none |
+      | needs        | 1 d d    | 1          | dd   |
+      | doesn't need | 1 d d c  | 1 d d      | c    |
+      | doesn't need | c d b d  | cd bd      | none |
+
+  Scenario Outline: Event stream gives up on events that say nothing
+    # Guards against memory and work for events that no caller waits for.
+    Given event stream that needs ids
+    Then event stream is broken by <events> before it has got <count> of them
+
+    Examples:
+      | events                 | count |
+      | comments               | 2000  |
+      | blank lines            | 2000  |
+      | data without ids       | 2000  |
+      | 1000 bytes without ids | 300   |
--- a/tests/direct/faulty_targets.feature
+++ b/tests/direct/faulty_targets.feature
@@ -58,14 +58,25 @@
       | endless-answer   | 1    |
       | endless-chunks   | 1    |
 
-  Scenario: Direct path resumes a stream although an event of one engine has no end
+  # Guards against a stream that can't be answered otherwise any more, because it has begun
+  # with events that say nothing, and against the work for them.
+  Scenario Outline: Direct path resumes a stream although one engine sends <step>
     Given direct path with a store, a configuration and two engines of 2 adapter slots
     And direct path engines have "a1" loaded
-    And direct path one target handles the next request as "endless-event"
+    And direct path one target handles the next request as "<step>"
     When direct path gets a stream from "/stream/x" for adapter "a1"
     Then direct path delivered the events 1 to 5 completely
+    And direct path delivered nothing but these events
     And direct path counts 1 answers without end
 
+    Examples:
+      | step                |
+      | endless-event       |
+      | endless-small-event |
+      | endless-comments    |
+      | endless-blank-lines |
+      | endless-data        |
+
   # Guards against requests that end with 504 to the last second, because nothing avoids a
   # target whose answers begin and don't end before the deadline.
   Scenario: Direct path takes an answer that is late for a failure of its target
@@ -83,6 +94,15 @@
     Then direct path closed the connection to the target of "r1" within 1.0 s
     And direct path counts 0 answers without end
 
+  # Guards against bytes of a sound stream that are lost, because they say nothing.
+  Scenario: Direct path passes on what comes behind the last event
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path engines have "a1" loaded
+    And direct path one target handles the next request as "last-comment"
+    When direct path gets a stream from "/stream/x" for adapter "a1"
+    Then direct path delivered the events 1 to 5 completely
+    And direct path delivered a comment at the end
+
   # Guards against stalled answers that never end because a byte arrives now and then.
   Scenario: Direct path resumes a stream whose engine only sends single bytes
     Given direct path with a store, a configuration and two engines of 2 adapter slots
--- a/tests/direct/read_turns.feature
+++ b/tests/direct/read_turns.feature
@@ -12,6 +12,12 @@
       | a connection to a target |
       | a caller's connection    |
 
+  # Guards against pieces that are full of tiny events.
+  Scenario: Read turns count the work for the events of a piece
+    Given read turns of a connection whose pieces take 32 times the work and that has 500
+    When read turns let the pieces be read beside other work
+    Then read turns let the other work go on after every 2 pieces
+
   # Guards against many such peers together: each of them may only add one turn.
   Scenario: Read turns let one connection go on at a time
     Given read turns with 50 connections waiting
--- a/tests/steps/answer_progress_steps.py
+++ b/tests/steps/answer_progress_steps.py
@@ -59,3 +59,49 @@
     except MessageTooLargeError:
         return
     raise AssertionError(f"kept {received_bytes} bytes of one event")
+
+
+# Events by letter: a number, data without an id, a comment, a blank one.
+EVENTS = {
+    "1": b"id: 1\ndata: a\n\n",
+    "2": b"id: 2\ndata: b\n\n",
+    "d": b"data: d\n\n",
+    "c": b": comment\n\n",
+    "b": b"\n\n",
+}
+
+
+@given("event stream that {needs} ids")
+def stream_with_ids(context, needs):
+    context.stream = EventStream(None, needs_ids=needs == "needs")
+
+
+@when("event stream gets the events {letters}")
+def gets_events(context, letters):
+    received = [context.stream.received(EVENTS[letter]) for letter in letters.split()]
+    context.passed_on = [data for data in received if data]
+
+
+@then("event stream has passed on {parts} and holds {rest} back")
+def has_passed_on(context, parts, rest):
+    expected = [b"".join(EVENTS[letter] for letter in part) for part in parts.split()]
+    assert context.passed_on == expected, context.passed_on
+    held = b"" if rest == "none" else b"".join(EVENTS[letter] for letter in rest)
+    assert context.stream.held_back == held, context.stream.held_back
+    assert not context.stream.has_partial_event
+
+
+@then("event stream is broken by {events} before it has got {count:d} of them")
+def broken_by(context, events, count):
+    event = {
+        "comments": EVENTS["c"],
+        "blank lines": EVENTS["b"],
+        "data without ids": EVENTS["d"],
+        "1000 bytes without ids": b"data: " + b"a" * 1000 + b"\n\n",
+    }[events]
+    try:
+        for _ in range(count // 10):
+            context.stream.received(event * 10)
+    except MessageTooLargeError:
+        return
+    raise AssertionError(f"kept {context.stream.partial_bytes} bytes")
--- a/tests/steps/faulty_targets_steps.py
+++ b/tests/steps/faulty_targets_steps.py
@@ -34,3 +34,15 @@
 @when('direct path gets a GET to "{path}" whose caller leaves after {after_s:g} s')
 def caller_leaves(context, path, after_s):
     context.direct.send(path, disconnect_after_s=after_s)
+
+
+@then("direct path delivered nothing but these events")
+def nothing_else(context):
+    events = context.answer.body.split(b"\n\n")
+    ids = context.answer.event_ids()
+    assert len(events) == len(ids) + 1 and events[-1] == b"", events[:10]
+
+
+@then("direct path delivered a comment at the end")
+def comment_at_end(context):
+    assert context.answer.body.endswith(b"\n\n: the end\n\n"), context.answer.body[-80:]
--- a/tests/steps/read_turns_steps.py
+++ b/tests/steps/read_turns_steps.py
@@ -6,6 +6,7 @@
 import contextlib
 import itertools
 import socket
+from functools import partial
 
 import h11
 from behave import given, then, when
@@ -55,8 +56,11 @@
         return super().rfind(what, start)
 
 
-async def read_answer(transport, pieces):
-    """Read an answer of many pieces that has arrived already; return its size."""
+async def read_answer(transport, pieces, work=0):
+    """Read an answer of many pieces that has arrived already; return its size.
+
+    Each piece counts as ``work`` more.
+    """
     connection = HttpConnection(SocketAddress("127.0.0.1", 1))
     connection.connection_made(transport)
     connection.send(b"GET", b"/", [(b"Host", b"a")], b"")
@@ -64,6 +68,7 @@
     size_bytes = 0
     while not isinstance(event := await connection.next_event(), h11.EndOfMessage):
         size_bytes += len(event.data) if isinstance(event, h11.Data) else 0
+        connection.count_pieces(work)
     return size_bytes
 
 
@@ -90,6 +95,15 @@
     context.pieces = pieces
 
 
+@given(
+    "read turns of a connection whose pieces take {work:d} times the work and that has "
+    "{pieces:d}"
+)
+def reader_with_events(context, work, pieces):
+    context.read = partial(read_answer, work=work - 1)
+    context.pieces = pieces
+
+
 @when("read turns let the pieces be read beside other work")
 def read_beside_work(context):
     async def act():
--- a/tools/_mutations_decisions.py
+++ b/tools/_mutations_decisions.py
@@ -162,8 +162,8 @@
     Mutation(
         "bound on an event",
         "decisions/event_stream.py",
-        '            self._size.add(len(data))\n            return b""\n',
-        '            return b""\n',
+        "        if end < 0:\n            self._size.add(len(data))\n",
+        "        if end < 0:\n",
         "decisions/answer_progress",
         "gives up on an event without end",
     ),
