Show that two agents own one server's limit at the same time

Rule LIMIT (Server-Limit): all machines together send a server no more than one and a half times the rate that it names.

An engine is lost for good and a front machine is added afterwards. Entries rank the owners of a limit among the agents that they have seen themselves within 60 s, so the old entry asks the agent beside the lost engine and the new one asks the next agent. Both grant the whole limit.

--- /dev/null
+++ b/review/7/play.py
@@ -0,0 +1,125 @@
+"""Case 7: two agents act as the owner of one server's limit at the same time."""
+
+from __future__ import annotations
+
+import asyncio
+import itertools
+import time
+from collections.abc import Iterator
+from pathlib import Path
+
+from common_2.deployment import HOST, Deployment, Process, route
+from common_2.engines import BookingServer
+from common_2.http1 import exchange
+from common_2.script import Case, run
+
+from lentiltally.decisions.target_limits import limit_owners
+
+SIDES = 9
+LIMIT_PER_S = 10.0
+STABILITY_S = 3.0
+PASSED_ON_S = 0.5
+WINDOW_S = 4.0
+LOAD_PER_S = 20
+LOAD_S = 16.0
+
+
+async def play(case: Case, deployment: Deployment) -> None:
+    """Lose an engine for good, add a front machine, and let a server name a limit."""
+    deployment.routes = [
+        route("book", "unsafe", "booking", timeoutMs=4000, targetLatencyMs=400)
+    ]
+    await deployment.start(sides=SIDES, bookings=1)
+    await deployment.configure()
+    await deployment.add_entry()
+    await asyncio.sleep(4.0)
+    (server,) = deployment.bookings
+    if case.has_trouble:
+        # Any engine may be lost. Which one it is decides whose limit is concerned.
+        hosts = [engine.ip for engine in deployment.engines]
+        owner = limit_owners(hosts, f"{server.instance}@{server.born}")[0]
+        lost = deployment.engines[hosts.index(owner)]
+        case.note(f"{lost.instance} is lost for good")
+        await deployment.lose(lost)
+        case.note("its record has lapsed; the agent beside it runs on")
+    await asyncio.sleep(2.0)
+    await deployment.add_entry()
+    case.note("a front machine was added and is ready")
+    await asyncio.sleep(4.0)
+    server.limit_per_s = LIMIT_PER_S
+    passed_on_s: dict[str, float] = {}
+    numbers = itertools.count(1)
+    await asyncio.gather(
+        *(
+            _load(case, deployment, entry, numbers, passed_on_s)
+            for entry in deployment.entries
+        )
+    )
+    _judge(case, server, passed_on_s)
+
+
+async def _load(
+    case: Case,
+    deployment: Deployment,
+    entry: Process,
+    numbers: Iterator[int],
+    passed_on_s: dict[str, float],
+) -> None:
+    """Send requests at a steady rate to one entry."""
+    requests = []
+    for _ in range(int(LOAD_S * LOAD_PER_S)):
+        requests.append(
+            asyncio.create_task(
+                _send(case, deployment, entry, next(numbers), passed_on_s)
+            )
+        )
+        await asyncio.sleep(1 / LOAD_PER_S)
+    await asyncio.gather(*requests)
+
+
+async def _send(
+    case: Case,
+    deployment: Deployment,
+    entry: Process,
+    number: int,
+    passed_on_s: dict[str, float],
+) -> None:
+    headers = {
+        "Host": HOST,
+        "X-Request-Id": f"{entry.name}.{number:05}",
+        "X-Deadline-Milliseconds": "4000",
+    }
+    answer = await exchange(
+        (entry.ip, deployment.front_port), "POST", "/book/x", headers, b"slot"
+    )
+    case.note(f"{entry.name}.{number:05} answered {answer.status} {answer.error}")
+    if answer.status == 200:
+        passed_on_s.setdefault(entry.name, time.monotonic())
+
+
+def _judge(case: Case, server: BookingServer, passed_on_s: dict[str, float]) -> None:
+    """Count the requests of the entries that know the limit, in all windows."""
+    named_at_s = server.limit_named_at_s
+    assert named_at_s is not None
+    first_s = named_at_s + STABILITY_S
+    counted: list[tuple[float, str]] = []
+    for arrival in server.runs:
+        name = arrival.request_id.partition(".")[0]
+        knows_s = passed_on_s.get(name, float("inf")) + PASSED_ON_S
+        case.note(f"arrival {arrival.request_id}, {arrival.at_s - named_at_s:.3f} s")
+        if arrival.at_s >= max(first_s, knows_s):
+            counted.append((arrival.at_s, name))
+    most = 1.5 * LIMIT_PER_S * WINDOW_S + 5
+    worst: list[str] = []
+    for begin_s, _ in counted:
+        names = [n for at_s, n in counted if begin_s <= at_s < begin_s + WINDOW_S]
+        worst = max(worst, names, key=len)
+    shares = {name: worst.count(name) for name in sorted(set(worst))}
+    text = f"{len(worst)} requests in {WINDOW_S} s, {shares}; allowed are {most}"
+    case.note(text)
+    if len(worst) > most:
+        case.broken(f"LIMIT: {text}")
+
+
+if __name__ == "__main__":
+    run(Path(__file__).resolve().parent, play)
