--- a/review/common_2/engines.py
+++ b/review/common_2/engines.py
@@ -17,6 +17,7 @@
 MODEL = "m0"
 ADAPTER_MB = 66.0
 EVENT_PAUSE_S = 0.01
+MODEL_LOAD_S = 0.72
 
 
 @dataclass(slots=True)
@@ -130,6 +131,7 @@
         self.coming: dict[str, int] = {}
         self.newest: dict[str, int] = {}
         self.has_model = True
+        self.is_busy = False
         self.sequence = 0
         self.slots = 5
         self.load_s = 0.25
@@ -147,10 +149,11 @@
         self.adapters.clear()
         self.coming.clear()
         self._active.clear()
-        self.has_model = False
+        self.has_model = self.is_busy = False
         self.sequence = 0
         await asyncio.sleep(for_s)
         self.born = int(time.time() * 1000)
+        self._active.clear()
         await self.start()
 
     def record(self) -> dict[str, object]:
@@ -181,7 +184,7 @@
         return {
             "stage": "prefill_and_decode",
             "models": self._models(),
-            "busy": False,
+            "busy": self.is_busy,
             "sequence": self.sequence,
             "waiting": 0,
             "running": sum(self._active.values()),
@@ -214,7 +217,7 @@
         try:
             await self._stream(request, writer, version)
         finally:
-            self._active[adapter] -= 1
+            self._active[adapter] = max(0, self._active.get(adapter, 0) - 1)
         return True
 
     async def _stream(
@@ -301,16 +304,31 @@
     def _execute_model(self, is_load: bool) -> int:
         if self.has_model == is_load:
             return 200
+        if self.is_busy:
+            return 409
         self.sequence += 1
-        self.has_model = is_load
-        if not is_load:
-            self.adapters.clear()
+        if is_load:
+            self.is_busy = True
+            loop = asyncio.get_running_loop()
+            loop.call_later(MODEL_LOAD_S, self._model_loaded, self.born)
+            return 202
+        self.has_model = False
+        self.adapters.clear()
         return 202
 
+    def _model_loaded(self, born: int) -> None:
+        if born == self.born:
+            self.is_busy = False
+            self.has_model = True
+
     def _loaded(self, name: str, version: int) -> None:
+        if name not in self.coming:
+            # The engine has restarted.
+            return
         if self._active.get(name):
             # A replacement waits for the runs of the version before.
             loop = asyncio.get_running_loop()
             loop.call_later(EVENT_PAUSE_S, self._loaded, name, version)
-        elif self.coming.pop(name, None) is not None:
+        else:
+            del self.coming[name]
             self.adapters[name] = version
