--- a/review/common_2/__init__.py
+++ b/review/common_2/__init__.py
@@ -1,1 +1,1 @@
-"""Shared parts of the cases 6 to 10: stand-ins, clients and processes."""
+"""Shared parts of the cases 6 to 9: stand-ins, clients and processes."""
--- a/review/common_2/deployment.py
+++ b/review/common_2/deployment.py
@@ -345,7 +345,7 @@
                 for port in range(base, base + 7):
                     for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
                         sock = stack.enter_context(socket.socket(socket.AF_INET, kind))
-                        sock.bind(("0.0.0.0", port))
+                        sock.bind((STORE_IP, port))
             except OSError:
                 continue
             return base
--- a/review/common_2/engines.py
+++ b/review/common_2/engines.py
@@ -18,6 +18,8 @@
 ADAPTER_MB = 66.0
 EVENT_PAUSE_S = 0.01
 MODEL_LOAD_S = 0.72
+ENGINE_SLOTS = 64
+BOOKING_SLOTS = 6
 
 
 @dataclass(slots=True)
@@ -33,14 +35,13 @@
 
 @dataclass(slots=True)
 class EngineOrder:
-    """An order that arrived, what was answered, and whether it was carried out late."""
+    """An order that arrived, and what was answered."""
 
     at_s: float
     operation: str
     adapter: str
     expect: int
     status: int
-    was_late: bool = False
 
 
 class _Server(HttpServer):
@@ -58,6 +59,7 @@
         self.limit_per_s: float | None = None
         self.limit_named_at_s: float | None = None
         self.beats = 0
+        self.concurrency = ENGINE_SLOTS
 
     async def start(self) -> None:
         """Listen at the server's address."""
@@ -71,7 +73,7 @@
             "address": f"{self.ip}:{self.port}",
             "zone": "zone-a",
             "version": "v1",
-            "slots": 64,
+            "slots": self.concurrency,
             "state": "ready",
             "coldRemainingMs": 0,
             "sequence": self.beats,
@@ -104,6 +106,12 @@
 
     run_s = 0.02
 
+    def __init__(self, instance: str, ip: str, port: int, service: str) -> None:
+        """Describe one start of a server."""
+        super().__init__(instance, ip, port, service)
+        self.concurrency = BOOKING_SLOTS
+        self._slots = asyncio.Semaphore(BOOKING_SLOTS)
+
     async def handle(self, request: Request, writer: asyncio.StreamWriter) -> bool:
         """Run a request, or answer the health check."""
         if request.path == "/health":
@@ -111,10 +119,11 @@
             return True
         if not self._is_meant(request):
             return self._refuse(request, writer, 421)
-        run = Run(request.headers["x-request-id"], time.monotonic())
-        run.headers = request.headers
-        self.runs.append(run)
-        await asyncio.sleep(self.run_s)
+        async with self._slots:
+            run = Run(request.headers["x-request-id"], time.monotonic())
+            run.headers = request.headers
+            self.runs.append(run)
+            await asyncio.sleep(self.run_s)
         headers = [*self.answer_headers(request), ("X-Response-Signature", "proof")]
         self.send(writer, 200, b"done", headers)
         return True
@@ -138,24 +147,10 @@
         self.events = 3
         self.orders: list[EngineOrder] = []
         self.overload: str = ""
-        # An order that is to get no answer, and after how long it is carried out.
-        self.late_order: tuple[str, str] | None = None
-        self.late_after_s = 0.0
+        # Adapters whose unload waits for their runs.
+        self._leaving: set[str] = set()
         self._active: dict[str, int] = {}
 
-    async def crash(self, for_s: float) -> None:
-        """End, and start again under the same id after a time, empty."""
-        await self.close()
-        self.adapters.clear()
-        self.coming.clear()
-        self._active.clear()
-        self.has_model = self.is_busy = False
-        self.sequence = 0
-        await asyncio.sleep(for_s)
-        self.born = int(time.time() * 1000)
-        self._active.clear()
-        await self.start()
-
     def record(self) -> dict[str, object]:
         """Return the next record of the engine in the store."""
         stage = {"stage": "prefill_and_decode", "models": self._models()}
@@ -201,7 +196,7 @@
         model, _, adapter = request.headers.get("x-model", "").partition("/")
         if not self._is_meant(request) or model != MODEL or not self.has_model:
             return self._refuse(request, writer, 421)
-        if adapter in self.coming:
+        if adapter in self.coming or adapter in self._leaving:
             # An order concerns the request, which has not started.
             return self._refuse(request, writer, 503)
         if adapter and adapter not in self.adapters:
@@ -244,22 +239,12 @@
         if not self._is_meant(request):
             self.send(writer, 421, b"", self.answer_headers(request))
             return True
-        what = str(order["operation"]), str(order.get("adapter", ""))
-        if what == self.late_order:
-            self.late_order = None
-            loop = asyncio.get_running_loop()
-            expected = request.headers.get("x-expected-instance", self.instance)
-            loop.call_later(self.late_after_s, self._late, order, expected)
-            self._note(order, 0)
-            # The order gets no answer.
-            await asyncio.sleep(self.late_after_s)
-            return False
         status = self.execute(order)
         self._note(order, status)
         self.send(writer, status, b"", self.answer_headers(request))
         return True
 
-    def _note(self, order: dict[str, object], status: int, late: bool = False) -> None:
+    def _note(self, order: dict[str, object], status: int) -> None:
         self.orders.append(
             EngineOrder(
                 time.monotonic(),
@@ -267,15 +252,9 @@
                 str(order.get("adapter", "")),
                 int(str(order.get("expect", -1))),
                 status,
-                late,
             )
         )
 
-    def _late(self, order: dict[str, object], expected: str) -> None:
-        """Carry out an order that was left unanswered."""
-        if expected == self.instance:
-            self._note(order, self.execute(order), late=True)
-
     def execute(self, order: dict[str, object]) -> int:
         """Carry out an order, and return the status of its answer."""
         if order.get("expect", self.sequence) != self.sequence:
@@ -285,15 +264,14 @@
         is_load = order["operation"] == "load"
         if not name:
             return self._execute_model(is_load)
-        if not self.has_model or (not is_load and self._active.get(name)):
-            return 409 if self.has_model else 400
+        if not self.has_model:
+            return 400
         is_held = self.adapters.get(name) == version
         if is_held if is_load else name not in self.adapters:
             return 200
         self.sequence += 1
         if not is_load:
-            del self.adapters[name]
-            return 200
+            return self._unload(name)
         if len({*self.adapters, *self.coming, name}) > self.slots:
             held = sorted({*self.adapters, *self.coming})
             self.overload = f"load of {name} beside {held} in {self.slots} slots"
@@ -321,10 +299,17 @@
             self.is_busy = False
             self.has_model = True
 
+    def _unload(self, name: str) -> int:
+        if not self._active.get(name):
+            self._leaving.discard(name)
+            del self.adapters[name]
+            return 200
+        # An unload waits for the runs of the adapter.
+        self._leaving.add(name)
+        asyncio.get_running_loop().call_later(EVENT_PAUSE_S, self._unload, name)
+        return 202
+
     def _loaded(self, name: str, version: int) -> None:
-        if name not in self.coming:
-            # The engine has restarted.
-            return
         if self._active.get(name):
             # A replacement waits for the runs of the version before.
             loop = asyncio.get_running_loop()
