Count what a server gets, not what it runs, in case 7

Rule: LIMIT (`Server-Limit`) speaks of requests that an engine gets. The stand-in notes arrivals now, before a request waits for a slot.

--- a/review/7/play.py
+++ b/review/7/play.py
@@ -104,11 +104,16 @@
     assert named_at_s is not None
     first_s = named_at_s + STABILITY_S
     counted: list[tuple[float, str]] = []
-    for arrival in server.runs:
+    for run_ in server.runs:
+        case.note(
+            f"{run_.request_id} ran {run_.at_s - named_at_s:.3f} s after the limit "
+            "was named"
+        )
+    for arrival in server.arrivals:
         name = arrival.request_id.partition(".")[0]
         knows_s = passed_on_s.get(name, float("inf")) + PASSED_ON_S
         case.note(
-            f"{arrival.request_id} ran {arrival.at_s - named_at_s:.3f} s after the "
+            f"{arrival.request_id} arrived {arrival.at_s - named_at_s:.3f} s after the "
             "limit was named"
         )
         if arrival.at_s >= max(first_s, knows_s):
--- a/review/common_2/engines.py
+++ b/review/common_2/engines.py
@@ -110,6 +110,8 @@
         """Describe one start of a server."""
         super().__init__(instance, ip, port, service)
         self.concurrency = BOOKING_SLOTS
+        # Requests that the server got, also those that waited for a slot.
+        self.arrivals: list[Run] = []
         self._slots = asyncio.Semaphore(BOOKING_SLOTS)
 
     async def handle(self, request: Request, writer: asyncio.StreamWriter) -> bool:
@@ -119,8 +121,10 @@
             return True
         if not self._is_meant(request):
             return self._refuse(request, writer, 421)
+        request_id = request.headers["x-request-id"]
+        self.arrivals.append(Run(request_id, time.monotonic()))
         async with self._slots:
-            run = Run(request.headers["x-request-id"], time.monotonic())
+            run = Run(request_id, time.monotonic())
             run.headers = request.headers
             self.runs.append(run)
             await asyncio.sleep(self.run_s)
