--- a/review/8/play.py
+++ b/review/8/play.py
@@ -26,8 +26,17 @@
 # Requests a second at each of two front machines; the limit allows 12 in all.
 LOAD_PER_S = 20
 LOAD_S = 20.0
-# As on the sheet of the deployment that has tenants.
+# As on the sheet of the deployment that has tenants, where it differs.
 TENANT_BOUNDS: dict[str, object] = {
+    "stabilityWindowMs": 4000,
+    "acknowledgeMs": 6000,
+    "catchUpS": 6,
+    "drainMs": 3000,
+    "configurationMs": 3000,
+    "outerMs": 6000,
+    "budgetSlack": 88,
+    "recoveryS": 15,
+    "passMs": 200,
     "revokeClosed": True,
     "revokeMs": 5000,
     "quotaWindowS": WINDOW_S,
