Let agents check that they hold a limit, by the newer of two lists

Cause: the owner of a limit was named by the entry that asks, from hosts that it had seen within 60 s, and the agent gave what it was asked for. An entry that had started since named another owner than the older one.

Change: entries name the holders by the list of targets as read, and say how far they have read. An agent grants only if the newer of the two lists names it. An agent that has become a holder, has started or has stood still waits until all entries know, or until the agents that may have held the right agree (HolderRole, RequestHandover, HandoverAnswer). The agent beside a silent engine reads the list every 0.5 s for 10 s. A permit's id is the entry's own: a caller that repeats a request id gets no free permit.

Ruled out: shares of entries (each entry sent the whole limit), permits given twice by one agent (none restarted). Not taken: a shorter memory, which moves the window only.

--- a/lentiltally/direct/agent_metrics.py
+++ b/lentiltally/direct/agent_metrics.py
@@ -5,6 +5,7 @@
 from prometheus_client import Counter, Gauge, Histogram
 
 from lentiltally.decisions.engine_orders import AdapterRequestState, EngineOrderKind
+from lentiltally.decisions.holder_role import Standing
 from lentiltally.direct.process_metrics import LATENCY_BUCKETS_S, ProcessMetrics
 
 __all__ = ["AgentMetrics"]
@@ -52,6 +53,13 @@
             registry=self._registry,
         )
 
+        self._rights = Counter(
+            "lentiltally_right_questions",
+            "Questions of entries about rights, by what this agent is to them",
+            ["standing"],
+            registry=self._registry,
+        )
+
         self.prefill_ns_per_token = Gauge(
             "lentiltally_prefill_ns_per_token",
             "Time that the engine took for a prompt token lately, 0 if not known",
@@ -72,6 +80,10 @@
         """Add the cost of a grant that may be granted again."""
         self._allotments_returned.inc(cost)
 
+    def right_asked(self, standing: Standing) -> None:
+        """Count a question of an entry about a right."""
+        self._rights.labels(standing.value).inc()
+
     def decided(self, state: AdapterRequestState, waited_s: float) -> None:
         """Record the decision on an adapter request and the wait for it."""
         self._adapter_wait.labels(state.value).observe(waited_s)
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -16,7 +16,7 @@
     EngineReport,
 )
 from lentiltally.decisions.engine_slots import EngineSlots
-from lentiltally.decisions.target_limits import TargetLimits
+from lentiltally.decisions.holder_role import AgentList
 from lentiltally.direct.agent_metrics import AgentMetrics
 from lentiltally.direct.allotment_holder import AllotmentHolder
 from lentiltally.direct.entry_feeds import (
@@ -24,8 +24,10 @@
     ConfigurationFeed,
     TargetDecoder,
 )
+from lentiltally.direct.held_rights import HeldRights
 from lentiltally.direct.http_connection import ConnectError
 from lentiltally.direct.keyed_feed import KeyedTopic
+from lentiltally.direct.limit_holder import LimitHolder
 from lentiltally.direct.messages import (
     AcquireAdapter,
     AcquireAllotment,
@@ -36,14 +38,15 @@
     ContentsCleared,
     CrashReport,
     EngineEnded,
+    HandoverAnswer,
     Message,
     PartsCleared,
     PartTrial,
-    PermitAnswer,
     PrefillFinished,
     RefusedContents,
     RefusedParts,
     ReleaseAdapter,
+    RequestHandover,
     ReturnAllotment,
     StateSubscription,
 )
@@ -66,6 +69,8 @@
 # load is under way.
 REPORT_INTERVAL_S = 0.1
 BUSY_REPORT_INTERVAL_S = 0.015
+# Interval at which the list of agents is looked at, also while the engine is silent.
+AGENT_LIST_INTERVAL_S = 0.25
 # Times that entries are told of the end of an engine's start: a datagram may be lost.
 END_ANNOUNCEMENTS = 3
 # An entry that has started subscribes a few times within this time. Its former
@@ -125,9 +130,9 @@
         self._last_start_ms: int | None = None
         self._end_announcements_left = 0
         self._refusals = RefusalRelay()
-        self._limits = TargetLimits()
+        self._rights = HeldRights(settings, self._peers, self._metrics, clock)
+        self._limits = LimitHolder(self._rights, clock)
         self._allotments = AllotmentHolder(settings, self._metrics, clock)
-        # Of configurations with client accounts only.
         self._engine_services: frozenset[str] = frozenset()
         self._health_path = ""
         # Adapter requests carry the newest version that their entry knows, so an agent
@@ -179,6 +184,7 @@
             asyncio.create_task(self._reader.configuration.run()),
             asyncio.create_task(self._reader.targets.run()),
             asyncio.create_task(self._run_engine()),
+            asyncio.create_task(self._follow_agents()),
         ]
         try:
             await stop.wait()
@@ -198,7 +204,7 @@
         self._engine_services = frozenset(
             service.name
             for service in state.services.values()
-            if service.engine is not None and state.accounts is not None
+            if service.engine is not None
         )
         service = state.services.get(self._platform.service)
         if service is None:
@@ -234,13 +240,17 @@
             self._slots.prefill_finished(message.request_id, now_s)
             self._answer_requests()
         elif isinstance(message, AcquirePermit):
-            self._permit_requested(message, sender, now_s)
+            self._answer(sender, self._limits.requested(message))
         elif isinstance(message, AcquireAllotment):
             self._peers.send(sender, self._allotments.requested(message))
         elif isinstance(message, ReturnAllotment):
             self._allotments.returned(message)
         elif isinstance(message, ConfirmConfiguration):
-            self._confirmation_requested(message, sender)
+            self._answer(sender, self._reader.confirmation(message))
+        elif isinstance(message, RequestHandover):
+            self._rights.handover_requested(message, sender.ip)
+        elif isinstance(message, HandoverAnswer):
+            self._rights.handover_answered(message, sender.ip)
         elif isinstance(message, SUSPECT_MESSAGES):
             self._refusals.received(message, now_s)
             self._publisher.forward(message, sender)
@@ -256,30 +266,10 @@
                 self._peers.send(sender, refusals)
         self._reader.version_seen(message.config_version)
 
-    def _confirmation_requested(
-        self, message: ConfirmConfiguration, sender: SocketAddress
-    ) -> None:
-        answer = self._reader.confirmation(message)
+    def _answer(self, sender: SocketAddress, answer: Message | None) -> None:
         if answer is not None:
             self._peers.send(sender, answer)
 
-    def _permit_requested(
-        self, message: AcquirePermit, sender: SocketAddress, now_s: float
-    ) -> None:
-        """Answer for a target without an agent whose limit this agent owns."""
-        decision = self._limits.request(
-            message.target_start,
-            message.request_id,
-            message.rate_per_s,
-            message.max_wait_ms / 1000,
-            now_s,
-        )
-        wait_ms = int(1000 * min(MAX_PERMIT_WAIT_S, decision.wait_s))
-        answer = PermitAnswer(
-            message.request_id, message.target_start, decision.is_granted, wait_ms
-        )
-        self._peers.send(sender, answer)
-
     def _acquire_requested(
         self, message: AcquireAdapter, sender: SocketAddress, now_s: float
     ) -> None:
@@ -350,7 +340,6 @@
             except Exception:
                 _log.exception("engine step failed")
             self._publish_state()
-            self._note_agents()
             pause_s = (
                 BUSY_REPORT_INTERVAL_S if self._slots.has_work else REPORT_INTERVAL_S
             )
@@ -361,11 +350,20 @@
             except TimeoutError:
                 continue
 
+    async def _follow_agents(self) -> None:
+        """Note which agents there are, until cancelled: they hold shared rights."""
+        while True:
+            await asyncio.sleep(AGENT_LIST_INTERVAL_S)
+            try:
+                self._note_agents()
+            except Exception:
+                _log.exception("list of agents not noted")
+
     def _note_agents(self) -> None:
-        """Note which agents there are: they hold the allotments of accounts."""
-        if self._engine_services and self._allotments.is_view_due:
+        if self._engine_services and self._reader.targets.is_current:
             hosts = self._reader.hosts_of(self._engine_services)
-            self._allotments.agents_listed(hosts)
+            position = self._reader.targets.next_offset
+            self._rights.agents_listed(AgentList(frozenset(hosts), position))
 
     def _publish_state(self) -> None:
         now_s = self._clock.monotonic_s()
@@ -445,6 +443,7 @@
     def _engine_responded(self) -> None:
         if self._is_engine_unresponsive:
             self._is_engine_unresponsive = False
+            self._reader.engine_silent_since_s = None
             self._metrics.engine_unresponsive.set(0)
             _log.info("engine responding again")
 
@@ -453,6 +452,7 @@
         self._answer_requests()
         if not self._is_engine_unresponsive:
             self._is_engine_unresponsive = True
+            self._reader.engine_silent_since_s = self._clock.monotonic_s()
             self._metrics.engine_unresponsive.set(1)
             _log.warning("engine unresponsive", extra={"error": str(error)})
         if isinstance(error, ConnectError) and error.is_refused:
--- a/lentiltally/direct/attempt_preparation.py
+++ b/lentiltally/direct/attempt_preparation.py
@@ -313,9 +313,7 @@
         record = candidate.record
         if self._state.notices.rate_limit_per_s(record) is None:
             return True
-        permit = await self._context.permits.acquire(
-            record, self._request.request_id, max_wait_s
-        )
+        permit = await self._context.permits.acquire(record, max_wait_s)
         if permit.is_granted:
             await asyncio.sleep(permit.wait_s)
             return True
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -200,6 +200,7 @@
             shared=self._shared_targets,
         )
         self._state.on_target_list_stale = self._targets.request_read
+        self._state.list_position = lambda: self._targets.next_offset
 
     @property
     def limits(self) -> CallerLimits:
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -3,11 +3,13 @@
 from __future__ import annotations
 
 import logging
+import math
 import random
 from collections.abc import Callable
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.configuration_proof import ConfigurationProof
+from lentiltally.decisions.holder_role import AgentList
 from lentiltally.decisions.known_agents import KnownAgents
 from lentiltally.decisions.route_table import RouteTable
 from lentiltally.decisions.service_retry_budget import ServiceRetryBudget
@@ -34,6 +36,8 @@
 ASSUMED_ENTRIES = 8
 # How long a target is avoided whose agent says that it has ended.
 ENDED_COOLDOWN_S = 1.0
+# The list of agents that hold shared rights is derived again after this time.
+AGENT_LIST_RETENTION_S = 0.25
 
 
 class EntryState:
@@ -67,6 +71,9 @@
         self.suspects = EntrySuspects(self.directory, clock, stagger)
         self.entry_count = ASSUMED_ENTRIES
         self.on_target_list_stale: Callable[[], None] = _do_nothing
+        self.list_position: Callable[[], int] = _at_start
+        self._agent_list = AgentList(frozenset(), 0)
+        self._agent_list_until_s = -math.inf
         self._clock = clock
         self._budgets: dict[str, ServiceRetryBudget] = {}
         self._newest_versions: dict[str, tuple[int, float]] = {}
@@ -171,6 +178,21 @@
         self.note_agent_hosts()
         return self._known_agents.hosts()
 
+    def agent_list(self) -> AgentList:
+        """Return the agents that hold shared rights: those of the engines listed now.
+
+        In contrast to ``agent_hosts`` this depends on nothing but the records that were
+        read, so all processes that have read equally far know the same agents.
+        """
+        now_s = self._clock.monotonic_s()
+        if now_s >= self._agent_list_until_s:
+            hosts = frozenset(record.ip for record in self.engine_targets())
+            if hosts == self._agent_list.hosts:
+                hosts = self._agent_list.hosts
+            self._agent_list = AgentList(hosts, self.list_position())
+            self._agent_list_until_s = now_s + AGENT_LIST_RETENTION_S
+        return self._agent_list
+
     def usable_targets(self, service: str) -> list[TargetRecord]:
         """Return the targets of a service that may get a request now."""
         now_s = self._clock.monotonic_s()
@@ -274,5 +296,10 @@
         )
 
 
+def _at_start() -> int:
+    """Return the position before the first read of the list of targets."""
+    return 0
+
+
 def _do_nothing(*_: object) -> None:
     """Do nothing: the default callback until an entry's process sets one."""
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -27,6 +27,7 @@
     "CrashReport",
     "EngineEnded",
     "EngineState",
+    "HandoverAnswer",
     "Message",
     "PartTrial",
     "PartsCleared",
@@ -35,6 +36,7 @@
     "RefusedParts",
     "PrefillFinished",
     "ReleaseAdapter",
+    "RequestHandover",
     "ReturnAllotment",
     "StateSubscription",
     "StoreReport",
@@ -198,6 +200,7 @@
 MAX_REQUESTS_PER_REPORT = 12
 MAX_FINGERPRINTS = 9
 MAX_REFUSALS_PER_MESSAGE = 32
+MAX_HANDOVER_HOSTS = 32
 
 Fingerprints = Annotated[tuple[int, ...], Meta(max_length=MAX_FINGERPRINTS)]
 
@@ -282,27 +285,32 @@
 class AcquirePermit(Struct, tag=15, array_like=True, frozen=True):
     """A request needs a permit of a target that names a limit.
 
-    Sent to the owner of the limit of ``target_start``. ``rate_per_s`` is the limit as
+    Sent to a holder of the limit of ``target_start``. ``rate_per_s`` is the limit as
     the entry knows it. The permit is declined if it is due after ``max_wait_ms``.
+    ``list_position`` is how far the entry has read the list of targets, which names
+    the holder.
     """
 
     request_id: str
     target_start: str
     rate_per_s: RatePerS
     max_wait_ms: WaitMs
+    list_position: Quantity = 0
 
 
 class PermitAnswer(Struct, tag=16, array_like=True, frozen=True):
     """Answers ``AcquirePermit``.
 
     A request with a permit is sent ``wait_ms`` from now; one without may ask again
-    then.
+    then. An agent that may not decide, because it is no holder, sets ``is_decided`` to
+    False.
     """
 
     request_id: str
     target_start: str
     is_granted: bool
     wait_ms: WaitMs
+    is_decided: bool = True
 
 
 class ConfirmConfiguration(Struct, tag=17, array_like=True, frozen=True):
@@ -365,6 +373,38 @@
     request_id: str
 
 
+Hosts = Annotated[tuple[str, ...], Meta(max_length=MAX_HANDOVER_HOSTS)]
+ListPosition = Annotated[int, Meta(ge=-1, le=2**53 - 1)]
+
+
+class RequestHandover(Struct, tag=22, array_like=True, frozen=True):
+    """An agent asks other agents whether it may exercise a right as a holder.
+
+    ``right`` names the limit of a target or the allotment of an account. ``holders``
+    are its holders by the list of targets that the agent has read up to
+    ``list_position``, ``asked`` the hosts of the agents that it asks.
+    """
+
+    right: str
+    holders: Hosts
+    asked: Hosts
+    list_position: ListPosition
+
+
+class HandoverAnswer(Struct, tag=23, array_like=True, frozen=True):
+    """Answers ``RequestHandover``.
+
+    An agent that agrees grants no more by a list up to the one in the request; the
+    right may be exercised after ``wait_ms``. One that does not agree has read a newer
+    list, up to ``list_position``, which does not name the agent that asks.
+    """
+
+    right: str
+    is_agreed: bool
+    list_position: ListPosition
+    wait_ms: WaitMs
+
+
 Message = (
     StateSubscription
     | EngineState
@@ -386,6 +426,8 @@
     | AcquireAllotment
     | AllotmentAnswer
     | ReturnAllotment
+    | RequestHandover
+    | HandoverAnswer
 )
 
 _encoder = msgspec.msgpack.Encoder()
--- a/lentiltally/direct/permit_client.py
+++ b/lentiltally/direct/permit_client.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+import itertools
+import secrets
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.target_crashes import start_name
@@ -34,20 +36,25 @@
         self._state = state
         self._peers = peers
         self._clock = clock
-        self._pending: dict[tuple[str, str], asyncio.Future[PermitDecision]] = {}
+        self._pending: dict[tuple[str, str], asyncio.Future[PermitDecision | None]] = {}
         self._silent_until_s: dict[str, float] = {}
         self._own_share = TargetLimits()
+        # Callers choose their request ids, so a repeated id must not reuse a permit.
+        self._prefix = secrets.token_hex(6)
+        self._request_numbers = itertools.count()
 
-    async def acquire(
-        self, record: TargetRecord, request_id: str, max_wait_s: float
-    ) -> PermitDecision:
+    async def acquire(self, record: TargetRecord, max_wait_s: float) -> PermitDecision:
         """Return whether a request may be sent to a target within ``max_wait_s``."""
         rate_per_s = self._state.notices.rate_limit_per_s(record)
         if rate_per_s is None:
             return PermitDecision(True, 0.0)
         start = start_name(record.target_id, record.started_ms)
-        message = AcquirePermit(request_id, start, rate_per_s, int(1000 * max_wait_s))
-        for owner in limit_owners(self._state.agent_hosts(), start):
+        request_id = f"{self._prefix}-{next(self._request_numbers)}"
+        agents = self._state.agent_list()
+        message = AcquirePermit(
+            request_id, start, rate_per_s, int(1000 * max_wait_s), agents.position
+        )
+        for owner in limit_owners(agents.hosts, start):
             if self._clock.monotonic_s() < self._silent_until_s.get(owner, 0.0):
                 continue
             decision = await self._ask(owner, message)
@@ -62,14 +69,18 @@
     def answer_received(self, message: PermitAnswer) -> None:
         """Match an owner's answer to its request; late answers are ignored."""
         pending = self._pending.get((message.request_id, message.target_start))
-        if pending is not None and not pending.done():
+        if pending is None or pending.done():
+            return
+        if message.is_decided:
             wait_s = message.wait_ms / 1000
             pending.set_result(PermitDecision(message.is_granted, wait_s))
+        else:
+            pending.set_result(None)
 
     async def _ask(self, owner: str, message: AcquirePermit) -> PermitDecision | None:
-        """Return an owner's decision, None if it does not answer."""
+        """Return an owner's decision, None if it does not answer or is none."""
         key = message.request_id, message.target_start
-        pending: asyncio.Future[PermitDecision]
+        pending: asyncio.Future[PermitDecision | None]
         pending = asyncio.get_running_loop().create_future()
         self._pending[key] = pending
         address = SocketAddress(owner, self._state.peer_port)
--- a/lentiltally/direct/store_reader.py
+++ b/lentiltally/direct/store_reader.py
@@ -33,6 +33,10 @@
 FIRST_READ_INTERVAL_S = 1.0
 # While the start of the agent's engine is not in the list, it is read at this interval.
 UNLISTED_INTERVAL_S = 0.5
+# A silent engine's record lapses within this time if it has ended. The agent reads the
+# list more often meanwhile, because it loses the rights that it holds with the record.
+SILENT_ENGINE_S = 10.0
+SILENT_ENGINE_INTERVAL_S = 0.5
 # The turns of different agents must not fall together.
 TURN_JITTER = 0.25
 OUTAGE_REPORT_S = 2.0
@@ -156,6 +160,8 @@
         self._started_ms: int | None = None
         self._suspended_s = clock.suspended_s()
         self._suspended_at_s = -math.inf
+        # Since when the agent's engine does not answer, None while it does.
+        self.engine_silent_since_s: float | None = None
         self.configuration = KeyedFeed(
             "configuration",
             topics.configuration,
@@ -262,7 +268,15 @@
         return self._turn_s() if self._known_version else FIRST_READ_INTERVAL_S
 
     def _targets_pause_s(self) -> float:
-        return self._turn_s() if self._is_engine_listed() else UNLISTED_INTERVAL_S
+        if not self._is_engine_listed():
+            return UNLISTED_INTERVAL_S
+        return SILENT_ENGINE_INTERVAL_S if self._has_gone_silent() else self._turn_s()
+
+    def _has_gone_silent(self) -> bool:
+        silent_since_s = self.engine_silent_since_s
+        if silent_since_s is None:
+            return False
+        return self._clock.monotonic_s() - silent_since_s < SILENT_ENGINE_S
 
     def _is_engine_listed(self) -> bool:
         if self._started_ms is None:
--- a/lentiltally/platform/roles.py
+++ b/lentiltally/platform/roles.py
@@ -9,7 +9,7 @@
 from collections.abc import Callable
 from functools import partial
 from pathlib import Path
-from typing import Protocol
+from typing import TYPE_CHECKING, Protocol
 
 from lentiltally import logs
 from lentiltally.clock import SystemClock
@@ -30,7 +30,18 @@
 from lentiltally.platform.store_client import StoreTopic
 from lentiltally.platform.target_list import TARGET_TOPIC, decode_target_record
 
-__all__ = ["configuration_topic", "decode_configuration", "run_agent", "run_entry"]
+if TYPE_CHECKING:
+    from lentiltally.direct.agent_process import AgentPlatform
+    from lentiltally.direct.entry_process import EntryPlatform
+
+__all__ = [
+    "agent_platform",
+    "configuration_topic",
+    "decode_configuration",
+    "entry_platform",
+    "run_agent",
+    "run_entry",
+]
 
 # Twice the rate at which an entry logs under the highest load of current deployments.
 LOG_LINES_PER_S = 400.0
@@ -42,22 +53,11 @@
     ``path`` is the settings file, which is read again on a reload. ``balance`` is the
     name of a ``Balance``.
     """
-    from lentiltally.direct.entry_process import (  # noqa: PLC0415
-        EntryPlatform,
-        EntryProcess,
-    )
+    from lentiltally.direct.entry_process import EntryProcess  # noqa: PLC0415
 
-    platform = EntryPlatform(
-        header_codec=http_headers,
-        configuration=configuration_topic(settings),
-        targets=StoreTopic.from_address(TARGET_TOPIC, settings.store),
-        decode_configuration=decode_configuration,
-        decode_target=decode_target_record,
-        readiness_path=http_headers.READINESS_PATH,
-    )
     process = EntryProcess(
         settings,
-        platform,
+        entry_platform(settings),
         SystemClock(),
         load_settings=lambda: load_host_settings(path, "entry"),
         balance=Balance(balance),
@@ -70,23 +70,42 @@
 
     ``path`` is the settings file; it names the service that the engine belongs to.
     """
-    from lentiltally.direct.agent_process import (  # noqa: PLC0415
-        AgentPlatform,
-        AgentProcess,
+    from lentiltally.direct.agent_process import AgentProcess  # noqa: PLC0415
+
+    service = str(tomllib.loads(Path(path).read_text()).get("service", ""))
+    platform = agent_platform(settings, service)
+    return _run(AgentProcess(settings, platform, SystemClock()), settings)
+
+
+def entry_platform(settings: HostSettings) -> EntryPlatform:
+    """Return the protocols and topics of an entry."""
+    from lentiltally.direct.entry_process import EntryPlatform  # noqa: PLC0415
+
+    return EntryPlatform(
+        header_codec=http_headers,
+        configuration=configuration_topic(settings),
+        targets=StoreTopic.from_address(TARGET_TOPIC, settings.store),
+        decode_configuration=decode_configuration,
+        decode_target=decode_target_record,
+        readiness_path=http_headers.READINESS_PATH,
     )
+
+
+def agent_platform(settings: HostSettings, service: str) -> AgentPlatform:
+    """Return the protocols and topics of an agent whose engine is of a service."""
+    from lentiltally.direct.agent_process import AgentPlatform  # noqa: PLC0415
     from lentiltally.platform.engine_control import EngineControlClient  # noqa: PLC0415
 
     assert settings.engine is not None
-    platform = AgentPlatform(
+    return AgentPlatform(
         engine=EngineControlClient(settings.engine, settings.name),
         configuration=configuration_topic(settings),
         targets=StoreTopic.from_address(TARGET_TOPIC, settings.store),
         # An agent has no callers, so it needs no memory and time for their accounts.
         decode_configuration=partial(decode_configuration, with_accounts=False),
         decode_target=decode_target_record,
-        service=str(tomllib.loads(Path(path).read_text()).get("service", "")),
+        service=service,
     )
-    return _run(AgentProcess(settings, platform, SystemClock()), settings)
 
 
 def configuration_topic(settings: HostSettings) -> StoreTopic:
--- /dev/null
+++ b/tests/direct/shared_rights.feature
@@ -0,0 +1,14 @@
+Feature: Rights that agents hold for all entries
+
+  Entries and agents derive the holders of a right from the list of targets. Each process
+  reads it at times of its own, and one that has started knows nothing of earlier lists.
+
+  # Guards against two agents that both grant a target's whole limit, because entries of
+  # different age name different owners.
+  Scenario: Shared rights of a limit stay within its bound when an engine is lost and an entry added
+    Given shared rights of 5 engines and a plain target
+    And shared rights lose the engine beside the first holder of the target's limit
+    And direct path has another entry
+    And direct path targets name a limit of 10.0 requests a second
+    When direct path gets requests to "/safe/x" for 7 s at both entries, 60 a second
+    Then shared rights let the target get 20 to 65 requests in any 4 s
--- a/tests/fakes/direct.py
+++ b/tests/fakes/direct.py
@@ -10,15 +10,11 @@
 import h11
 
 from lentiltally.clock import SystemClock
-from lentiltally.direct.agent_process import AgentPlatform, AgentProcess
-from lentiltally.direct.entry_process import EntryPlatform, EntryProcess
+from lentiltally.direct.agent_process import AgentProcess
+from lentiltally.direct.entry_process import EntryProcess
 from lentiltally.direct.settings import HostBounds, HostSettings, SocketAddress
 from lentiltally.direct.stop_signal import StopSignal
-from lentiltally.platform import http_headers
-from lentiltally.platform.engine_control import EngineControlClient
-from lentiltally.platform.roles import configuration_topic, decode_configuration
-from lentiltally.platform.store_client import StoreTopic
-from lentiltally.platform.target_list import decode_target_record
+from lentiltally.platform.roles import agent_platform, entry_platform
 from standins.platform_engine import PlatformEngineStandIn
 from standins.platform_store import PlatformStoreStandIn
 from tools._ports import free_port
@@ -261,17 +257,9 @@
 
     def _start_entry(self, settings, clock=None):
         async def start():
-            platform = EntryPlatform(
-                header_codec=http_headers,
-                configuration=configuration_topic(settings),
-                targets=StoreTopic.from_address("keyed.servers", settings.store),
-                decode_configuration=decode_configuration,
-                decode_target=decode_target_record,
-                readiness_path=http_headers.READINESS_PATH,
-            )
             entry = EntryProcess(
                 settings,
-                platform,
+                entry_platform(settings),
                 clock or SystemClock(),
                 # Bounds that are changed here count after a reload.
                 load_settings=lambda: replace(settings, bounds=self.bounds),
@@ -290,14 +278,7 @@
         self.agent_metrics.append(SocketAddress(engine.ip, settings.metrics_port))
 
         async def start():
-            platform = AgentPlatform(
-                engine=EngineControlClient(address, settings.name),
-                configuration=configuration_topic(settings),
-                targets=StoreTopic.from_address("keyed.servers", settings.store),
-                decode_configuration=decode_configuration,
-                decode_target=decode_target_record,
-                service=engine.service,
-            )
+            platform = agent_platform(settings, engine.service)
             agent = AgentProcess(settings, platform, SystemClock())
             self.agents[engine_name] = agent
             self._run_process(agent)
