Divide the limit of a target among three agents without a substitute

Cause: the next owner had the whole limit in reserve. Entries that asked during a pause went to it for 2 s, the others stayed with the first.

Change: three agents hold a third of a limit each, and nobody takes the place of a silent one. One agent too many gives 4/3 of the limit; permits are kept for 0.25 s, so that stays within the rule. Holders start with different parts of a permit.

Ruled out: permits kept during the pause, own shares of entries. Not taken: telling the second owner of the silence, a longer silence.

--- a/lentiltally/decisions/holder_role.py
+++ b/lentiltally/decisions/holder_role.py
@@ -19,7 +19,7 @@
 from collections import OrderedDict, deque
 from dataclasses import dataclass, field
 
-from lentiltally.decisions.target_limits import limit_owners
+from lentiltally.decisions.target_limits import MAX_OWNERS, limit_owners
 
 __all__ = [
     "AgentList",
@@ -69,10 +69,16 @@
 
 @dataclass(frozen=True, slots=True)
 class HolderStanding:
-    """An agent's standing, and since when it may grant if it is a holder."""
+    """An agent's standing, and since when it may grant if it is a holder.
+
+    ``holders`` is the number of agents that hold a part of the right, ``rank`` the
+    place of this one among them, from 0 on.
+    """
 
     standing: Standing
     since_s: float = 0.0
+    holders: int = MAX_OWNERS
+    rank: int = MAX_OWNERS - 1
 
 
 @dataclass(frozen=True, slots=True)
@@ -183,10 +189,17 @@
             tenure.granting_since_s = tenure.begins_at_s()
             self._ceded.pop(right, None)
         if tenure.granting_since_s is not None:
-            return HolderStanding(Standing.HOLDER, tenure.granting_since_s)
+            return self._as_holder(right, tenure.granting_since_s)
         is_asking = tenure.asked_at_s is None or now_s - tenure.asked_at_s < REPLY_S
         return HolderStanding(Standing.ASKING if is_asking else Standing.SETTLING)
 
+    def _as_holder(self, right: str, since_s: float) -> HolderStanding:
+        holders = self._holders_now(right)
+        if self._own_host not in holders:
+            return HolderStanding(Standing.HOLDER, since_s)
+        rank = holders.index(self._own_host)
+        return HolderStanding(Standing.HOLDER, since_s, len(holders), rank)
+
     def due_request(self, right: str, now_s: float) -> HandoverRequest | None:
         """Return the request to send to the agents that have not agreed yet.
 
--- a/lentiltally/decisions/permit_bucket.py
+++ b/lentiltally/decisions/permit_bucket.py
@@ -14,13 +14,23 @@
 class PermitBucket:
     """A token bucket with one owner.
 
-    It starts empty: nobody knows what the target got before.
+    It starts without a whole permit: nobody knows what the target got before.
     """
 
-    def __init__(self, rate_per_s: float, now_s: float) -> None:
-        """Give ``rate_per_s`` permits a second from now on."""
+    def __init__(
+        self,
+        rate_per_s: float,
+        now_s: float,
+        burst_s: float = BURST_S,
+        permits: float = 0.0,
+    ) -> None:
+        """Give ``rate_per_s`` permits a second from now on; keep them for ``burst_s``.
+
+        At least one permit is kept. ``permits`` is the part of one that is there now.
+        """
         self.rate_per_s = rate_per_s
-        self._permits = 0.0
+        self._burst_s = burst_s
+        self._permits = permits
         self._updated_at_s = now_s
 
     def set_rate(self, rate_per_s: float, now_s: float) -> None:
@@ -50,5 +60,5 @@
     def _collect(self, now_s: float) -> None:
         elapsed_s = max(0.0, now_s - self._updated_at_s)
         self._updated_at_s = now_s
-        most = max(1.0, BURST_S * self.rate_per_s)
+        most = max(1.0, self._burst_s * self.rate_per_s)
         self._permits = min(most, self._permits + elapsed_s * self.rate_per_s)
--- a/lentiltally/decisions/target_limits.py
+++ b/lentiltally/decisions/target_limits.py
@@ -1,8 +1,10 @@
-"""Permits for targets without an agent of their own, at the agent that owns them.
+"""Permits for targets without an agent of their own, at the agents that hold them.
 
 The limit that a target names holds for all entries together and is often less than one
-request a second and entry. So each target has one owner among the agents, which all
-entries ask. If no owner answers, each entry uses an equal share of the limit.
+request a second and entry. So three agents hold an equal part of each limit, which all
+entries ask. Nobody takes the place of a holder that is silent: its part is missing, and
+one agent too many for a time exceeds the limit by a third at most. If no holder
+decides, each entry uses an equal share of the limit.
 """
 
 from __future__ import annotations
@@ -19,8 +21,11 @@
 
 __all__ = ["PermitDecision", "TargetLimits", "limit_owners"]
 
-# The first one that answers decides; the others are only asked if it is down.
+# Agents that hold a part of a limit or of an allotment.
 MAX_OWNERS = 3
+# Unused permits are kept for this time. Within 4 s, four holders with a third each stay
+# within one and a half times a limit.
+PART_BURST_S = 0.25
 # A request is repeated within this time if its answer was lost.
 DECISION_RETENTION_S = 5.0
 MAX_DECISIONS = 4_000
@@ -29,7 +34,7 @@
 
 
 def limit_owners(agents: Iterable[str], target_start: str) -> list[str]:
-    """Return the agents that may own a target's limit, in the same order everywhere."""
+    """Return the agents that hold a target's limit, in the same order everywhere."""
     seed = xxhash.xxh3_64_intdigest(target_start.encode())
     return nlargest(
         MAX_OWNERS, agents, key=lambda agent: rendezvous_weight(seed, agent)
@@ -45,7 +50,7 @@
 
 
 class TargetLimits:
-    """The limits of targets, by the name of their start."""
+    """Parts of the limits of targets, by the name of their start."""
 
     def __init__(self) -> None:
         """Start without limits."""
@@ -62,11 +67,15 @@
         rate_per_s: float,
         max_wait_s: float,
         now_s: float,
+        *,
+        permits: float = 0.0,
     ) -> PermitDecision:
         """Decide whether a request may be sent within ``max_wait_s``.
 
-        ``rate_per_s`` is the limit as the target named it last. A request that was
-        granted before gets the rest of its wait, and no second permit.
+        ``rate_per_s`` is the part of the limit that the target named last. A request
+        that was granted before gets the rest of its wait, and no second permit.
+        ``permits`` is the part of a permit with which a new bucket starts: the holders
+        start with different ones, so that their permits don't fall together.
         """
         key = target_start, request_id
         known = self._decisions.get(key)
@@ -74,7 +83,7 @@
             decision, decided_at_s = known
             left_s = max(0.0, decision.wait_s - (now_s - decided_at_s))
             return PermitDecision(True, left_s)
-        bucket = self._bucket(target_start, rate_per_s, now_s)
+        bucket = self._bucket(target_start, rate_per_s, now_s, permits)
         wait_s = bucket.reserve(now_s, max_wait_s)
         if wait_s is None:
             return PermitDecision(False, bucket.wait_s(now_s))
@@ -85,11 +94,12 @@
         return decision
 
     def _bucket(
-        self, target_start: str, rate_per_s: float, now_s: float
+        self, target_start: str, rate_per_s: float, now_s: float, permits: float
     ) -> PermitBucket:
         bucket = self._buckets.get(target_start)
         if bucket is None:
-            bucket = self._buckets[target_start] = PermitBucket(rate_per_s, now_s)
+            bucket = PermitBucket(rate_per_s, now_s, PART_BURST_S, permits)
+            self._buckets[target_start] = bucket
         elif bucket.rate_per_s != rate_per_s:
             bucket.set_rate(rate_per_s, now_s)
         self._buckets.move_to_end(target_start)
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -7,8 +7,10 @@
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
+from functools import partial
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.allotment_holders import allotment_right
 from lentiltally.decisions.engine_orders import (
     AdapterRequest,
     AdapterRequestState,
@@ -240,13 +242,13 @@
             self._slots.prefill_finished(message.request_id, now_s)
             self._answer_requests()
         elif isinstance(message, AcquirePermit):
-            self._answer(sender, self._limits.requested(message))
+            self._permit_requested(message, sender)
         elif isinstance(message, AcquireAllotment):
-            self._answer(sender, self._allotments.requested(message))
+            self._allotment_requested(message, sender)
         elif isinstance(message, ReturnAllotment):
             self._allotments.returned(message)
         elif isinstance(message, ConfirmConfiguration):
-            self._answer(sender, self._reader.confirmation(message))
+            self._confirmation_requested(message, sender)
         elif isinstance(message, RequestHandover):
             self._rights.handover_requested(message, sender.ip)
         elif isinstance(message, HandoverAnswer):
@@ -266,9 +268,33 @@
                 self._peers.send(sender, refusals)
         self._reader.version_seen(message.config_version)
 
-    def _answer(self, sender: SocketAddress, answer: Message | None) -> None:
+    def _confirmation_requested(
+        self, message: ConfirmConfiguration, sender: SocketAddress
+    ) -> None:
+        answer = self._reader.confirmation(message)
+        if answer is not None:
+            self._peers.send(sender, answer)
+
+    def _permit_requested(self, message: AcquirePermit, sender: SocketAddress) -> None:
+        answer = self._limits.requested(message)
+        if answer is not None:
+            self._peers.send(sender, answer)
+            return
+        self._rights.when_agreed(
+            message.target_start, partial(self._permit_requested, message, sender)
+        )
+
+    def _allotment_requested(
+        self, message: AcquireAllotment, sender: SocketAddress
+    ) -> None:
+        answer = self._allotments.requested(message)
         if answer is not None:
             self._peers.send(sender, answer)
+            return
+        self._rights.when_agreed(
+            allotment_right(message.account),
+            partial(self._allotment_requested, message, sender),
+        )
 
     def _acquire_requested(
         self, message: AcquireAdapter, sender: SocketAddress, now_s: float
--- a/lentiltally/direct/allotment_holder.py
+++ b/lentiltally/direct/allotment_holder.py
@@ -61,7 +61,7 @@
         self._allotments = Allotments(limit_margin(settings.bounds), self._now_s)
 
     def requested(self, message: AcquireAllotment) -> AllotmentAnswer | None:
-        """Decide on a request; None if the entry should repeat its question.
+        """Decide on a request; None if other agents have to agree first.
 
         The answer has no wait if this agent is no holder, or not yet.
         """
--- a/lentiltally/direct/held_rights.py
+++ b/lentiltally/direct/held_rights.py
@@ -4,6 +4,7 @@
 
 import logging
 import math
+from collections.abc import Callable
 
 from lentiltally.clock import Clock, elapsed_s
 from lentiltally.decisions.holder_role import (
@@ -30,6 +31,8 @@
 # Entries read the list of targets within the bound on draining targets, or a little
 # later while the store is slow.
 LIST_MARGIN_S = 1.0
+# Questions about one right that wait for the answers of other agents.
+MAX_WAITING = 100
 
 
 class HeldRights:
@@ -47,9 +50,19 @@
         self._peer_port = settings.peer_port
         self._metrics = metrics
         self._clock = clock
+        self._waiting: dict[str, list[Callable[[], None]]] = {}
         settling_s = settings.bounds.leaving_s + LIST_MARGIN_S
         self._role = HolderRole(settings.ip, settling_s, elapsed_s(clock))
 
+    def when_agreed(self, right: str, decide: Callable[[], None]) -> None:
+        """Call ``decide`` when the agents that were asked about a right have answered.
+
+        It is not called if they don't: entries repeat their questions.
+        """
+        waiting = self._waiting.setdefault(right, [])
+        if len(waiting) < MAX_WAITING:
+            waiting.append(decide)
+
     def agents_listed(self, agents: AgentList) -> None:
         """Note the agents by the newest list that was read."""
         self._role.listed(agents, elapsed_s(self._clock))
@@ -62,6 +75,8 @@
         now_s = elapsed_s(self._clock)
         standing = self._role.standing(right, asker_position, now_s)
         self._metrics.right_asked(standing.standing)
+        if standing.standing is not Standing.ASKING:
+            self._waiting.pop(right, None)
         if standing.standing is not Standing.HOLDER:
             self._log_standing(right, asker_position, standing.standing)
         request = self._role.due_request(right, now_s)
@@ -104,7 +119,11 @@
         reply = HandoverReply(
             message.is_agreed, message.list_position, message.wait_ms / 1000
         )
-        self._role.answered(message.right, host, reply, elapsed_s(self._clock))
+        right = message.right
+        self._role.answered(right, host, reply, elapsed_s(self._clock))
+        if not self._role.unanswered(right):
+            for decide in self._waiting.pop(right, ()):
+                decide()
 
     def _log_standing(
         self, right: str, asker_position: int, standing: Standing
--- a/lentiltally/direct/limit_holder.py
+++ b/lentiltally/direct/limit_holder.py
@@ -16,7 +16,7 @@
 
 
 class LimitHolder:
-    """Gives permits of the limits that an agent holds."""
+    """Gives permits of the parts of limits that an agent holds."""
 
     def __init__(self, rights: HeldRights, clock: Clock) -> None:
         """Start without limits."""
@@ -25,21 +25,22 @@
         self._limits = TargetLimits()
 
     def requested(self, message: AcquirePermit) -> PermitAnswer | None:
-        """Decide on a request; None if the entry should repeat its question."""
+        """Decide on a request; None if other agents have to agree first."""
         right = message.target_start
-        standing = self._rights.standing(right, message.list_position).standing
-        if standing is Standing.ASKING:
+        standing = self._rights.standing(right, message.list_position)
+        if standing.standing is Standing.ASKING:
             return None
-        if standing is not Standing.HOLDER:
+        if standing.standing is not Standing.HOLDER:
             return PermitAnswer(
                 message.request_id, right, False, UNDECIDED_WAIT_MS, is_decided=False
             )
         decision = self._limits.request(
             right,
             message.request_id,
-            message.rate_per_s,
+            message.rate_per_s / standing.holders,
             message.max_wait_ms / 1000,
             self._clock.monotonic_s(),
+            permits=(standing.holders - 1 - standing.rank) / standing.holders,
         )
         wait_ms = int(1000 * min(MAX_PERMIT_WAIT_S, decision.wait_s))
         return PermitAnswer(message.request_id, right, decision.is_granted, wait_ms)
--- a/tests/direct/shared_rights.feature
+++ b/tests/direct/shared_rights.feature
@@ -20,3 +20,13 @@
     And direct path has another entry
     When shared rights get requests of the account for 8 s at both entries, 160 a second
     Then shared rights let the account run 150 to 286 requests in any 4 s
+
+  # Guards against a second agent that gives the whole limit while some entries can't
+  # reach the first one for moments.
+  Scenario: Shared rights of a limit stay within its bound when its holder stands still for moments
+    Given shared rights of 5 engines and a plain target
+    And direct path has another entry
+    And direct path targets name a limit of 20.0 requests a second
+    And shared rights have the limit's first holder stand still for 0.15 s, 5 times
+    When direct path gets requests to "/safe/x" for 8 s at both entries, 60 a second
+    Then shared rights let the target get 40 to 125 requests in any 4 s
--- a/tests/steps/direct_shared_rights_steps.py
+++ b/tests/steps/direct_shared_rights_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import asyncio
 from dataclasses import replace
 
 from behave import given, then, when
@@ -16,6 +17,8 @@
 WINDOW_S = 4.0
 # An entry keeps a limit from half a second after the first answer that names it.
 LEARNT_S = 0.5
+# Pause between two moments in which an agent stands still.
+PAUSE_S = 1.3
 
 
 @given("shared rights of {engines:d} engines and a plain target")
@@ -90,6 +93,30 @@
     lose(system, allotment_holders(hosts_of_agents(system), ACCOUNT)[0])
 
 
+@given(
+    "shared rights have the limit's first holder stand still for {for_s:g} s, "
+    "{times:d} times"
+)
+def stands_still(context, for_s, times):
+    system = context.direct
+    right = limit_right(system.engines["p0"])
+    host = limit_owners(hosts_of_agents(system), right)[0]
+    (peers,) = (a._peers for a in system.agents.values() if a._settings.ip == host)
+
+    async def stand_still():
+        handler = peers._handler
+        for _ in range(times):
+            await asyncio.sleep(PAUSE_S)
+            waiting = []
+            peers._handler = lambda *message: waiting.append(message)  # noqa: B023
+            await asyncio.sleep(for_s)
+            peers._handler = handler
+            for message in waiting:
+                handler(*message)
+
+    asyncio.run_coroutine_threadsafe(stand_still(), system.loop)
+
+
 @when(
     "shared rights get requests of the account for {for_s:g} s at both entries, "
     "{rate_per_s:g} a second"
