Take no status for an answer that HTTP does not have

Here 000 and 099 were refused, but callers got 600 to 999 on both interfaces; on the own interface also 101, "+200" or "20_0" as 200, and an interim response (102, 103) as the answer, so that the next request on the connection could have got the real one. The same held for the log service and the host list.

Cause: h11 takes any three digits, http.client what int() takes, and it skips 100 only.

Change: HttpConnection refuses statuses above 599. Connections of urllib3 are checked in one place (http_responses), now for the platform's services too: three digits from 100 to 599, interim responses skipped up to 16, no 101. Such an answer is a broken one: retried where allowed, else 502.

--- a/lentiltally/direct/http_connection.py
+++ b/lentiltally/direct/http_connection.py
@@ -29,6 +29,8 @@
 KEEP_ALIVE_PROBES = 2
 UNACKNOWLEDGED_LIMIT_MS = 2_500
 MAX_HEAD_BYTES = 64 * 1024
+# HTTP has no statuses above this one, and clients can't read them as answers.
+MAX_STATUS = 599
 # Informational responses (1xx) that may precede the head of an answer.
 MAX_INTERIM_RESPONSES = 16
 # Reading pauses while this much of an answer has not been processed, for instance
@@ -198,6 +200,8 @@
                 event = self._http.next_event()
             except h11.RemoteProtocolError as error:
                 raise self._peer_error(f"no answer in the protocol: {error}") from error
+            if isinstance(event, h11.Response) and event.status_code > MAX_STATUS:
+                raise self._peer_error(f"invalid status {event.status_code}")
             if isinstance(event, h11.Response | h11.Data | h11.EndOfMessage):
                 return event
             if isinstance(event, h11.ConnectionClosed):
--- a/lentiltally/platform/_http.py
+++ b/lentiltally/platform/_http.py
@@ -8,10 +8,19 @@
 import urllib3
 
 from lentiltally.http_bodies import read_body
+from lentiltally.http_responses import CheckedConnection, CheckedTlsConnection
 
 _MAX_IDLE_CONNECTIONS = 8
 
 
+class _Pool(urllib3.HTTPConnectionPool):
+    ConnectionCls = CheckedConnection
+
+
+class _TlsPool(urllib3.HTTPSConnectionPool):
+    ConnectionCls = CheckedTlsConnection
+
+
 @dataclass(frozen=True, slots=True)
 class HttpAnswer:
     """A response with its complete body."""
@@ -23,7 +32,9 @@
 
 def new_pool() -> urllib3.PoolManager:
     """Return a connection pool that sends each request once, without retries."""
-    return urllib3.PoolManager(retries=False, maxsize=_MAX_IDLE_CONNECTIONS)
+    pool = urllib3.PoolManager(retries=False, maxsize=_MAX_IDLE_CONNECTIONS)
+    pool.pool_classes_by_scheme = {"http": _Pool, "https": _TlsPool}
+    return pool
 
 
 def call(
--- a/tools/_mutations_own.py
+++ b/tools/_mutations_own.py
@@ -65,7 +65,7 @@
     ),
     Mutation(
         "heads that are cut off, on the own interface",
-        "agent/_http.py",
+        "http_responses.py",
         "if reader.is_cut_off:",
         "if False:",
         "agent/cut_answers",
@@ -73,7 +73,7 @@
     ),
     Mutation(
         "lengths that are no numbers, on the own interface",
-        "agent/_http.py",
+        "http_responses.py",
         "if len(lengths) > 1 or not all(_is_length(length) for length in lengths):",
         "if len(lengths) > 1:",
         "agent/cut_answers",
