Let the sender of a stream test notice that the reader has ended

Cause: a race of the test, not of the product. Change: the send has a timeout of 50 ms, after which the loop looks again whether the reader has ended. What is sent and what is checked are as before.

The table of mutations follows the text of permit_client.

--- a/tests/steps/streams_steps.py
+++ b/tests/steps/streams_steps.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import contextlib
 import json
 import re
 import socket
@@ -21,6 +22,7 @@
 from tests.steps.agent_cut_answers_steps import read_request
 
 MODEL = "t/a@1"
+SEND_TIMEOUT_S = 0.05
 
 
 def _start(context, settings):
@@ -157,6 +159,7 @@
 def follow_socket(context, data, pause_s):
     """Follow a stream that gets the same bytes again and again until it ends."""
     receiver, sender = socket.socketpair()
+    sender.settimeout(SEND_TIMEOUT_S)
     reader = StreamReader(SystemClock())
     reader.start()
     context.add_cleanup(reader.stop)
@@ -165,7 +168,9 @@
         result = pool.submit(reader.follow, {stream: lambda block: False}, 0.3)
         deadline_s = time.monotonic() + 10.0
         while not result.done() and time.monotonic() < deadline_s:
-            sender.sendall(data)
+            # The reader may have ended while the buffer is full.
+            with contextlib.suppress(TimeoutError):
+                sender.sendall(data)
             time.sleep(pause_s)
         sender.close()
         context.error = result.exception(10.0)
--- a/tools/_mutations_crashes.py
+++ b/tools/_mutations_crashes.py
@@ -64,9 +64,9 @@
         "targets without agents",
     ),
     Mutation(
-        "one owner of a target's limit",
+        "holders of a target's limit",
         "direct/permit_client.py",
-        "            decision = await self._ask(owner, message)\n",
+        "            decision = await self._ask(holder, message)\n",
         "            decision = PermitDecision(True, 0.0)\n",
         "direct/limits",
         "limits of plain targets",
