Round the time to come back up, so that it is never 0 by rounding

Cause: two decimals, rounded to the nearest. A caller that comes back up to 5 ms too early is refused again. Change: rounded up to hundredths.

--- a/lentiltally/problems.py
+++ b/lentiltally/problems.py
@@ -2,6 +2,7 @@
 
 from __future__ import annotations
 
+import math
 from typing import Literal
 
 import msgspec
@@ -119,6 +120,8 @@
     if request_id:
         headers.append((b"X-Request-Id", request_id.encode("latin-1")))
     if refusal.retry_after_s is not None:
-        headers.append((b"Retry-After", b"%.2f" % refusal.retry_after_s))
+        # Rounded up: a caller that comes back too early would be refused again.
+        hundredths = math.ceil(100 * refusal.retry_after_s)
+        headers.append((b"Retry-After", b"%.2f" % (hundredths / 100)))
     headers += [(name.encode(), value.encode()) for name, value in refusal.headers]
     return headers
