Count entries by the largest report of the last 5 s

An entry divided the slack of the retry budget, and limits without a holder, by the number of entries that the last state named. An agent that has just started names only those that have subscribed already, so an entry used the part of several for a moment.

Change: EntryCount. Tests: decisions/entry_count, the scenario with processes failed on.

--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -9,6 +9,7 @@
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.configuration_proof import ConfigurationProof
+from lentiltally.decisions.entry_count import EntryCount
 from lentiltally.decisions.holder_role import AgentList
 from lentiltally.decisions.known_agents import KnownAgents
 from lentiltally.decisions.route_table import RouteTable
@@ -32,8 +33,6 @@
 
 _log = logging.getLogger(__name__)
 
-# Number of entries that share the retry budget, until an agent reports it.
-ASSUMED_ENTRIES = 8
 # How long a target is avoided whose agent says that it has ended.
 ENDED_COOLDOWN_S = 1.0
 # The list of agents that hold shared rights is derived again after this time.
@@ -69,7 +68,7 @@
         self._known_agents = KnownAgents()
         self._with_unread_limit: set[str] = set()
         self.suspects = EntrySuspects(self.directory, clock, stagger)
-        self.entry_count = ASSUMED_ENTRIES
+        self._entry_count = EntryCount()
         self.on_target_list_stale: Callable[[], None] = _do_nothing
         self.list_position: Callable[[], int] = _at_start
         self._agent_list = AgentList(frozenset(), 0)
@@ -83,6 +82,11 @@
         """Return the limits on callers' requests that are in force."""
         return self.table.state.limits if self.table else CallerLimits()
 
+    @property
+    def entry_count(self) -> int:
+        """Return the number of entries, among which limits of the fleet are divided."""
+        return self._entry_count.current(self._clock.monotonic_s())
+
     @property
     def has_accounts(self) -> bool:
         """Return whether the desired state has client accounts."""
@@ -149,8 +153,7 @@
 
     def engine_state_received(self, ip: str, state: EngineState) -> None:
         """Apply an engine state that the agent at an address sent."""
-        if state.entries:
-            self.entry_count = state.entries
+        self._entry_count.reported(state.entries, self._clock.monotonic_s())
         target_id = self.directory.find_at_host(ip, state.started_ms)
         record = None if target_id is None else self.directory.get(target_id)
         has_other_start = record is None or record.started_ms != state.started_ms
