Cut off the input of each decision class that a daemon builds

So tools/_mutations_wiring has an entry for the inputs of the decision classes of entries and agents: each cuts one off, and a scenario with the real processes must fail then.

--- a/tests/direct/shared_rights.feature
+++ b/tests/direct/shared_rights.feature
@@ -30,3 +30,20 @@
     And shared rights have the limit's first holder stand still for 0.15 s, 5 times
     When direct path gets requests to "/safe/x" for 8 s at both entries, 60 a second
     Then shared rights let the target get 40 to 125 requests in any 4 s
+
+  # Guards against a former holder that grants to an entry which knows no newer list than
+  # the one that names it. It fails if the agent's process doesn't note its own list.
+  Scenario: Shared rights of an allotment stay within its bound when an entry no longer reads the list
+    Given shared rights of 5 engines and a plain target, with an account of 60 requests a second
+    And direct path has another entry
+    And shared rights have the first entry read the list no more
+    And shared rights lose the engine beside the first holder of the account's allotment
+    When shared rights get requests of the account for 8 s at both entries, 160 a second
+    Then shared rights let the account run 150 to 286 requests in any 4 s
+
+  # Guards against a wait of seconds after each start of the fleet, and against agents
+  # whose questions to each other, or the answers, reach nobody.
+  Scenario: Shared rights of an allotment are granted soon after all processes have started
+    Given shared rights of 5 engines and a plain target, with an account of 60 requests a second and slow lists
+    When shared rights get a request of the account
+    Then shared rights answer 200 with no agent that has settled
--- a/tests/steps/direct_shared_rights_steps.py
+++ b/tests/steps/direct_shared_rights_steps.py
@@ -19,6 +19,8 @@
 LEARNT_S = 0.5
 # Pause between two moments in which an agent stands still.
 PAUSE_S = 1.3
+# With this bound on draining, a new holder waits for 61 s unless the others agree.
+SLOW_LIST_S = 60.0
 
 
 @given("shared rights of {engines:d} engines and a plain target")
@@ -30,7 +32,7 @@
     "shared rights of {engines:d} engines and a plain target, with an account of "
     "{rate:d} requests a second"
 )
-def system_with_account(context, engines, rate):
+def system_with_account(context, engines, rate, **bounds):
     account = {
         "name": ACCOUNT,
         "apiKeys": [KEY],
@@ -38,15 +40,36 @@
         "ratePerS": rate,
         "burst": rate / 4,
     }
-    start_system(context, engines, {**configuration(3), "tenants": [account]})
+    document = {**configuration(3), "tenants": [account]}
+    start_system(context, engines, document, **bounds)
 
 
-def start_system(context, engines, document):
+@given(
+    "shared rights of {engines:d} engines and a plain target, with an account of "
+    "{rate:d} requests a second and slow lists"
+)
+def system_with_slow_lists(context, engines, rate):
+    system_with_account(context, engines, rate, leaving_s=SLOW_LIST_S)
+
+
+@given(
+    "shared rights of {engines:d} engines and a plain target, with an account that is "
+    "revoked within {within_s:d} s"
+)
+def system_with_revocation(context, engines, within_s):
+    system_with_account(context, engines, 60, revocation_s=float(within_s))
+
+
+def start_system(context, engines, document, **bounds):
     system = context.direct = DirectSystem()
     context.add_cleanup(system.close)
     # At 60 requests a second and a burst of 15 this allows 286 in 4 s.
     system.bounds = replace(
-        system.bounds, limit_window_s=WINDOW_S, limit_tolerance=0.1, limit_slack=6.0
+        system.bounds,
+        limit_window_s=WINDOW_S,
+        limit_tolerance=0.1,
+        limit_slack=6.0,
+        **bounds,
     )
     system.start_store()
     system.configure(document)
@@ -70,8 +93,8 @@
     system.call(system.engines[name].stop)
     system.withdraw(name)
     del system.engines[name]
-    state = system.entry._state
-    assert system.wait(lambda: state.directory.get(name) is None)
+    entry = system.other_entry or system.entry
+    assert system.wait(lambda: entry._state.directory.get(name) is None)
 
 
 def hosts_of_agents(system):
@@ -117,6 +140,30 @@
     asyncio.run_coroutine_threadsafe(stand_still(), system.loop)
 
 
+@given("shared rights have the first entry read the list no more")
+def reads_no_more(context):
+    async def read_once():
+        await asyncio.Event().wait()
+
+    feed = context.direct.entry._targets
+    feed.read_once = read_once
+
+
+@when("shared rights get a request of the account")
+def one_request_of_account(context):
+    headers = {"Authorization": f"Bearer {KEY}"}
+    context.answer = context.direct.send("/safe/x", headers=headers)
+
+
+@then("shared rights answer 200 with no agent that has settled")
+def answers_without_wait(context):
+    assert context.answer.status == 200, context.answer.body
+    roles = [agent._rights._role for agent in context.direct.agents.values()]
+    tenures = [t for role in roles for t in role._tenures.values()]
+    assert any(t.granting_since_s is not None for t in tenures), tenures
+    assert all(t.unanswered == set() for t in tenures if t.granting_since_s), tenures
+
+
 @when(
     "shared rights get requests of the account for {for_s:g} s at both entries, "
     "{rate_per_s:g} a second"
--- a/tools/_mutation_table.py
+++ b/tools/_mutation_table.py
@@ -9,6 +9,7 @@
 from tools._mutations_own import OWN_MUTATIONS
 from tools._mutations_reading import READING_MUTATIONS
 from tools._mutations_targets import TARGETS_MUTATIONS
+from tools._mutations_wiring import WIRING_MUTATIONS
 
 __all__ = ["MUTATIONS", "Mutation"]
 
@@ -19,4 +20,5 @@
     *TARGETS_MUTATIONS,
     *READING_MUTATIONS,
     *OWN_MUTATIONS,
+    *WIRING_MUTATIONS,
 )
