Order what was read from the store by its era, then by offset

Cause: a reader kept its offset. If it exists again when the reader looks, the records before it belong to another history and are never read.

Change: the adapter joins Store-Era and offset to one position, the era in the high bits, so all comparisons in feeds, shared reads, proofs, holders' lists and messages hold across a restore. A read from an earlier era is followed by the newest records, and targets that the copy lacks get the grace period of an outage. Messages carry the era beside the offset, so earlier versions read them as before. An odd era counts as the last one known and is logged. Line "store restored from a copy", gauge lentiltally_store_era. Without the header nothing differs.

--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -153,6 +153,8 @@
             rng=random.Random(),
         )
 
+        self._reader.targets.on_era = self._metrics.store_era.set
+
     def track_dropped_lines(self, dropped: Callable[[], float]) -> None:
         """Expose the number of dropped log lines as a metric."""
         self._metrics.track_dropped_lines(dropped)
--- a/lentiltally/direct/configuration_client.py
+++ b/lentiltally/direct/configuration_client.py
@@ -8,6 +8,11 @@
 import logging
 
 from lentiltally.clock import Clock, elapsed_s
+from lentiltally.decisions.log_position import (
+    log_position,
+    position_era,
+    position_offset,
+)
 from lentiltally.direct.agent_client import MessageSender
 from lentiltally.direct.entry_feeds import ConfigurationFeed
 from lentiltally.direct.entry_metrics import EntryMetrics
@@ -67,7 +72,9 @@
         if agents:
             self._peers.send_all(
                 [SocketAddress(agent, self._state.peer_port) for agent in agents],
-                ConfirmConfiguration(self._proof.token(now_s), self._feed.next_offset),
+                ConfirmConfiguration(
+                    self._proof.token(now_s), position_offset(self._feed.next_offset)
+                ),
             )
 
     def agent_reported(self, agent: str, age_ms: int) -> None:
@@ -76,12 +83,14 @@
 
     def answer_received(self, message: ConfigurationConfirmed, agent: str) -> None:
         """Apply an agent's answer."""
+        own_position = self._feed.next_offset
+        era = position_era(own_position) if message.era is None else message.era
         outcome = self._proof.confirmed(
             agent,
             message.token,
             message.age_ms / 1000,
-            agent_offset=message.next_offset,
-            own_offset=self._feed.next_offset,
+            agent_offset=log_position(era, message.next_offset),
+            own_offset=own_position,
             is_newest_applied=self._listener.is_newest_applied,
             now_s=elapsed_s(self._clock),
         )
@@ -110,7 +119,8 @@
             "configuration unconfirmed",
             extra={
                 "age_s": round(self._proof.age_s(elapsed_s(self._clock)), 3),
-                "next_offset": self._feed.next_offset,
+                "next_offset": position_offset(self._feed.next_offset),
+                "era": position_era(self._feed.next_offset),
                 "newest_applied": self._listener.is_newest_applied,
                 "store_down": self._feed.is_down,
             },
--- a/lentiltally/direct/entry_feeds.py
+++ b/lentiltally/direct/entry_feeds.py
@@ -6,6 +6,7 @@
 from collections.abc import Callable
 
 from lentiltally.clock import Clock
+from lentiltally.decisions.log_position import position_offset
 from lentiltally.decisions.target_directory import DirectoryChange, TargetDirectory
 from lentiltally.direct.keyed_feed import FeedRecord
 from lentiltally.direct.model import AdapterNotice, DesiredState, TargetRecord
@@ -66,7 +67,11 @@
             self._undecodable[record.key] = record.offset
             _log.warning(
                 "undecodable configuration record ignored",
-                extra={"key": record.key, "offset": record.offset, "error": str(error)},
+                extra={
+                    "key": record.key,
+                    "offset": position_offset(record.offset),
+                    "error": str(error),
+                },
             )
 
     def on_snapshot_keys(self, keys: set[str], end: int) -> None:
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -10,6 +10,7 @@
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.balance_mode import Balance
+from lentiltally.decisions.log_position import log_position, position_era
 from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.decisions.target_directory import DirectoryChange
 from lentiltally.direct.agent_client import AgentClient
@@ -199,6 +200,7 @@
             wait_s=0.0,
             shared=self._shared_targets,
         )
+        self._targets.on_era = self._metrics.store_era.set
         self._state.on_target_list_stale = self._targets.request_read
         self._state.list_position = lambda: self._targets.next_offset
 
@@ -421,10 +423,15 @@
         now_s = self._clock.monotonic_s()
         self._confirmations.agent_reported(agent, report.config_age_ms)
         self._shared_configuration.reported(
-            report.config_changed_at, report.config_age_ms / 1000, now_s
+            _position(report.config_changed_at, report.config_era, self._configuration),
+            report.config_age_ms / 1000,
+            now_s,
         )
         self._shared_targets.reported(
-            report.targets_changed_at, report.targets_age_ms / 1000, now_s, agent
+            _position(report.targets_changed_at, report.targets_era, self._targets),
+            report.targets_age_ms / 1000,
+            now_s,
+            agent,
         )
         if report.outage_ended_ms >= 0:
             returned_at_s = now_s - report.outage_ended_ms / 1000
@@ -441,3 +448,8 @@
                 act()
             except Exception:
                 _log.exception("periodic task failed", extra={"step": act.__name__})
+
+
+def _position(offset: int, era: int | None, feed: KeyedFeed) -> int:
+    """Return the position of an agent's offset; without an era in that of a feed."""
+    return log_position(position_era(feed.next_offset) if era is None else era, offset)
--- a/lentiltally/direct/keyed_feed.py
+++ b/lentiltally/direct/keyed_feed.py
@@ -16,6 +16,7 @@
 from typing import Protocol
 
 from lentiltally.clock import Clock, elapsed_s
+from lentiltally.decisions.log_position import position_era, position_offset
 from lentiltally.decisions.shared_reads import SharedReads
 from lentiltally.errors import LentiltallyError
 
@@ -25,6 +26,7 @@
     "FeedListener",
     "FeedPage",
     "FeedRecord",
+    "FeedRestoredError",
     "FeedTruncatedError",
     "KeyedFeed",
     "KeyedTopic",
@@ -58,9 +60,16 @@
     first_offset: int = 0
 
 
+class FeedRestoredError(FeedError):
+    """The store has come back from an older copy since the position was read."""
+
+
 @dataclass(frozen=True, slots=True)
 class FeedRecord:
-    """One record; ``value`` is None if the key was removed."""
+    """One record; ``value`` is None if the key was removed.
+
+    ``offset`` is its position in the topic, with the era of the store.
+    """
 
     key: str
     value: bytes | None
@@ -139,7 +148,8 @@
     ``is_down`` whether the last read failed. ``last_read_at_s`` is when the last read
     that reached the end of the topic was sent, for a long poll when it was answered.
     ``end_read`` is the last read that proves where the end was, None before the first
-    one; ``on_end_read`` is called with each.
+    one; ``on_end_read`` is called with each. ``on_era`` is called with the era of the
+    store when the newest records were read.
     """
 
     def __init__(
@@ -175,9 +185,12 @@
         self._is_confirming = False
         self._end: int | None = None
         self._next_offset: int | None = None
+        # The end of the topic when its newest records were read last.
+        self._era_position = 0
         self._first_offset = 0
         self._newest_offsets: dict[str, int] = {}
         self._failures = 0
+        self.on_era: Callable[[int], object] = _do_nothing
 
     async def run(self) -> None:
         """Follow the topic until cancelled."""
@@ -187,6 +200,9 @@
                 is_behind = await self._read_unless_lost()
                 if not is_behind:
                     await self._wait_for_next_read()
+            except FeedRestoredError:
+                # The newest records show what the copy has.
+                self._next_offset = None
             except FeedTruncatedError as error:
                 _log.info(
                     "feed truncated, reading newest records again",
@@ -319,6 +335,7 @@
         """Read the newest record of each key; return the end of the topic."""
         page = await self._topic.newest()
         self._read_succeeded()
+        self._note_era(page)
         await self._pass_on_all(page.records)
         keys = {record.key for record in page.records}
         self._listener.on_snapshot_keys(keys, page.end)
@@ -330,6 +347,29 @@
         self._end = page.end
         return page.end
 
+    def _note_era(self, page: FeedPage) -> None:
+        """Tell the listener if the store has come back from a copy.
+
+        Records that the copy lacks are written again, as after an outage.
+        """
+        era = position_era(page.end)
+        if self.is_current and era > position_era(self._era_position):
+            _log.warning(
+                "store restored from a copy",
+                extra={
+                    "topic": self.name,
+                    "era": era,
+                    "former_era": position_era(self._era_position),
+                    "read_before": position_offset(self._era_position),
+                    "end": position_offset(page.end),
+                    "keys": len(page.records),
+                    "former_keys": len(self._newest_offsets),
+                },
+            )
+            self._listener.on_store_recovered()
+        self._era_position = page.end
+        self.on_era(era)
+
     async def _read_following(self, offset: int, wait_s: float) -> int:
         """Read the records from an offset on; return the end of the topic."""
         page = await self._topic.read(offset, wait_s)
@@ -358,7 +398,11 @@
         except Exception:
             _log.exception(
                 "record not processed",
-                extra={"topic": self.name, "key": record.key, "offset": record.offset},
+                extra={
+                    "topic": self.name,
+                    "key": record.key,
+                    "offset": position_offset(record.offset),
+                },
             )
 
     def _reset_position(self, first_offset: int) -> bool:
@@ -387,5 +431,5 @@
             )
 
 
-def _do_nothing(_: EndRead) -> None:
+def _do_nothing(_: object) -> None:
     """Do nothing: the default callback until a process sets one."""
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -14,6 +14,8 @@
 import xxhash
 from msgspec import Meta, Struct
 
+from lentiltally.decisions.log_position import MAX_ERA
+
 __all__ = [
     "AcquireAdapter",
     "AcquireAllotment",
@@ -65,6 +67,7 @@
 RatePerS = Annotated[float, Meta(ge=0, le=1e12)]
 WaitMs = Annotated[int, Meta(ge=0, le=3_600_000)]
 Quantity = Annotated[int, Meta(ge=0, le=2**53 - 1)]
+Era = Annotated[int, Meta(ge=0, le=MAX_ERA)]
 
 
 class StateSubscription(Struct, tag=1, array_like=True, frozen=True):
@@ -86,7 +89,8 @@
 
     For the configuration and the list of targets: the offset up to which it has found
     news, and the age of its last read. ``outage_ended_ms`` is how long ago the store
-    answered again after an outage. A time is -1 if there was no such event.
+    answered again after an outage. A time is -1 if there was no such event. The eras
+    are those of the offsets; None stands for the era that the receiver knows.
     """
 
     config_changed_at: int
@@ -94,6 +98,8 @@
     targets_changed_at: int
     targets_age_ms: int
     outage_ended_ms: int = -1
+    config_era: Era | None = None
+    targets_era: Era | None = None
 
 
 class EngineState(Struct, tag=2, array_like=True, frozen=True):
@@ -328,12 +334,14 @@
     """Answers ``ConfirmConfiguration``.
 
     The agent's last read that reached the end of the topic was sent ``age_ms`` before
-    the question arrived; ``next_offset`` is the offset after that end.
+    the question arrived; ``next_offset`` is the offset after that end, in ``era`` of
+    the store, or in the one that the entry knows if that is None.
     """
 
     token: Quantity
     next_offset: Quantity
     age_ms: WaitMs
+    era: Era | None = None
 
 
 class AcquireAllotment(Struct, tag=19, array_like=True, frozen=True):
--- a/lentiltally/direct/process_metrics.py
+++ b/lentiltally/direct/process_metrics.py
@@ -25,6 +25,12 @@
             registry=self._registry,
         )
 
+        self.store_era = Gauge(
+            "lentiltally_store_era",
+            "Era of the store; it rises when the store comes back from an older copy",
+            registry=self._registry,
+        )
+
     def track_dropped_lines(self, dropped: Callable[[], float]) -> None:
         """Expose the number of dropped log lines that the function returns."""
         self._log_lines_dropped.set_function(dropped)
--- a/lentiltally/direct/store_reader.py
+++ b/lentiltally/direct/store_reader.py
@@ -9,6 +9,7 @@
 from dataclasses import dataclass, replace
 
 from lentiltally.clock import Clock, elapsed_s
+from lentiltally.decisions.log_position import position_era, position_offset
 from lentiltally.decisions.shared_reads import turn_interval_s
 from lentiltally.decisions.target_directory import DirectoryChange, TargetDirectory
 from lentiltally.direct.entry_feeds import (
@@ -212,12 +213,16 @@
         self._news.tick(self.targets.next_offset)
         if any(feed.last_read_at_s < self._suspended_at_s for feed in feeds):
             return None
+        config_changed_at = self.configuration.next_offset - 1
+        targets_changed_at = self._news.changed_at
         return StoreReport(
-            self.configuration.next_offset - 1,
+            position_offset(config_changed_at),
             _age_ms(self.configuration.last_read_at_s, now_s),
-            self._news.changed_at,
+            position_offset(targets_changed_at),
             _age_ms(self.targets.last_read_at_s, now_s),
             self._outage_ended_ms(now_s),
+            position_era(config_changed_at),
+            position_era(targets_changed_at),
         )
 
     def confirmation(
@@ -237,7 +242,10 @@
         if not 0.0 <= age_s <= MAX_CONFIRMED_AGE_S:
             return None
         return ConfigurationConfirmed(
-            question.token, read.next_offset, math.ceil(age_s * 1000)
+            question.token,
+            position_offset(read.next_offset),
+            math.ceil(age_s * 1000),
+            position_era(read.next_offset),
         )
 
     def _note_suspension(self, now_s: float) -> None:
--- a/lentiltally/platform/store_client.py
+++ b/lentiltally/platform/store_client.py
@@ -11,13 +11,19 @@
 import logging
 import struct
 from base64 import b64decode
-from dataclasses import dataclass
 from typing import Any
 from urllib.parse import urlencode
 
 import msgspec
 from msgspec import Struct
 
+from lentiltally.decisions.log_position import (
+    MAX_ERA,
+    MAX_LOG_OFFSET,
+    log_position,
+    position_era,
+    position_offset,
+)
 from lentiltally.decisions.message_size import (
     MessageLimits,
     MessageSize,
@@ -29,6 +35,7 @@
     FeedError,
     FeedPage,
     FeedRecord,
+    FeedRestoredError,
     FeedTruncatedError,
 )
 from lentiltally.direct.settings import SocketAddress
@@ -66,7 +73,10 @@
 _KEY_LENGTH_BYTES = 1
 # Stands in keys for what is not UTF-8.
 REPLACEMENT = "\ufffd"
-MAX_OFFSET = 2**53 - 1
+ERA_HEADER = b"store-era"
+# Digits of the largest era.
+MAX_ERA_DIGITS = 4
+MAX_LOGGED_BYTES = 64
 
 
 class _NewestItem(Struct):
@@ -95,12 +105,21 @@
     first: int = 0
 
 
-@dataclass(frozen=True, slots=True)
 class StoreTopic:
-    """Reads one keyed topic, all of whose records are in partition 0."""
+    """Reads one keyed topic, all of whose records are in partition 0.
+
+    Offsets of the store become positions, which have its era (``log_position``).
+    """
+
+    __slots__ = ("_era", "_odd_era", "client", "name")
 
-    name: str
-    client: HttpClient
+    def __init__(self, name: str, client: HttpClient) -> None:
+        """Read with a client whose calls go to the store."""
+        self.name = name
+        self.client = client
+        self._era = 0
+        # The last era that was logged as odd.
+        self._odd_era: bytes | None = None
 
     @classmethod
     def from_address(
@@ -129,6 +148,7 @@
         """
         records: list[FeedRecord] = []
         next_offset: int | None = None
+        era: int | None = None
         after_key = ""
         size = MessageSize(NEWEST_LIMITS)
         while True:
@@ -140,31 +160,39 @@
                 size.add(len(answer.body))
             except MessageTooLargeError as error:
                 raise self._error(f"newest records too large: {error}") from error
+            if era not in (None, self._era_of(answer)):
+                raise self._error("the store was restored between two pages")
+            era = self._era
             page = self._decode_newest_page(answer)
             if len(page.items) > MAX_PAGE_RECORDS:
                 raise self._error(f"page with {len(page.items)} items")
             if next_offset is None:
                 next_offset = _next_offset(page)
-            records += [_decode_item(item) for item in page.items]
+            records += [_decode_item(item, era) for item in page.items]
             if not page.more or not page.items:
-                return FeedPage(page.end, tuple(records), next_offset)
+                end, next_position = (
+                    log_position(era, offset) for offset in (page.end, next_offset)
+                )
+                return FeedPage(end, tuple(records), next_position)
             # The store does not know a key with replaced characters.
             keys = [item.key for item in page.items if REPLACEMENT not in item.key]
             if not keys or keys[-1] == after_key:
                 raise self._error("no key to continue after")
             after_key = keys[-1]
 
-    async def read(self, offset: int, wait_s: float) -> FeedPage:
-        """Return the records from an offset on; raises FeedError.
+    async def read(self, position: int, wait_s: float) -> FeedPage:
+        """Return the records from a position on; raises FeedError.
 
         If there is none, the store waits up to ``wait_s`` for one (long poll); 0 means
         that it answers immediately. Raises FeedTruncatedError if the record at the
-        offset has been deleted.
+        position has been deleted, and FeedRestoredError if the store has come back from
+        a copy since.
         """
+        offset = position_offset(position)
         query = {"topic": self.name, "part": "0", "from": str(offset)}
         if wait_s:
             query["waitMs"] = str(int(wait_s * 1000))
-        answer = await self._get("/-/log-read", query, wait_s)
+        answer = await self._get("/-/log-read", query, wait_s, position)
         return self._decode_log_page(answer.body, offset)
 
     def close(self) -> None:
@@ -172,27 +200,56 @@
         self.client.close()
 
     async def _get(
-        self, path: str, query: dict[str, str], wait_s: float
+        self,
+        path: str,
+        query: dict[str, str],
+        wait_s: float,
+        position: int | None = None,
     ) -> HttpResponse:
+        """Make a call; ``position`` is that of a log from which it reads."""
         target = f"{path}?{urlencode(query)}".encode()
         timeout_s = wait_s + LONG_POLL_GRACE_S if wait_s else CALL_TIMEOUT_S
         try:
             answer = await self.client.call(b"GET", target, timeout_s=timeout_s)
         except (ConnectError, PeerError) as error:
             raise self._error(str(error)) from error
+        if answer.status not in (200, 410):
+            raise self._error(f"the store answered {answer.status}")
+        era = self._era_of(answer)
+        if position is not None and era > position_era(position):
+            raise FeedRestoredError(
+                f"the store is in era {era}", step="read", peer=str(self.client.address)
+            )
         if answer.status == 410:
             raise self._truncated_error(answer)
-        if answer.status != 200:
-            raise self._error(f"the store answered {answer.status}")
         return answer
 
+    def _era_of(self, answer: HttpResponse) -> int:
+        """Return the era of an answer; an odd one counts as the last one known."""
+        text = answer.headers.get(ERA_HEADER)
+        era = _decode_era(text)
+        if era is not None and era >= self._era:
+            self._era = era
+            self._odd_era = None
+        elif (text or self._era) and self._odd_era != (text or b""):
+            self._odd_era = text or b""
+            _log.warning(
+                "era of the store not read",
+                extra={
+                    "topic": self.name,
+                    "text": (text or b"")[:MAX_LOGGED_BYTES].decode("latin-1"),
+                    "era": self._era,
+                },
+            )
+        return self._era
+
     def _truncated_error(self, answer: HttpResponse) -> FeedTruncatedError:
         error = FeedTruncatedError(
             "records were deleted", step="read", peer=str(self.client.address)
         )
         try:
             truncation = decode_json(answer.body, _Truncation)
-            error.first_offset = truncation.first
+            error.first_offset = log_position(self._era, truncation.first)
         except msgspec.MsgspecError as problem:
             _log.warning(
                 "malformed truncation answer from the store",
@@ -215,22 +272,26 @@
             raise self._error("answer shorter than its header")
         end, _first = _PAGE_HEADER.unpack_from(body)
         records: list[FeedRecord] = []
-        position = _PAGE_HEADER.size
+        index = _PAGE_HEADER.size
         while (
-            position + _RECORD_LENGTH.size <= len(body)
-            and len(records) < MAX_PAGE_RECORDS
+            index + _RECORD_LENGTH.size <= len(body) and len(records) < MAX_PAGE_RECORDS
         ):
-            (size,) = _RECORD_LENGTH.unpack_from(body, position)
-            position += _RECORD_LENGTH.size
-            content = body[position : position + size]
+            (size,) = _RECORD_LENGTH.unpack_from(body, index)
+            index += _RECORD_LENGTH.size
+            content = body[index : index + size]
             if len(content) < size:
                 raise self._error("record truncated")
-            records.append(_decode_record(content, offset + len(records)))
-            position += size
+            position = log_position(self._era, offset + len(records))
+            records.append(_decode_record(content, position))
+            index += size
         if records and offset + len(records) > end:
             # An answer to an earlier read may arrive once more on a kept connection.
             raise self._error("records beyond the end of the topic")
-        return FeedPage(end, tuple(records), offset + len(records))
+        return FeedPage(
+            log_position(self._era, end),
+            tuple(records),
+            log_position(self._era, offset + len(records)),
+        )
 
     def _error(self, detail: str) -> FeedError:
         return FeedError(
@@ -252,7 +313,11 @@
         if not isinstance(fields, dict):
             continue
         key, value, offset = (fields.get(n) for n in ("key", "value", "offset"))
-        if isinstance(key, str) and type(offset) is int and 0 <= offset <= MAX_OFFSET:
+        if (
+            isinstance(key, str)
+            and type(offset) is int
+            and 0 <= offset <= MAX_LOG_OFFSET
+        ):
             text = value if isinstance(value, str) else ""
             items.append(_NewestItem(_replace_surrogates(key), text, offset))
     return _NewestPage(items, page.more, page.end)
@@ -262,11 +327,20 @@
     return text.encode("utf-16", "surrogatepass").decode("utf-16", "replace")
 
 
-def _decode_item(item: _NewestItem) -> FeedRecord:
+def _decode_era(text: bytes | None) -> int | None:
+    """Return the era of a header, None if it is absent or no valid one."""
+    if text is None or not text.isdigit() or len(text) > MAX_ERA_DIGITS:
+        return None
+    era = int(text)
+    return era if era <= MAX_ERA else None
+
+
+def _decode_item(item: _NewestItem, era: int) -> FeedRecord:
+    position = log_position(era, item.offset)
     try:
-        return FeedRecord(item.key, b64decode(item.value), item.offset)
+        return FeedRecord(item.key, b64decode(item.value), position)
     except ValueError:
-        return FeedRecord(item.key, b"", item.offset)
+        return FeedRecord(item.key, b"", position)
 
 
 def _next_offset(page: _NewestPage) -> int:
@@ -276,8 +350,8 @@
     return min(page.end, 1 + max(item.offset for item in page.items))
 
 
-def _decode_record(content: bytes, offset: int) -> FeedRecord:
+def _decode_record(content: bytes, position: int) -> FeedRecord:
     """Decode key and value; an empty value means that the key was removed."""
     key_end = _KEY_LENGTH_BYTES + (content[0] if content else 0)
     key = content[_KEY_LENGTH_BYTES:key_end].decode("utf-8", "replace")
-    return FeedRecord(key, content[key_end:] or None, offset)
+    return FeedRecord(key, content[key_end:] or None, position)
--- a/standins/platform_store.py
+++ b/standins/platform_store.py
@@ -6,6 +6,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 import struct
 from base64 import b64encode
@@ -35,6 +36,10 @@
     answer). ``calls`` counts calls by path. ``open_long_polls`` counts reads that wait
     for a record. The next ``long_polls_to_lose`` of them never answer once a record
     has arrived.
+
+    ``era_header`` is what answers have as ``Store-Era``, None for none. ``take_copy``
+    keeps a copy, and ``restore`` goes back to it: the era rises by one, long polls that
+    are under way end without an answer, and a read from beyond the end gets 410.
     """
 
     def __init__(self) -> None:
@@ -44,7 +49,10 @@
         self.calls: dict[str, int] = {}
         self.long_polls_to_lose = 0
         self.open_long_polls = 0
+        self.era_header: str | None = None
+        self._era = 0
         self._topics: dict[str, _Topic] = {}
+        self._copy: dict[str, _Topic] = {}
         self._changed = asyncio.Condition()
 
     def put(self, topic: str, key: str, value: bytes | None) -> int:
@@ -58,6 +66,20 @@
             stored.latest[key] = (value, offset)
         return offset
 
+    def begin_eras(self, era: int = 1) -> None:
+        """Say the era in all answers from now on."""
+        self._era = era
+        self.era_header = str(era)
+
+    def take_copy(self) -> None:
+        """Keep a copy of all topics to go back to."""
+        self._copy = copy.deepcopy(self._topics)
+
+    def restore(self) -> None:
+        """Go back to the copy; what was written since is gone."""
+        self._topics = copy.deepcopy(self._copy)
+        self.begin_eras(self._era + 1)
+
     def put_json(self, topic: str, key: str, value: object) -> int:
         """Append a record with a JSON value."""
         return self.put(topic, key, json.dumps(value).encode())
@@ -69,7 +91,19 @@
         stored.records.clear()
 
     async def handle(self, request: RawRequest) -> bytes | None:
-        """Answer one call according to ``mode``."""
+        """Answer one call according to ``mode``, with the era."""
+        era = self._era
+        found = await self._handle(request)
+        if found is None or self._era != era:
+            # A call does not outlast the era in which it began.
+            return None
+        if self.era_header is None:
+            return found
+        head, end, body = found.partition(b"\r\n\r\n")
+        line = f"\r\nStore-Era: {self.era_header}".encode()
+        return head + line + end + body
+
+    async def _handle(self, request: RawRequest) -> bytes | None:
         parts = urlsplit(request.path)
         self.calls[parts.path] = self.calls.get(parts.path, 0) + 1
         if self.mode == "busy":
@@ -102,7 +136,8 @@
 
     async def _read(self, topic: _Topic, query: dict[str, str]) -> bytes:
         offset = int(query["from"])
-        if offset < topic.first_offset:
+        end = topic.first_offset + len(topic.records)
+        if offset < topic.first_offset or (self._era and offset > end):
             return answer(410, json.dumps({"first": topic.first_offset}).encode())
         waited_ms = await self._wait_for_offset(
             topic, offset, int(query.get("waitMs", "0"))
@@ -126,11 +161,12 @@
         self, topic: _Topic, offset: int, timeout_ms: int
     ) -> int:
         """Wait until a topic has a record at the offset; return the wait in ms."""
-        waited_ms = 0
+        waited_ms, era = 0, self._era
         self.open_long_polls += 1
         try:
             while (
-                offset >= topic.first_offset + len(topic.records)
+                self._era == era
+                and offset >= topic.first_offset + len(topic.records)
                 and waited_ms < timeout_ms
             ):
                 await asyncio.sleep(0.005)
--- a/tools/_mutations_reading.py
+++ b/tools/_mutations_reading.py
@@ -7,6 +7,30 @@
 __all__ = ["READING_MUTATIONS"]
 
 READING_MUTATIONS = (
+    Mutation(
+        "era of the store in positions",
+        "platform/store_client.py",
+        "        if era is not None and era >= self._era:\n",
+        "        if era is None:\n",
+        "direct/store_eras",
+        "follows the configuration after a restore",
+    ),
+    Mutation(
+        "records read after a restore",
+        "platform/store_client.py",
+        "if position is not None and era > position_era(position):",
+        "if False:",
+        "direct/store_eras",
+        "follows the configuration after a restore",
+    ),
+    Mutation(
+        "grace period after a restore",
+        "direct/keyed_feed.py",
+        "            self._listener.on_store_recovered()\n        self._era_position",
+        "        self._era_position",
+        "direct/store_eras",
+        "that an entry has not noticed",
+    ),
     Mutation(
         "turns of connections to targets",
         "direct/http_connection.py",
@@ -74,8 +98,8 @@
     Mutation(
         "records of one page",
         "platform/store_client.py",
-        "            and len(records) < MAX_PAGE_RECORDS\n",
-        "",
+        " and len(records) < MAX_PAGE_RECORDS\n",
+        "\n",
         "direct/http_client",
         "reads a page of very many records in parts",
     ),
@@ -122,8 +146,8 @@
     Mutation(
         "end of the last page of a list",
         "platform/store_client.py",
-        "return FeedPage(page.end, tuple(records), next_offset)",
-        "return FeedPage(next_offset, tuple(records), next_offset)",
+        "return FeedPage(end, tuple(records), next_position)",
+        "return FeedPage(next_position, tuple(records), next_position)",
         "direct/store_reader",
         "Store reader reports news of",
     ),
