--- a/tests/steps/agent_cut_answers_steps.py
+++ b/tests/steps/agent_cut_answers_steps.py
@@ -81,7 +81,11 @@
 def gets_answer(context, kind, where):
     with_reset = where.endswith(" with a reset")
     answer = ANSWERS[where.removesuffix(" with a reset")]
-    server = RawServer(answer, with_reset=with_reset)
+    call_target(context, kind, RawServer(answer, with_reset=with_reset))
+
+
+def call_target(context, kind, server):
+    """Call a server with the client of a service or an engine."""
     context.add_cleanup(server.close)
     context.answer = context.error = None
     try:
--- a/tests/steps/odd_statuses_steps.py
+++ b/tests/steps/odd_statuses_steps.py
@@ -5,11 +5,8 @@
 from behave import given, then, when
 from urllib3.exceptions import HTTPError
 
-from lentiltally.agent._http import TargetError
-from lentiltally.agent.engine_client import EngineClient
-from lentiltally.agent.service_client import ServiceClient
 from lentiltally.platform._http import HttpAnswer, call, may_have_arrived, new_pool
-from tests.steps.agent_cut_answers_steps import LIMIT_S, RawServer
+from tests.steps.agent_cut_answers_steps import LIMIT_S, RawServer, call_target
 
 BODY = b"Content-Length: 2\r\n\r\nok"
 
@@ -37,20 +34,20 @@
     answer = b"".join(b"HTTP/1.1 %s Odd\r\nX: y\r\n\r\n" % s.encode() for s in interim)
     answer += b"HTTP/1.1 %s Odd\r\n" % status.encode() + BODY
     server = RawServer(answer)
+    if kind == "platform":
+        call_platform(context, server)
+    else:
+        call_target(context, kind, server)
+
+
+def call_platform(context, server):
     context.add_cleanup(server.close)
     context.answer = context.error = None
     try:
-        if kind == "service":
-            client = ServiceClient(server.url, "target", 2, LIMIT_S)
-            context.answer = client.call("POST", "/x", "", b"{}", "r1")
-        elif kind == "engine":
-            client = EngineClient(server.url, "target", 2, LIMIT_S, LIMIT_S)
-            context.answer = client.complete("/x", b"{}", "r1")
-        else:
-            context.answer = call(
-                new_pool(), "GET", server.url, max_bytes=100, max_s=LIMIT_S
-            )
-    except (TargetError, HTTPError) as error:
+        context.answer = call(
+            new_pool(), "GET", server.url, max_bytes=100, max_s=LIMIT_S
+        )
+    except HTTPError as error:
         context.error = error
 
 
--- a/tests/steps/wiring_steps.py
+++ b/tests/steps/wiring_steps.py
@@ -10,11 +10,14 @@
 from tests.steps.direct_shared_rights_steps import ACCOUNT, hosts_of_agents
 
 
-def stop_reading(feed):
+def stop_reading(context, feed, settle_s):
+    """Let a feed read no more, and wait until the read that is under way has ended."""
+
     async def read_once():
         await asyncio.Event().wait()
 
     feed.read_once = read_once
+    context.direct.run(asyncio.sleep(settle_s))
 
 
 @then("wiring covers both topics of the entry within {within_s:d} s")
@@ -29,10 +32,7 @@
 
 @given("wiring has the entry read the list no more")
 def entry_reads_no_more(context):
-    system = context.direct
-    stop_reading(system.entry._targets)
-    # The read that is under way still ends.
-    system.run(asyncio.sleep(0.5))
+    stop_reading(context, context.direct.entry._targets, 0.5)
 
 
 @when("wiring has the store away for {for_s:d} s")
@@ -70,8 +70,7 @@
         holders
     )
     (context.agent,) = (a for a in system.agents.values() if a._settings.ip == host)
-    stop_reading(context.agent._reader.targets)
-    system.run(asyncio.sleep(0.5))
+    stop_reading(context, context.agent._reader.targets, 0.5)
 
 
 @then("wiring has the agent grant from the account's allotment")
@@ -136,10 +135,8 @@
 
 @given("wiring has the entry read the configuration no more")
 def reads_no_configuration(context):
-    system = context.direct
-    stop_reading(system.entry._configuration)
     # Longer than the bound, also for a long poll that is under way.
-    system.run(asyncio.sleep(4.0))
+    stop_reading(context, context.direct.entry._configuration, 4.0)
 
 
 @then("wiring has it answered with {status:d}")
