--- a/tests/direct/store_eras.feature
+++ b/tests/direct/store_eras.feature
@@ -29,6 +29,23 @@
     Then store eras have the third route at all entries within 2 s
     And store eras have the second route at all entries
 
+  # Guards against the same at an entry that was cut off from the store meanwhile, and
+  # hears of two eras at once.
+  Scenario Outline: Direct path entry that <does> follows the configuration after two restores
+    Given store eras of a system with agents
+    And store eras have a copy, and two routes that were written after it
+    And store eras have the other entry <state>
+    When store eras restore the store after 1 s away
+    And store eras restore the store after 1 s away, and all is written again in another order
+    And store eras have the other entry <state> no more
+    Then store eras have the third route at all entries within 2 s
+    And store eras have the second route at all entries
+
+    Examples:
+      | does                   | state                 |
+      | did not read           | cut off from the store |
+      | starts in the meantime | stopped               |
+
   # Guards against a key that is accepted again, because the copy has it.
   Scenario: Direct path accepts no key that was taken away in the lost seconds
     Given store eras of a system with accounts
--- a/tests/steps/store_eras_steps.py
+++ b/tests/steps/store_eras_steps.py
@@ -10,6 +10,7 @@
 
 from tests.fakes.direct import configuration, route
 from tests.steps.direct_steps import start
+from tests.steps.wiring_steps import stop_reading
 
 FIRST, SECOND, THIRD = 3, 4, 5
 NAMES = ("one", "two", "three")
@@ -110,6 +111,32 @@
     wait_for(context, "/two/x", 200, 5.0)
 
 
+@given("store eras have the other entry {state}")
+def other_entry_state(context, state):
+    system = context.direct
+    if state == "stopped":
+        system.kill(system.other_entry)
+        return
+    for feed in feeds(system.other_entry):
+        stop_reading(context, feed, 0.0)
+
+
+@when("store eras have the other entry {state} no more")
+def other_entry_back(context, state):
+    system = context.direct
+    if state == "stopped":
+        system.start_other_entry()
+    else:
+        for feed in feeds(system.other_entry):
+            del feed.read_once
+            feed.unblock()
+    context.back_s = time.monotonic()
+
+
+def feeds(entry):
+    return [entry._configuration, entry._targets]
+
+
 def away(context, for_s, write_again):
     system = context.direct
 
