Give programs of tests two ports in ascending order

Cause: "internalPorts = [30398, 29602]: must be two different ports in ascending order". free_port gives out the ports of a block in a cycle.

Change: 200 ports at the end of each block are given out by free_upper_port only, and the entry program and the soak take the second port there. Nothing that is checked has changed.

Test: tests/tools/ports, "also when the ports begin again": fails with free_port in place of free_upper_port, as the ports begin again.

--- a/tests/fakes/entry_program.py
+++ b/tests/fakes/entry_program.py
@@ -11,7 +11,7 @@
 
 from lentiltally.direct.settings import SocketAddress
 from tests.fakes.direct import OTHER_ENTRY_IP, WAIT_S
-from tools._ports import free_port
+from tools._ports import free_port, free_upper_port
 
 ROOT = Path(__file__).resolve().parents[2]
 SETTINGS = """
@@ -61,7 +61,8 @@
             SETTINGS.format(
                 ip=ip,
                 peer_port=system.peer_port,
-                metrics_port=free_port(ip),
+                # The platform lists the two ports in ascending order.
+                metrics_port=free_upper_port(ip),
                 callers=self.callers,
                 ready=self._ready,
                 store_port=system.store.port,
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -29,7 +29,7 @@
     route,
 )
 from tests.fakes.tcp_proxy import TcpProxy
-from tools._ports import free_port
+from tools._ports import free_port, free_upper_port
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 ADAPTER_SLOTS = 2
@@ -89,7 +89,7 @@
         self.sequence = 0
         self.version = 0
         self.peer_port = free_port(ENTRY_IP)
-        self.metrics_port = free_port(ENTRY_IP)
+        self.metrics_port = free_upper_port(ENTRY_IP)
         # Created without __init__, since only its request() method is used.
         self.callers = DirectSystem.__new__(DirectSystem)
 
--- a/tests/steps/tools_ports_steps.py
+++ b/tests/steps/tools_ports_steps.py
@@ -7,6 +7,8 @@
 
 from behave import then, when
 
+from tools._ports import free_port, free_upper_port
+
 # Waits until all processes have claimed a block, then ends on a line of its input.
 PROGRAM = """
 import sys
@@ -39,3 +41,9 @@
 def step_ports_differ(context):
     distinct = set().union(*context.port_sets)
     assert len(distinct) == sum(len(found) for found in context.port_sets)
+
+
+@then("each of {count:d} ports has a free upper one above it")
+def port_above(context, count):
+    for _ in range(count):
+        assert free_port() < free_upper_port()
--- a/tools/_ports.py
+++ b/tools/_ports.py
@@ -7,7 +7,7 @@
 import socket
 from collections.abc import Iterator
 
-__all__ = ["free_port"]
+__all__ = ["free_port", "free_upper_port"]
 
 # Below the ports that Linux uses for outgoing connections (32768 and up), any of which
 # could be taken before the program that needs it starts or restarts.
@@ -15,10 +15,12 @@
 _END_PORT = 32_000
 _BLOCKS = 20
 _BLOCK_PORTS = (_END_PORT - _FIRST_PORT) // _BLOCKS
+_UPPER_PORTS = 200
 
 # Holds the first port of this process's block for as long as the process lives.
 _guard: socket.socket | None = None
-_ports: Iterator[int] | None = None
+_lower_ports: Iterator[int] = iter(())
+_upper_ports: Iterator[int] = iter(())
 
 
 def free_port(ip: str = "127.0.0.1") -> int:
@@ -28,15 +30,34 @@
     program takes it, and another test run must not take it in between. Raises OSError
     if no block or no port is free.
     """
-    global _ports  # noqa: PLW0603
-    if _ports is None:
-        _ports = itertools.cycle(_claim_block())
-    for port in itertools.islice(_ports, _BLOCK_PORTS):
+    _share_out_block()
+    return _next_free(ip, _lower_ports)
+
+
+def free_upper_port(ip: str = "127.0.0.1") -> int:
+    """Return such a port that is higher than all that ``free_port`` returns.
+
+    Settings list some ports in ascending order. Raises OSError like ``free_port``.
+    """
+    _share_out_block()
+    return _next_free(ip, _upper_ports)
+
+
+def _next_free(ip: str, ports: Iterator[int]) -> int:
+    for port in itertools.islice(ports, _BLOCK_PORTS):
         if _is_free(ip, port):
             return port
     raise OSError(f"no free port at {ip} in the block of this process")
 
 
+def _share_out_block() -> None:
+    global _lower_ports, _upper_ports  # noqa: PLW0603
+    if _guard is None:
+        block = _claim_block()
+        _lower_ports = itertools.cycle(block[:-_UPPER_PORTS])
+        _upper_ports = itertools.cycle(block[-_UPPER_PORTS:])
+
+
 def _claim_block() -> range:
     """Claim a block by listening on its first port; return the other ports."""
     global _guard  # noqa: PLW0603
