Let an agent without a list take part in what others agree on

An agent that has started while the store was away grants by the word of entries, but answered other agents as if it had granted nothing, and went on granting beside the one that it had agreed to.

Cause: a case of its own for an agent that has not read the list, from before such an agent could grant. Change: it answers like one with the oldest list, so it ceases.

Found when the change was read again. Test: decisions/holder_role, "without a list ceases", failed before, passes.

--- a/lentiltally/decisions/holder_role.py
+++ b/lentiltally/decisions/holder_role.py
@@ -229,18 +229,15 @@
     ) -> HandoverReply:
         """Answer the agent at a host that wants to exercise a right."""
         self._note_pause(now_s)
-        right, own = request.right, self._list
-        if own is None:
-            # This agent has granted nothing since its start, and will ask itself.
-            return HandoverReply(True, -1)
+        right = request.right
         holders = self._holders_now(right)
-        is_older = request.position < own.position
+        is_older = request.position < self.position
         if is_older and host not in holders:
-            return HandoverReply(False, own.position)
+            return HandoverReply(False, self.position)
         is_named = is_older and self._own_host in holders
         if self._own_host not in request.holders and not is_named:
             self._cede(right, request.position, now_s)
-        return HandoverReply(True, own.position, self._others(request))
+        return HandoverReply(True, self.position, self._others(request))
 
     def answered(
         self, right: str, host: str, reply: HandoverReply, now_s: float
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -191,6 +191,7 @@
         if now_s >= self._agent_list_until_s:
             hosts = frozenset(record.ip for record in self.engine_targets())
             if hosts == self._agent_list.hosts:
+                # Whoever derives something from the hosts compares them by identity.
                 hosts = self._agent_list.hosts
             self._agent_list = AgentList(hosts, self.list_position())
             self._agent_list_until_s = now_s + AGENT_LIST_RETENTION_S
--- a/tests/decisions/holder_role.feature
+++ b/tests/decisions/holder_role.feature
@@ -57,6 +57,19 @@
     Then the new holder role asked by an entry at 110 is "holder"
     And the replaced holder role asked by an entry at 100 is "not holder"
 
+  # Guards against an agent that goes on granting because it has not read the list since
+  # its start, and so takes no part in what others agree on.
+  Scenario: Holder role without a list ceases once it has agreed to another holder
+    Given holder roles of 4 agents that have read up to 100 for 60 s
+    When holder role 4 starts again and reads nothing
+    Then holder role 4 asked by an entry at 110 is "asking"
+    And holder role 4 asked by an entry at 110 is "holder" 0.3 s later
+    When holder role 1 starts again and reads up to 120
+    Then holder role 1 asked by an entry at 120 is "asking"
+    When holder roles exchange their messages about the right
+    Then holder role 1 asked by an entry at 120 is "holder"
+    And holder role 4 asked by an entry at 110 is "not holder"
+
   # Guards against a frozen agent that answers old requests before it has read the list.
   Scenario: Holder role asks the others after it stood still
     Given holder roles of 4 agents that have read up to 100 for 60 s
--- a/tests/steps/holder_role_steps.py
+++ b/tests/steps/holder_role_steps.py
@@ -31,6 +31,8 @@
         self.lists = {host: AgentList(frozenset(self.hosts), 100) for host in NAMES}
         self.roles = {}
         self.is_connected = True
+        # Agents that can't read the list since their start.
+        self.without_list = set()
         for host in self.hosts:
             self.start(host)
         self.advance(60.0)
@@ -48,7 +50,7 @@
         while self.now_s < until_s:
             self.now_s = min(until_s, self.now_s + TICK_S)
             for host, role in self.roles.items():
-                if host != frozen:
+                if host != frozen and host not in self.without_list:
                     role.listed(self.lists[host], self.now_s)
 
     def exchange(self, host):
@@ -109,6 +111,13 @@
     roles.start(host)
 
 
+@when("holder role {number:d} starts again and reads nothing")
+def starts_without_list(context, number):
+    roles, host = context.roles, host_of(context, number)
+    roles.roles[host] = HolderRole(host, PROPAGATION_S, roles.now_s)
+    roles.without_list.add(host)
+
+
 @when(
     "holder role {number:d} starts again and reads up to {position:d} that agent 1 is "
     "gone"
