Play the freezes of the version case in two rounds

On a machine of another speed the first agent may wake too early or too late for the wait at the second one, so there is a second round with other adapters and another time.

Rule: VERSION.

--- a/review/12/play.py
+++ b/review/12/play.py
@@ -15,10 +15,11 @@
 
 ADAPTERS = [f"a{number}" for number in range(1, 7)]
 VERSION_S = 5.0
-# An entry gives an agent 0.2 s before it asks the next one; the page's freezes last
-# seconds, so these are short ones.
-FIRST_FREEZE_S = 0.33
+# An entry gives an agent 0.2 s before it asks the next one. The page's freezes last
+# seconds, so these are short ones. There are two rounds, for machines of other speeds.
+FIRST_FREEZES_S = (0.33, 0.4)
 SECOND_FREEZE_S = 0.8
+ROUND_S = 3.0
 
 
 async def body(fleet: Fleet) -> bool:
@@ -51,21 +52,24 @@
         f"{first.name} has version 2 of {chosen}, {second.name} version 1"
     )
     began_s = fleet.record.now_s()
-    requests = [asyncio.ensure_future(fleet.ask(name)) for name in chosen]
-    if has_trouble():
-        await freeze(fleet, first.ip, second.ip)
-    await asyncio.gather(*requests)
+    for number, freeze_s in enumerate(FIRST_FREEZES_S):
+        names = chosen[number :: len(FIRST_FREEZES_S)]
+        requests = [asyncio.ensure_future(fleet.ask(name)) for name in names]
+        if has_trouble():
+            await freeze(fleet, first.ip, second.ip, freeze_s)
+        await asyncio.gather(*requests)
+        await asyncio.sleep(ROUND_S)
     return judge(fleet, acknowledged, began_s)
 
 
-async def freeze(fleet: Fleet, first_ip: str, second_ip: str) -> None:
+async def freeze(fleet: Fleet, first_ip: str, second_ip: str, first_s: float) -> None:
     """Stop both agents at once, and let them go on one after the other."""
     agents = {agent.ip: agent for agent in fleet.agents}
     for ip in (first_ip, second_ip):
         fleet.deployment.signal(agents[ip], signal.SIGSTOP)
-    await asyncio.sleep(FIRST_FREEZE_S)
+    await asyncio.sleep(first_s)
     fleet.deployment.signal(agents[first_ip], signal.SIGCONT)
-    await asyncio.sleep(SECOND_FREEZE_S - FIRST_FREEZE_S)
+    await asyncio.sleep(SECOND_FREEZE_S - first_s)
     fleet.deployment.signal(agents[second_ip], signal.SIGCONT)
 
 
