--- a/review/common_3/fleet.py
+++ b/review/common_3/fleet.py
@@ -47,6 +47,9 @@
         self.servers: list[PlainServer] = []
         # Keys of accounts by their names; without accounts no request needs a key.
         self.accounts: dict[str, str] = {}
+        self.has_accounts = False
+        # The keys that clients send.
+        self.keys: dict[str, str] = {}
         self.agents: list[Machine] = []
         self.entries: list[Machine] = []
         self._adapter_slots = adapter_slots
@@ -55,9 +58,11 @@
 
     async def start(self, *, engines: int, entries: int = 1, servers: int = 0) -> None:
         """Start engines and processes, and wait until all entries are ready."""
+        self.has_accounts = bool(self.accounts)
+        self.keys = dict(self.accounts)
         await self.store.start("127.0.0.1")
         self.deployment.store_address = f"127.0.0.1:{self.store.port}"
-        self._configure()
+        self.configure()
         for number in range(engines):
             await self._add_engine(number)
         for number in range(servers):
@@ -128,7 +133,7 @@
             host=HOST,
             path=path,
             headers={
-                "Authorization": f"Bearer {self.accounts[account]}",
+                "Authorization": f"Bearer {self.keys.get(account, '')}",
                 "X-Deadline-Milliseconds": "4000",
             },
             method="GET",
@@ -136,6 +141,11 @@
         )
         return request_id, answer
 
+    def runs_of(self, account: str) -> list[tuple[float, str]]:
+        """Return when the plain service began requests of an account, and their ids."""
+        runs = [run for server in self.servers for run in server.runs]
+        return sorted((at_s, i) for at_s, i, name in runs if name == account)
+
     async def ask_until_served(self, adapter: str, tries: int = 20) -> None:
         """Send requests for an adapter until one is served."""
         for _ in range(tries):
@@ -152,7 +162,8 @@
             engine.stop()
         self.store.stop()
 
-    def _configure(self) -> None:
+    def configure(self, version: int = 1) -> float:
+        """Write the desired state with the accounts of now; return when it is there."""
         engine = {
             "slots": 64,
             "kvCacheTokens": 100_000,
@@ -204,16 +215,17 @@
             {"name": PLAIN, "connectionLimit": 96},
         ]
         document: dict[str, object] = {
-            "version": 1,
+            "version": version,
             "routes": [route, plain],
             "services": services,
             "limits": limits,
         }
-        if self.accounts:
+        if self.has_accounts:
             document["tenants"] = [
                 {"name": name, "apiKeys": [key]} for name, key in self.accounts.items()
             ]
         self.store.put("keyed.op", "config", document)
+        return self.record.note(f"the store acknowledges desired state {version}")
 
     async def _add_engine(self, number: int) -> None:
         engine = ModelEngine(
--- a/review/common_3/service.py
+++ b/review/common_3/service.py
@@ -27,7 +27,8 @@
         self.deadly: tuple[str, str] | None = None
         # When a request that crashed the server was begun, and its id.
         self.deadly_runs: list[tuple[float, str]] = []
-        self.runs = 0
+        # The requests that it has begun: when, id and account.
+        self.runs: list[tuple[float, str, str | None]] = []
         self._record = record
 
     def crash(self, reason: str) -> None:
@@ -58,7 +59,7 @@
         at_s = self._record.note(
             f"{self.name} runs {request_id}, {request.path} of {account}"
         )
-        self.runs += 1
+        self.runs.append((at_s, request_id, account))
         await asyncio.sleep(WORK_S)
         if self.deadly == (request.path, account):
             self.deadly_runs.append((at_s, request_id))
--- a/review/common_3/store.py
+++ b/review/common_3/store.py
@@ -3,6 +3,7 @@
 from __future__ import annotations
 
 import asyncio
+import copy
 import json
 import struct
 from base64 import b64encode
@@ -25,12 +26,29 @@
 
 
 class Store(HttpServer):
-    """A store that is always there and answers at once."""
+    """A store that answers at once; it may come back from an older copy.
+
+    All answers have ``Store-Era``. While ``is_away``, calls get 503.
+    """
 
     def __init__(self) -> None:
         """Start without records."""
         super().__init__()
+        self.is_away = False
+        self._era = 1
         self._topics: dict[str, _Topic] = {}
+        self._copy: dict[str, _Topic] = {}
+        self._appended = asyncio.Event()
+
+    def take_copy(self) -> None:
+        """Keep a copy of all topics."""
+        self._copy = copy.deepcopy(self._topics)
+
+    def restore(self) -> None:
+        """Go back to the copy; what was written since is gone."""
+        self._topics = copy.deepcopy(self._copy)
+        self._era += 1
+        self._appended.set()
         self._appended = asyncio.Event()
 
     def put(self, topic: str, key: str, value: dict[str, object] | None) -> None:
@@ -49,18 +67,27 @@
         """Answer a read."""
         parts = urlsplit(request.path)
         query = {name: values[0] for name, values in parse_qs(parts.query).items()}
-        topic = self._topics.setdefault(query.get("topic", ""), _Topic())
-        if parts.path == "/-/log-newest":
-            writer.write(answer(200, _newest_page(topic, query.get("after", ""))))
+        era, name = self._era, query.get("topic", "")
+        status, page = 404, b""
+        if self.is_away:
+            status = 503
+        elif parts.path == "/-/log-newest":
+            topic = self._topics.setdefault(name, _Topic())
+            status, page = 200, _newest_page(topic, query.get("after", ""))
         elif parts.path == "/-/log-read":
-            writer.write(answer(200, await self._read(topic, query)))
-        else:
-            writer.write(answer(404))
+            status, page = await self._read(name, query)
+        if era != self._era:
+            # A read that waited ends with the store that it asked.
+            return False
+        writer.write(answer(status, page, {"Store-Era": str(era)}))
         await writer.drain()
         return True
 
-    async def _read(self, topic: _Topic, query: dict[str, str]) -> bytes:
+    async def _read(self, name: str, query: dict[str, str]) -> tuple[int, bytes]:
+        topic = self._topics.setdefault(name, _Topic())
         first = int(query["from"])
+        if first > len(topic.records):
+            return 410, json.dumps({"first": 0}).encode()
         loop = asyncio.get_running_loop()
         until_s = loop.time() + int(query.get("waitMs", "0")) / 1000
         while first >= len(topic.records) and loop.time() < until_s:
@@ -73,7 +100,7 @@
         for key, value in topic.records[first:]:
             content = bytes([len(key.encode())]) + key.encode() + (value or b"")
             page += struct.pack(">I", len(content)) + content
-        return page
+        return 200, page
 
 
 def _newest_page(topic: _Topic, after: str) -> bytes:
