Play the restore of the store without a killed entry

Rule: CONFIG with revokeClosed. A front machine is added when the store is back, as planned work, so the drill is the only disruption. Without the drill the machine is added, too.

--- a/review/12/play.py
+++ b/review/12/play.py
@@ -1,9 +1,8 @@
-"""A drill brings the store back from an older copy while an entry starts."""
+"""A drill brings the store back from an older copy while a machine is added."""
 
 from __future__ import annotations
 
 import asyncio
-import signal
 import sys
 from pathlib import Path
 
@@ -57,9 +56,11 @@
         await fleet.read(PATH, "north", entry)
     if has_trouble():
         await drill(fleet)
+    # Planned work: another front machine is added, also without the drill.
+    await fleet.add_entry()
     until_s = fleet.record.now_s() + LAST_PART_S
     while fleet.record.now_s() < until_s:
-        for entry in range(2):
+        for entry in range(3):
             await fleet.read(PATH, "north", entry)
             await fleet.read(PATH, "south", entry)
         await asyncio.sleep(0.1)
@@ -67,18 +68,13 @@
 
 
 async def drill(fleet: Fleet) -> None:
-    """Bring the store back from the copy; one entry is killed and starts again."""
-    entry = fleet.entries[0]
+    """Bring the store back from the copy; the operator writes again a little later."""
     fleet.store.is_away = True
     fleet.record.note("the store is away")
-    fleet.deployment.signal(entry, signal.SIGKILL)
     await asyncio.sleep(AWAY_S)
     fleet.store.restore()
     fleet.store.is_away = False
     fleet.record.note("the store is back, from the copy")
-    assert entry.process is not None
-    entry.process.wait()
-    fleet.deployment.start(entry)
     asyncio.get_running_loop().call_later(WRITTEN_AGAIN_S, fleet.configure, 2)
 
 
--- a/review/common_3/fleet.py
+++ b/review/common_3/fleet.py
@@ -67,15 +67,19 @@
             await self._add_engine(number)
         for number in range(servers):
             await self._add_server(number)
-        for number in range(entries):
-            self.entries.append(self.deployment.add_front(1 + number))
+        for _ in range(entries):
+            self._start_entry()
         for entry in self.entries:
-            address = entry.ip, self.deployment.ready_port
-            if not await wait_ready(address):
-                raise CannotRunError(f"{entry.name} does not get ready")
+            await self._wait_ready(entry)
         # Agents and entries exchange their first states.
         await asyncio.sleep(3.0)
 
+    async def add_entry(self) -> None:
+        """Add a machine with an entry, and wait until it is ready."""
+        self._start_entry()
+        await self._wait_ready(self.entries[-1])
+        self.record.note(f"{self.entries[-1].name} is ready")
+
     def announce(self, engine: ModelEngine | PlainServer) -> None:
         """Write what an engine says of itself into the store."""
         self._records += 1
@@ -227,6 +231,15 @@
         self.store.put("keyed.op", "config", document)
         return self.record.note(f"the store acknowledges desired state {version}")
 
+    def _start_entry(self) -> None:
+        number = 1 + len(self.entries)
+        self.entries.append(self.deployment.add_front(number))
+
+    async def _wait_ready(self, entry: Machine) -> None:
+        address = entry.ip, self.deployment.ready_port
+        if not await wait_ready(address):
+            raise CannotRunError(f"{entry.name} does not get ready")
+
     async def _add_engine(self, number: int) -> None:
         engine = ModelEngine(
             f"i-{number + 1:08x}", self.record, model=MODEL, slots=self._adapter_slots
