--- a/review/11/play.py
+++ b/review/11/play.py
@@ -81,16 +81,14 @@
 
 
 def judge(fleet: Fleet) -> bool:
-    """Return whether at most three requests with the part began after the bound."""
-    runs = sorted(
-        (run for engine in fleet.engines for run in engine.deadly_runs),
-        key=lambda run: run.at_s,
-    )
-    fleet.record.note(f"requests with the part crashed engines {len(runs)} times")
-    if len(runs) < CRASHES:
+    """Return whether at most three requests reached engines after the bound."""
+    crashes_s = sorted(at_s for e in fleet.engines for at_s in e.deadly_crashes_s)
+    fleet.record.note(f"requests with the part crashed engines {len(crashes_s)} times")
+    if len(crashes_s) < CRASHES:
         return True
-    bound_s = runs[CRASHES - 1].at_s + STABILITY_S
-    late = [run for run in runs if run.at_s > bound_s]
+    bound_s = crashes_s[CRASHES - 1] + STABILITY_S
+    runs = [run for engine in fleet.engines for run in engine.deadly_runs]
+    late = [run for run in runs if run.reached_s > bound_s]
     fleet.record.note(
         f"BUDGET: {len(late)} requests with the part reached engines later than "
         f"{STABILITY_S} s after the fifth crash, {ALLOWED} are allowed"
--- a/review/12/play.py
+++ b/review/12/play.py
@@ -79,12 +79,12 @@
 
 
 def judge(fleet: Fleet, revoked_s: float) -> bool:
-    """Return whether no request of the account ran after the bound."""
+    """Return whether no request ran that the account sent after the bound."""
     late = [run for run in fleet.runs_of("north") if run[0] > revoked_s + REVOKE_S]
-    for at_s, request_id in late:
+    for sent_s, request_id in late:
         fleet.record.note(
-            f"CONFIG: {request_id} of north ran {at_s - revoked_s:.1f} s after a "
-            "desired state without its key was acknowledged"
+            f"CONFIG: {request_id} of north ran, sent {sent_s - revoked_s:.1f} s after "
+            "a desired state without its key was acknowledged"
         )
     fleet.record.note(f"{len(late)} requests ran with the key that was taken away")
     return not late
--- a/review/13/play.py
+++ b/review/13/play.py
@@ -82,13 +82,14 @@
 
 
 def judge(fleet: Fleet) -> bool:
-    """Return whether at most three retries began after the bound."""
-    runs = sorted(run for server in fleet.servers for run in server.deadly_runs)
-    fleet.record.note(f"the request of north crashed servers {len(runs)} times")
-    if len(runs) < CRASHES:
+    """Return whether at most three retries reached servers after the bound."""
+    crashes_s = sorted(at_s for s in fleet.servers for at_s in s.deadly_crashes_s)
+    fleet.record.note(f"the request of north crashed servers {len(crashes_s)} times")
+    if len(crashes_s) < CRASHES:
         return True
-    bound_s = runs[CRASHES - 1][0] + STABILITY_S
-    late = [at_s for at_s, _ in runs if at_s > bound_s]
+    bound_s = crashes_s[CRASHES - 1] + STABILITY_S
+    reached_s = [at_s for s in fleet.servers for at_s in s.deadly_reached_s]
+    late = [at_s for at_s in reached_s if at_s > bound_s]
     fleet.record.note(
         f"BUDGET: it reached servers {len(late)} times later than {STABILITY_S} s "
         f"after its third crash, {ALLOWED} are allowed"
--- a/review/common_3/deployment.py
+++ b/review/common_3/deployment.py
@@ -212,12 +212,11 @@
                 return first
         raise RuntimeError("no free port")
 
-    @staticmethod
-    def _is_free(port: int) -> bool:
+    def _is_free(self, port: int) -> bool:
         for kind in (socket.SOCK_STREAM, socket.SOCK_DGRAM):
             with socket.socket(socket.AF_INET, kind) as probe:
                 try:
-                    probe.bind(("0.0.0.0", port))
+                    probe.bind((self.ip(1), port))
                 except OSError:
                     return False
         return True
--- a/review/common_3/engine.py
+++ b/review/common_3/engine.py
@@ -25,12 +25,16 @@
 
 @dataclass(frozen=True, slots=True)
 class Run:
-    """A request that an engine has begun to run, with the version of its adapter."""
+    """A request that an engine has begun to run, with the version of its adapter.
+
+    ``reached_s`` is when it reached the engine, ``at_s`` when it began to run.
+    """
 
     request_id: str
     engine: str
     adapter: str
     version: int
+    reached_s: float
     at_s: float
 
 
@@ -65,6 +69,8 @@
         # Events of that answer that are written before.
         self.deadly_events = 0
         self.deadly_runs: list[Run] = []
+        # When such requests have crashed it.
+        self.deadly_crashes_s: list[float] = []
         self._record = record
         self._has_model = True
         self._sequence = 0
@@ -206,8 +212,17 @@
 
     def _unload(self, name: str) -> int:
         self._sequence += 1
-        self.adapters.pop(name, None)
-        return 200
+        if not self._running.get(name, 0):
+            self.adapters.pop(name, None)
+            return 200
+        asyncio.ensure_future(self._finish_unload(name, self._born_ms))
+        return 202
+
+    async def _finish_unload(self, name: str, born_ms: int) -> None:
+        while self._running.get(name, 0) and born_ms == self._born_ms:
+            await asyncio.sleep(0.005)
+        if born_ms == self._born_ms:
+            self.adapters.pop(name, None)
 
     def _load(self, name: str, version: object) -> int:
         wanted = version if isinstance(version, int) else self.newest.get(name, 1)
@@ -236,6 +251,7 @@
     async def _serve_request(
         self, request: Request, writer: asyncio.StreamWriter
     ) -> bool:
+        reached_s = self._record.now_s()
         request_id = request.headers.get("x-request-id", "")
         _, _, adapter = request.headers.get("x-model", "").partition("/")
         refusal = self._refusal(request, request_id, adapter)
@@ -251,7 +267,7 @@
         at_s = self._record.note(
             f"{self.name} runs {request_id} with {adapter} in version {version}"
         )
-        run = Run(request_id, self.name, adapter, version, at_s)
+        run = Run(request_id, self.name, adapter, version, reached_s, at_s)
         self.runs.append(run)
         if self.deadly_part and self.deadly_part in _parts(request):
             self.deadly_runs.append(run)
@@ -260,6 +276,7 @@
                     request, request_id, version, writer, self.deadly_events
                 )
             if self._is_up:
+                self.deadly_crashes_s.append(self._record.now_s())
                 self.crash(f"it began to answer {request_id}, whose prompt is deadly")
             return False
         self._running[adapter] = self._running.get(adapter, 0) + 1
@@ -270,7 +287,7 @@
         return True
 
     def _refusal(self, request: Request, request_id: str, adapter: str) -> bytes | None:
-        headers = {"X-Request-Id": request_id, "X-Instance-Id": self.name}
+        headers = {"X-Request-Id": request_id}
         if request.headers.get("x-expected-instance", self.name) != self.name:
             return answer(421, headers=headers)
         if not self._has_model:
--- a/review/common_3/fleet.py
+++ b/review/common_3/fleet.py
@@ -23,6 +23,7 @@
 SERVICE = "llm"
 PLAIN = "app"
 HELD, BROKEN, NOT_RUN = 0, 1, 2
+HEARTBEAT_S = 1.2
 MAX_PLAY_S = 110.0
 
 
@@ -55,6 +56,8 @@
         self._adapter_slots = adapter_slots
         self._records = 0
         self._requests = 0
+        self._sent_s: dict[str, float] = {}
+        self._heartbeats: asyncio.Task[None] | None = None
 
     async def start(self, *, engines: int, entries: int = 1, servers: int = 0) -> None:
         """Start engines and processes, and wait until all entries are ready."""
@@ -67,6 +70,7 @@
             await self._add_engine(number)
         for number in range(servers):
             await self._add_server(number)
+        self._heartbeats = asyncio.ensure_future(self._write_heartbeats())
         for _ in range(entries):
             self._start_entry()
         for entry in self.entries:
@@ -110,6 +114,10 @@
         """
         self._requests += 1
         request_id = f"r{self._requests:04d}"
+        # The last part of a prompt is the request's own.
+        headers = {"X-Prompt-Prefix": f"ee{self._requests:06x}:400", **(more or {})}
+        parts = headers["X-Prompt-Prefix"].split(",")
+        tokens = sum(int(part.partition(":")[2]) for part in parts)
         answer = await send(
             self.record,
             (self.entries[entry].ip, self.deployment.front_port),
@@ -118,9 +126,9 @@
             path="/draft/1",
             headers={
                 "X-Model": f"{MODEL}/{adapter}",
-                "X-Token-Counts": "400,12",
+                "X-Token-Counts": f"{tokens},12",
                 "X-Deadline-Milliseconds": "5000",
-                **(more or {}),
+                **headers,
             },
             body=f'{{"n":{self._requests}}}'.encode(),
         )
@@ -130,6 +138,7 @@
         """Send one request of an account to the plain service."""
         self._requests += 1
         request_id = f"r{self._requests:04d}"
+        self._sent_s[request_id] = self.record.now_s()
         answer = await send(
             self.record,
             (self.entries[entry].ip, self.deployment.front_port),
@@ -146,9 +155,9 @@
         return request_id, answer
 
     def runs_of(self, account: str) -> list[tuple[float, str]]:
-        """Return when the plain service began requests of an account, and their ids."""
+        """Return the ids of an account's requests that ran, and when they were sent."""
         runs = [run for server in self.servers for run in server.runs]
-        return sorted((at_s, i) for at_s, i, name in runs if name == account)
+        return sorted((self._sent_s[i], i) for _, i, name in runs if name == account)
 
     async def ask_until_served(self, adapter: str, tries: int = 20) -> None:
         """Send requests for an adapter until one is served."""
@@ -161,6 +170,8 @@
 
     def close(self) -> None:
         """End all processes and stand-ins."""
+        if self._heartbeats is not None:
+            self._heartbeats.cancel()
         self.deployment.close()
         for engine in (*self.engines, *self.servers):
             engine.stop()
@@ -231,6 +242,13 @@
         self.store.put("keyed.op", "config", document)
         return self.record.note(f"the store acknowledges desired state {version}")
 
+    async def _write_heartbeats(self) -> None:
+        while True:
+            await asyncio.sleep(HEARTBEAT_S)
+            for engine in (*self.engines, *self.servers):
+                if engine.is_up and not self.store.is_away:
+                    self.announce(engine)
+
     def _start_entry(self) -> None:
         number = 1 + len(self.entries)
         self.entries.append(self.deployment.add_front(number))
--- a/review/common_3/service.py
+++ b/review/common_3/service.py
@@ -25,8 +25,9 @@
         self.born_ms = int(time.time() * 1000)
         # Path and account of the request that crashes a server.
         self.deadly: tuple[str, str] | None = None
-        # When a request that crashed the server was begun, and its id.
-        self.deadly_runs: list[tuple[float, str]] = []
+        # When the request that crashes the server reached it, and when it crashed.
+        self.deadly_reached_s: list[float] = []
+        self.deadly_crashes_s: list[float] = []
         # The requests that it has begun: when, id and account.
         self.runs: list[tuple[float, str, str | None]] = []
         self._record = record
@@ -62,8 +63,9 @@
         self.runs.append((at_s, request_id, account))
         await asyncio.sleep(WORK_S)
         if self.deadly == (request.path, account):
-            self.deadly_runs.append((at_s, request_id))
+            self.deadly_reached_s.append(at_s)
             if self.is_up:
+                self.deadly_crashes_s.append(self._record.now_s())
                 self.crash(f"{request_id} is deadly")
             return False
         headers |= {"X-Response-Signature": f"{self.name}.proof"}
