Ask agents what a restored store has lost before serving by its copy

Callers saw a key served that had been taken away over 5 s before: an entry that started after a restore, before the operator had written again, took its read of the copy's end for proof of the newest configuration. The end of the topic proves what the store has, not what it had acknowledged.

Agents now name the newest version that they know, in states and on a question; an agent that has started waits until entries that ran on had time to tell it. Lost notices of adapter versions come with the answers.

Ruled out: positions and eras (the entry read the copy from its beginning); the setting firstStart, which says nothing of restores.

--- a/lentiltally/decisions/engine_slots.py
+++ b/lentiltally/decisions/engine_slots.py
@@ -9,6 +9,7 @@
 from __future__ import annotations
 
 from collections import OrderedDict
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from lentiltally.decisions._adapter_use import AdapterUse
@@ -79,6 +80,11 @@
         """Return the newest state report; None while the engine is unresponsive."""
         return self._report
 
+    @property
+    def newest_versions(self) -> Mapping[str, int]:
+        """Return the newest announced versions by ``model/adapter``."""
+        return self._newest_versions
+
     @property
     def waiting_keys(self) -> int:
         """Return how many different models and adapters have waiting requests."""
--- a/lentiltally/decisions/state_pacing.py
+++ b/lentiltally/decisions/state_pacing.py
@@ -27,6 +27,8 @@
 MIN_REPEAT_INTERVAL_S = 0.5
 # A state counts as stale once this number of repeats is missing.
 MISSING_REPEATS = 3
+# An agent whose states are missing for this number of repeats may have restarted.
+OVERDUE_REPEATS = 2
 
 
 def state_interval_s(engines: int) -> float:
@@ -51,6 +53,11 @@
         """Return the age at which an entry stops using a state."""
         return MISSING_REPEATS * self.repeat_interval_s
 
+    @property
+    def overdue_s(self) -> float:
+        """Return the age of a state at which an entry subscribes anew."""
+        return OVERDUE_REPEATS * self.repeat_interval_s
+
     def pause_s(self, *, is_urgent: bool, load_changed: bool) -> float:
         """Return the pause after the last state that the agent sent to the entry.
 
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -4,6 +4,7 @@
 
 import asyncio
 import logging
+import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -16,6 +17,8 @@
     EngineReport,
 )
 from lentiltally.decisions.engine_slots import EngineSlots
+from lentiltally.decisions.lost_notices import LostNotices
+from lentiltally.decisions.peer_versions import agent_settle_s
 from lentiltally.direct.agent_metrics import AgentMetrics
 from lentiltally.direct.agent_rights import RIGHT_MESSAGES, AgentRights
 from lentiltally.direct.entry_feeds import (
@@ -26,6 +29,7 @@
 from lentiltally.direct.feed_types import KeyedTopic
 from lentiltally.direct.http_connection import ConnectError
 from lentiltally.direct.messages import (
+    MAX_NOTICES_PER_MESSAGE,
     AcquireAdapter,
     AdapterAnswer,
     AdapterDecision,
@@ -33,6 +37,7 @@
     ContentsCleared,
     CrashReport,
     EngineEnded,
+    KnownVersions,
     Message,
     PartsCleared,
     PartTrial,
@@ -104,9 +109,16 @@
     """Creates the components of an agent and runs them until it is asked to stop."""
 
     def __init__(
-        self, settings: HostSettings, platform: AgentPlatform, clock: Clock
+        self,
+        settings: HostSettings,
+        platform: AgentPlatform,
+        clock: Clock,
+        settle_s: Callable[[int], float] = agent_settle_s,
     ) -> None:
-        """Create the components; sockets are opened by ``run``."""
+        """Create the components; sockets are opened by ``run``.
+
+        ``settle_s`` is as for ``StoreReader``.
+        """
         self._settings = settings
         self._platform = platform
         self._clock = clock
@@ -132,15 +144,18 @@
             ConfigurationFeed(
                 platform.decode_configuration,
                 self._apply_desired_state,
-                self._version_announced,
+                self._notice_read,
             ),
             platform.decode_target,
             settings,
             platform.service,
             clock=clock,
             rng=random.Random(),
+            settle_s=settle_s,
         )
-
+        self._lost_notices = LostNotices()
+        self._configuration_era: int | None = None
+        self._reader.configuration.on_era = self._configuration_era_read
         self._reader.targets.on_era = self._metrics.store_era.set
 
     def track_dropped_lines(self, dropped: Callable[[], float]) -> None:
@@ -207,6 +222,16 @@
             self._health_path = service.health_path
         _log.info("desired state applied", extra={"config_version": state.version})
 
+    def _configuration_era_read(self, era: int) -> None:
+        """Note the era of the newest records, which are processed after this."""
+        if self._configuration_era is not None and era > self._configuration_era:
+            self._lost_notices.store_restored(self._slots.newest_versions)
+        self._configuration_era = era
+
+    def _notice_read(self, notice: AdapterNotice) -> None:
+        self._lost_notices.read(f"{notice.model}/{notice.adapter}", notice.version)
+        self._version_announced(notice)
+
     def _version_announced(self, notice: AdapterNotice) -> None:
         if self._slots.update_newest_version(notice):
             _log.info(
@@ -249,6 +274,18 @@
             for refusals in self._refusals.messages(now_s):
                 self._peers.send(sender, refusals)
         self._reader.version_seen(message.config_version)
+        if message.asks_versions:
+            self._tell_versions(sender)
+
+    def _tell_versions(self, entry: SocketAddress) -> None:
+        """Tell an entry what is known here that the store may have lost."""
+        version = self._reader.newest_version()
+        settles_in_ms = math.ceil(1000 * self._reader.settles_in_s())
+        notices = self._lost_notices.all()
+        size = MAX_NOTICES_PER_MESSAGE
+        for first in range(0, max(1, len(notices)), size):
+            some = tuple(notices[first : first + size])
+            self._peers.send(entry, KnownVersions(version, settles_in_ms, some))
 
     def _confirmation_requested(
         self, message: ConfirmConfiguration, sender: SocketAddress
--- a/lentiltally/direct/configuration_client.py
+++ b/lentiltally/direct/configuration_client.py
@@ -6,6 +6,8 @@
 from __future__ import annotations
 
 import logging
+import math
+from collections.abc import Callable
 
 from lentiltally.clock import Clock, elapsed_s
 from lentiltally.decisions.log_position import (
@@ -19,8 +21,14 @@
 from lentiltally.direct.entry_state import EntryState
 from lentiltally.direct.feed_types import EndRead
 from lentiltally.direct.keyed_feed import KeyedFeed
-from lentiltally.direct.messages import ConfigurationConfirmed, ConfirmConfiguration
+from lentiltally.direct.messages import (
+    ConfigurationConfirmed,
+    ConfirmConfiguration,
+    KnownVersions,
+)
+from lentiltally.direct.model import AdapterNotice
 from lentiltally.direct.settings import SocketAddress
+from lentiltally.direct.state_subscriber import StateSubscriber
 
 __all__ = ["ConfigurationClient"]
 
@@ -37,36 +45,51 @@
         listener: ConfigurationFeed,
         *,
         peers: MessageSender,
+        subscriber: StateSubscriber,
+        are_targets_known: Callable[[], bool],
         metrics: EntryMetrics,
         clock: Clock,
     ) -> None:
-        """Follow the reads of ``feed``, whose records ``listener`` receives."""
+        """Follow the reads of ``feed``, whose records ``listener`` receives.
+
+        ``are_targets_known`` returns whether the list of targets was read, which names
+        the agents.
+        """
         self._state = state
         self._proof = state.configuration_proof
         self._feed = feed
         self._listener = listener
         self._peers = peers
+        self._subscriber = subscriber
+        self._are_targets_known = are_targets_known
+        self._peer_versions = state.peer_versions
+        self._peer_versions.started()
+        self._era: int | None = None
         self._metrics = metrics
         self._clock = clock
         self._was_confirmed = True
         feed.on_end_read = self._read_reached_end
+        feed.on_era = self._era_read
 
     @property
     def is_confirmed(self) -> bool:
-        """Return whether requests that need a key may be served."""
+        """Return whether requests may be served, also those that need a key."""
+        if not self._peer_versions.is_usable:
+            return False
         if not self._state.has_accounts:
             return True
         return self._proof.is_valid(elapsed_s(self._clock))
 
     def tick(self) -> None:
         """Ask agents or read the store if it is time to."""
+        now_s = elapsed_s(self._clock)
+        self._check_peers(now_s)
         self._log_change()
         if not self._state.has_accounts:
             return
-        now_s = elapsed_s(self._clock)
         if self._proof.is_read_due(now_s, self._feed.next_offset):
             self._feed.request_end_read()
-        if not self._listener.is_newest_applied:
+        if not self._can_prove(now_s):
             # No answer could be proof.
             return
         agents = self._proof.agents_to_ask(now_s)
@@ -82,8 +105,25 @@
         """Note how long ago an agent says it has read the configuration."""
         self._proof.agent_reported(agent, age_ms / 1000, elapsed_s(self._clock))
 
+    def version_named(self, version: int) -> None:
+        """Note the newest version of the desired state that an agent knows."""
+        self._peer_versions.named(version, elapsed_s(self._clock))
+
+    def versions_received(self, message: KnownVersions, agent: str) -> None:
+        """Apply what an agent knows that the store may have lost."""
+        self._peer_versions.answered(
+            agent,
+            message.config_version,
+            message.settles_in_ms / 1000,
+            elapsed_s(self._clock),
+        )
+        for key, version in message.notices:
+            model, _, adapter = key.partition("/")
+            self._state.version_announced(AdapterNotice(model, adapter, version))
+
     def answer_received(self, message: ConfigurationConfirmed, agent: str) -> None:
         """Apply an agent's answer."""
+        now_s = elapsed_s(self._clock)
         own_position = self._feed.next_offset
         era = position_era(own_position) if message.era is None else message.era
         outcome = self._proof.confirmed(
@@ -92,8 +132,8 @@
             message.age_ms / 1000,
             agent_offset=log_position(era, message.next_offset),
             own_offset=own_position,
-            is_newest_applied=self._listener.is_newest_applied,
-            now_s=elapsed_s(self._clock),
+            is_newest_applied=self._can_prove(now_s),
+            now_s=now_s,
         )
         self._metrics.configuration_confirmed(outcome.value)
 
@@ -103,10 +143,59 @@
         age_s = self._proof.age_s(elapsed_s(self._clock)) if has_accounts else 0.0
         self._metrics.configuration_proof_age.set(age_s)
 
+    def _era_read(self, era: int) -> None:
+        """Begin a check if the store has come back from a copy."""
+        if self._era is not None and era > self._era:
+            self._peer_versions.restored()
+        self._era = era
+
+    def _check_peers(self, now_s: float) -> None:
+        """Ask agents what the store may have lost, and judge by what they know."""
+        versions = self._peer_versions
+        if self._state.table is not None and self._are_targets_known():
+            agents = versions.agents_to_ask(self._state.agent_hosts(), now_s)
+            if agents:
+                self._subscriber.ask_versions(agents)
+        was_settled = versions.is_settled
+        self._judge_versions(now_s)
+        read = self._feed.end_read
+        if versions.is_settled and not was_settled and read is not None:
+            # What it found is confirmed now.
+            self._read_reached_end(read)
+
+    def _judge_versions(self, now_s: float) -> None:
+        read = self._feed.end_read
+        versions = self._peer_versions
+        was_usable = versions.is_usable
+        versions.judge(
+            self._state.config_version,
+            -math.inf if read is None else read.sent_s,
+            now_s,
+            is_newest_applied=self._listener.is_newest_applied,
+        )
+        if versions.is_usable != was_usable:
+            _log.info(
+                "configuration usable"
+                if versions.is_usable
+                else "configuration lost by the store",
+                extra={
+                    "config_version": self._state.config_version,
+                    "known_version": versions.newest(now_s),
+                },
+            )
+
+    def _can_prove(self, now_s: float) -> bool:
+        """Return whether a read that reached the end proves what is in force."""
+        return self._listener.is_newest_applied and self._peer_versions.is_proof(
+            self._state.config_version, now_s
+        )
+
     def _read_reached_end(self, read: EndRead) -> None:
+        now_s = elapsed_s(self._clock)
         self._proof.read_reached_end(
-            read.sent_s, is_newest_applied=self._listener.is_newest_applied
+            read.sent_s, is_newest_applied=self._can_prove(now_s)
         )
+        self._judge_versions(now_s)
 
     def _log_change(self) -> None:
         is_confirmed = self.is_confirmed
--- a/lentiltally/direct/entry_process.py
+++ b/lentiltally/direct/entry_process.py
@@ -43,6 +43,7 @@
     ConfigurationConfirmed,
     EngineEnded,
     EngineState,
+    KnownVersions,
     Message,
     StoreReport,
 )
@@ -188,6 +189,8 @@
             self._configuration,
             configuration_feed,
             peers=self._peers,
+            subscriber=self._subscriber,
+            are_targets_known=lambda: self._targets.is_current,
             metrics=self._metrics,
             clock=clock,
         )
@@ -409,6 +412,8 @@
             self._allotments.answer_received(message, sender.ip)
         elif isinstance(message, ConfigurationConfirmed):
             self._confirmations.answer_received(message, sender.ip)
+        elif isinstance(message, KnownVersions):
+            self._confirmations.versions_received(message, sender.ip)
         elif isinstance(message, EngineState):
             self._state.engine_state_received(sender.ip, message)
             if message.store is not None:
@@ -422,6 +427,7 @@
         """Note what an agent has read; read the list of targets if it has news."""
         now_s = self._clock.monotonic_s()
         self._confirmations.agent_reported(agent, report.config_age_ms)
+        self._confirmations.version_named(report.config_version)
         self._shared_configuration.reported(
             _position(report.config_changed_at, report.config_era, self._configuration),
             report.config_age_ms / 1000,
--- a/lentiltally/direct/entry_state.py
+++ b/lentiltally/direct/entry_state.py
@@ -12,6 +12,7 @@
 from lentiltally.decisions.entry_count import EntryCount
 from lentiltally.decisions.holder_role import AgentList
 from lentiltally.decisions.known_agents import KnownAgents
+from lentiltally.decisions.peer_versions import PeerVersions
 from lentiltally.decisions.route_table import RouteTable
 from lentiltally.decisions.service_retry_budget import ServiceRetryBudget
 from lentiltally.decisions.target_choice import TargetChoice
@@ -62,6 +63,7 @@
         self.bounds = settings.bounds
         self.table: RouteTable | None = None
         self.configuration_proof = ConfigurationProof(settings.bounds.revocation_s)
+        self.peer_versions = PeerVersions(rng or random.Random())
         self.directory = TargetDirectory()
         self.choice = TargetChoice(settings.failure_domain, rng=rng)
         self.notices = TargetNotices()
@@ -87,6 +89,11 @@
         """Return the number of entries, among which limits of the fleet are divided."""
         return self._entry_count.current(self._clock.monotonic_s())
 
+    @property
+    def config_version(self) -> int:
+        """Return the version of the desired state in force, 0 without one."""
+        return 0 if self.table is None else self.table.state.version
+
     @property
     def has_accounts(self) -> bool:
         """Return whether the desired state has client accounts."""
--- a/lentiltally/direct/forwarder.py
+++ b/lentiltally/direct/forwarder.py
@@ -123,6 +123,14 @@
                 step="route",
                 retry_after_s=self._context.retry_after_s(),
             )
+        if not self._state.peer_versions.is_usable:
+            raise Refusal(
+                503,
+                "configuration-unconfirmed",
+                "the store may have lost a newer configuration than it has",
+                step="route",
+                retry_after_s=self._context.retry_after_s(),
+            )
         route = table.match(request.host, request.route_path)
         if route is None:
             raise Refusal(404, "no-route", "no route matches", step="route")
--- a/lentiltally/direct/messages.py
+++ b/lentiltally/direct/messages.py
@@ -35,6 +35,7 @@
     "CrashReport",
     "EngineEnded",
     "EngineState",
+    "KnownVersions",
     "Message",
     "PartTrial",
     "PartsCleared",
@@ -70,13 +71,15 @@
 
     ``interval_ms`` is the interval between two states of an engine whose load changes,
     ``config_version`` the version of the desired state that the entry knows, ``age_ms``
-    the time since the entry started.
+    the time since the entry started. With ``asks_versions``, the agent answers at once
+    with ``KnownVersions``.
     """
 
     entry: str
     interval_ms: int = 100
     config_version: int = 0
     age_ms: int = 3_600_000
+    asks_versions: bool = False
 
 
 class StoreReport(Struct, array_like=True, frozen=True):
@@ -86,6 +89,8 @@
     news, and the age of its last read. ``outage_ended_ms`` is how long ago the store
     answered again after an outage. A time is -1 if there was no such event. The eras
     are those of the offsets; None stands for the era that the receiver knows.
+    ``config_version`` is the newest version of the desired state that the agent has
+    read or that an entry has told it, 0 if it knows none.
     """
 
     config_changed_at: int
@@ -95,6 +100,7 @@
     outage_ended_ms: int = -1
     config_era: Era | None = None
     targets_era: Era | None = None
+    config_version: Quantity = 0
 
 
 class EngineState(Struct, tag=2, array_like=True, frozen=True):
@@ -307,6 +313,26 @@
     era: Era | None = None
 
 
+MAX_NOTICES_PER_MESSAGE = 16
+VersionNotice = tuple[str, Quantity]
+
+
+class KnownVersions(Struct, tag=24, array_like=True, frozen=True):
+    """What an agent knows that the store may have lost when it was restored.
+
+    ``config_version`` is as in ``StoreReport``. The answer counts after
+    ``settles_in_ms``: an agent that has started has not heard of all entries yet.
+    ``notices`` are announced adapter versions that the store lacks, each with the
+    adapter as ``model/adapter``; more of them follow in further messages.
+    """
+
+    config_version: Quantity
+    settles_in_ms: WaitMs
+    notices: Annotated[
+        tuple[VersionNotice, ...], Meta(max_length=MAX_NOTICES_PER_MESSAGE)
+    ] = ()
+
+
 Message = (
     StateSubscription
     | EngineState
@@ -325,6 +351,7 @@
     | PrefillFinished
     | ConfirmConfiguration
     | ConfigurationConfirmed
+    | KnownVersions
     | AcquireAllotment
     | AllotmentAnswer
     | ReturnAllotment
--- a/lentiltally/direct/state_subscriber.py
+++ b/lentiltally/direct/state_subscriber.py
@@ -3,13 +3,13 @@
 from __future__ import annotations
 
 import random
+from collections.abc import Iterable
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.state_pacing import StatePace, state_interval_s
 from lentiltally.direct.agent_client import MessageSender
 from lentiltally.direct.entry_state import EntryState
 from lentiltally.direct.messages import StateSubscription
-from lentiltally.direct.model import TargetRecord
 from lentiltally.direct.settings import SocketAddress
 
 __all__ = ["StateSubscriber"]
@@ -18,8 +18,6 @@
 # are spread over the last quarter of the interval.
 RENEWAL_INTERVAL_S = 2.0
 RENEWAL_JITTER = 0.25
-# An agent whose engine's state is overdue may have restarted without subscriptions.
-OVERDUE_REPEATS = 2
 
 
 class StateSubscriber:
@@ -48,20 +46,12 @@
         engines = self._state.engine_targets()
         pace = StatePace(state_interval_s(len(engines)))
         self._state.choice.state_max_age_s = pace.max_age_s
-        overdue_s = OVERDUE_REPEATS * pace.repeat_interval_s
-        table = self._state.table
-        subscription = StateSubscription(
-            self._name,
-            int(pace.interval_s * 1000),
-            0 if table is None else table.state.version,
-            int((now_s - self._started_s) * 1000),
-        )
         due = [
             record
             for record in engines
             if now_s >= self._renew_at_s.get(record.target_id, 0.0)
             or now_s - self._state.choice.view(record.target_id).state_received_s
-            > overdue_s
+            > pace.overdue_s
         ]
         known = self._renew_at_s
         self._renew_at_s = {
@@ -69,10 +59,29 @@
         }
         for record in due:
             self._renew_at_s[record.target_id] = now_s + self._renewal_interval_s()
-        self._peers.send_all([self._agent(record) for record in due], subscription)
+        self._peers.send_all(
+            [self._agent(record.ip) for record in due], self._subscription(pace)
+        )
+
+    def ask_versions(self, agents: Iterable[str]) -> None:
+        """Ask the agents at some hosts what the store may have lost."""
+        pace = StatePace(state_interval_s(len(self._state.engine_targets())))
+        question = self._subscription(pace, asks_versions=True)
+        self._peers.send_all([self._agent(ip) for ip in agents], question)
+
+    def _subscription(
+        self, pace: StatePace, *, asks_versions: bool = False
+    ) -> StateSubscription:
+        return StateSubscription(
+            self._name,
+            int(pace.interval_s * 1000),
+            self._state.config_version,
+            int((self._clock.monotonic_s() - self._started_s) * 1000),
+            asks_versions,
+        )
 
     def _renewal_interval_s(self) -> float:
         return RENEWAL_INTERVAL_S * (1.0 - RENEWAL_JITTER * self._rng.random())
 
-    def _agent(self, record: TargetRecord) -> SocketAddress:
-        return SocketAddress(record.ip, self._state.peer_port)
+    def _agent(self, ip: str) -> SocketAddress:
+        return SocketAddress(ip, self._state.peer_port)
--- a/lentiltally/direct/store_reader.py
+++ b/lentiltally/direct/store_reader.py
@@ -5,11 +5,12 @@
 import logging
 import math
 import random
-from collections.abc import Container
+from collections.abc import Callable, Container
 from dataclasses import dataclass, replace
 
 from lentiltally.clock import Clock, elapsed_s
 from lentiltally.decisions.log_position import position_era, position_offset
+from lentiltally.decisions.peer_versions import RETENTION_S, agent_settle_s
 from lentiltally.decisions.shared_reads import turn_interval_s
 from lentiltally.decisions.target_directory import DirectoryChange, TargetDirectory
 from lentiltally.direct.entry_feeds import (
@@ -145,10 +146,12 @@
         *,
         clock: Clock,
         rng: random.Random,
+        settle_s: Callable[[int], float] = agent_settle_s,
     ) -> None:
         """Pass the configuration to ``listener``.
 
-        ``service`` is the service of the agent's engine.
+        ``service`` is the service of the agent's engine. ``settle_s`` returns how long
+        an agent beside a number of engines needs to hear of all entries.
         """
         self._clock = clock
         self._rng = rng
@@ -159,6 +162,11 @@
         self._directory = TargetDirectory()
         self._news = _TargetNews(decode_target, self._directory, clock)
         self._known_version = 0
+        # The newest version that an entry has named, and when one did last.
+        self._heard_version = 0
+        self._heard_at_s = -math.inf
+        self._settle_s = settle_s
+        self._settling_since_s = clock.monotonic_s()
         self._started_ms: int | None = None
         self._suspended_s = clock.suspended_s()
         self._suspended_at_s = -math.inf
@@ -186,10 +194,31 @@
         self._known_version = version
 
     def version_seen(self, version: int) -> None:
-        """Read the configuration if an entry knows a newer version."""
+        """Note the version that an entry knows; read if it is newer."""
+        now_s = self._clock.monotonic_s()
+        if version >= self._recent_heard_version(now_s):
+            self._heard_version, self._heard_at_s = version, now_s
         if version > self._known_version:
             self.configuration.request_read()
 
+    def newest_version(self) -> int:
+        """Return the newest version of the desired state that is known, 0 if none.
+
+        An entry may know one that the store has lost.
+        """
+        heard = self._recent_heard_version(self._clock.monotonic_s())
+        return max(self._known_version, heard)
+
+    def settles_in_s(self) -> float:
+        """Return how long until all entries have told the agent what they know."""
+        engines = self._directory.usable(self._service) or self._directory.all()
+        until_s = self._settling_since_s + self._settle_s(len(engines))
+        return max(0.0, until_s - self._clock.monotonic_s())
+
+    def _recent_heard_version(self, now_s: float) -> int:
+        is_recent = now_s - self._heard_at_s < RETENTION_S
+        return self._heard_version if is_recent else 0
+
     def engine_started(self, started_ms: int) -> None:
         """Read the list until it contains the engine's present start."""
         if started_ms != self._started_ms:
@@ -224,6 +253,7 @@
             self._outage_ended_ms(now_s),
             position_era(config_changed_at),
             position_era(targets_changed_at),
+            self.newest_version(),
         )
 
     def confirmation(
@@ -252,7 +282,7 @@
     def _note_suspension(self, now_s: float) -> None:
         suspended_s = self._clock.suspended_s()
         if suspended_s - self._suspended_s > MIN_SUSPENSION_S:
-            self._suspended_at_s = now_s
+            self._suspended_at_s = self._settling_since_s = now_s
             self.configuration.request_read()
             self.targets.request_read()
             _log.info(
--- a/tests/fakes/direct.py
+++ b/tests/fakes/direct.py
@@ -111,6 +111,8 @@
         self._failure = None
         self.bounds = HostBounds(leaving_s=0.4, stop_s=4.0, retry_slack=50.0)
         self.peer_port = free_port(ENTRY_IP)
+        # How long an agent that starts waits for entries; None takes the default.
+        self.settle_s = 0.0
         self.entry_address = None
         self.entry = None
         self.other_entry = None
@@ -279,7 +281,9 @@
 
         async def start():
             platform = agent_platform(settings, engine.service)
-            agent = AgentProcess(settings, platform, SystemClock())
+            settle_s = self.settle_s
+            more = {} if settle_s is None else {"settle_s": lambda engines: settle_s}
+            agent = AgentProcess(settings, platform, SystemClock(), **more)
             self.agents[engine_name] = agent
             self._run_process(agent)
 
@@ -321,7 +325,8 @@
         seen = {record.target_id for record in state.directory.all()}
         engines = [name for name, e in self.engines.items() if e.service == "llm"]
         views = [state.choice.view(name).state for name in engines]
-        return state.table is not None and seen >= set(self.engines) and all(views)
+        is_usable = state.table is not None and state.peer_versions.is_usable
+        return is_usable and seen >= set(self.engines) and all(views)
 
     # -- callers ---------------------------------------------------------------
 
