Make the client account part of what identifies a request

Callers saw one account's request crash server after server for as long as it came: another account read the same path, and each of its answers cleared the request, whose identity was host, path and body.

The account's name is part of the fingerprint now, whatever key was sent and on public routes too, because that is what a target is told of the caller. Without an account the fingerprint is the former one, so that old and new processes agree on it during a roll.

Ruled out: late notice of the crashes (the two crashes were recorded each time, and cleared by the next answer to the other account).

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -64,16 +64,22 @@
 RELAYS_PER_SUSPECT = 3
 
 
-def request_fingerprint(host: str, path: bytes, adapter: str, body: bytes) -> int:
+def request_fingerprint(
+    host: str, path: bytes, adapter: str, body: bytes, account: str = ""
+) -> int:
     """Return the fingerprint of a request, the same each time a caller sends it.
 
-    Callers may send it again for another adapter; that only tells requests apart which
-    have no body.
+    The caller is its client account, as the target is told; callers without one are the
+    same to the target. Callers may send the request again for another adapter; that
+    only tells requests apart which have no body.
     """
     digest = xxhash.xxh3_64(host.encode())
     digest.update(path)
     digest.update(b"\0")
     digest.update(body or adapter.encode())
+    if account:
+        # Without an account, the fingerprint is that of earlier versions.
+        digest.update(b"\0account:" + account.encode())
     return digest.intdigest()
 
 
--- a/lentiltally/direct/handling.py
+++ b/lentiltally/direct/handling.py
@@ -55,7 +55,11 @@
         self._pin = AdapterPin(context, request, self._access.rank)
         self._sender = TargetSender(context, request, route, self._answer, self._pin)
         self._suspicion = RequestSuspicion(
-            context.state.suspects, request, self._answer, context.retry_after_s
+            context.state.suspects,
+            request,
+            self._answer,
+            context.retry_after_s,
+            self._access.account_name,
         )
         self._answer.on_started = self._suspicion.answer_began
         traits = self._suspicion.traits
--- a/lentiltally/direct/request_suspicion.py
+++ b/lentiltally/direct/request_suspicion.py
@@ -28,12 +28,16 @@
         request: CallerRequest,
         answer: CallerAnswer,
         retry_after_s: Callable[[], float],
+        account: str = "",
     ) -> None:
-        """Start before the first attempt; ``retry_after_s`` spreads retries."""
+        """Start before the first attempt; ``retry_after_s`` spreads retries.
+
+        ``account`` is the name of the caller's client account, empty without one.
+        """
         self._suspects = suspects
         self._answer = answer
         self._retry_after_s = retry_after_s
-        self.traits = _traits_of(request)
+        self.traits = _traits_of(request, account)
         self._parts_on_trial: list[int] = []
         self._is_content_on_trial = False
 
@@ -119,9 +123,9 @@
     return Refusal(503, reason, detail, step="suspects", retry_after_s=retry_after_s)
 
 
-def _traits_of(request: CallerRequest) -> RequestTraits:
+def _traits_of(request: CallerRequest, account: str) -> RequestTraits:
     adapter = request.adapter.key if request.adapter else ""
     return RequestTraits(
-        request_fingerprint(request.host, request.path, adapter, request.body),
+        request_fingerprint(request.host, request.path, adapter, request.body, account),
         tuple(part_fingerprint(part) for part in request.shared_parts),
     )
--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -154,11 +154,12 @@
     that received it. ``sequence`` counts the orders executed since the last start,
     ``born`` the starts.
     ``poisoned_part`` crashes the engine ``crash_after_s`` after the head of an answer
-    to a request whose prompt has this part. A body of ``poisoned_bodies`` crashes it
-    ``crash_after_s`` after it has begun to run the request, also if the caller has left
-    by then. It is down until ``recover``, as ``is_stopped`` says, and ``crashes``
-    counts this. While ``is_frozen``, it answers no report. Between ``silence.begin``
-    and ``silence.end`` it sends nothing at all, and then goes on; it stays sound.
+    to a request whose prompt has this part. A request of ``poisoned_accounts``, or with
+    a body of ``poisoned_bodies``, crashes it ``crash_after_s`` after it has begun to
+    run the request, also if the caller has left by then. It is down until
+    ``recover``, as ``is_stopped`` says, and ``crashes`` counts this. While
+    ``is_frozen``, it answers no report. Between ``silence.begin`` and ``silence.end``
+    it sends nothing at all, and then goes on; it stays sound.
     ``has_crashed`` is set when an order would load more adapters than there are slots.
     """
 
@@ -193,6 +194,7 @@
     has_crashed: bool = False
     poisoned_part: str = ""
     poisoned_bodies: frozenset[bytes] = frozenset()
+    poisoned_accounts: frozenset[str] = frozenset()
     crash_after_s: float = 0.15
     crashes: int = 0
     is_stopped: bool = False
@@ -272,7 +274,8 @@
                 request.body,
             )
         )
-        if request.body in self.poisoned_bodies:
+        account = request.headers.get("x-tenant", "")
+        if request.body in self.poisoned_bodies or account in self.poisoned_accounts:
             loop = asyncio.get_running_loop()
             loop.call_later(self.crash_after_s, self._crash_start, self.born)
             await asyncio.sleep(3600)
--- a/tests/decisions/direct_limits.feature
+++ b/tests/decisions/direct_limits.feature
@@ -77,6 +77,8 @@
     Then crash suspects refuse a request after it crashed 2 targets, also under another id
     And crash suspects refuse the same body also for another adapter
     And crash suspects do not refuse another body, or none for another adapter
+    # Guards against one caller's request cleared or refused by that of another.
+    And crash suspects do not refuse the same request of another account
     And crash suspects clear a request that finished
 
   # Load pattern: many callers send equal requests, and targets terminate for other reasons.
--- a/tests/steps/direct_limits_steps.py
+++ b/tests/steps/direct_limits_steps.py
@@ -178,6 +178,19 @@
     assert not context.suspects.contents.is_refused(other)
 
 
+@then("crash suspects do not refuse the same request of another account")
+def refuses_only_caller(context):
+    fingerprints = {
+        request_fingerprint("h", b"/x", "m/a", b"body", account)
+        for account in ("", "north", "south")
+    }
+    assert len(fingerprints) == 3
+    # An entry of an earlier version names requests without an account as before.
+    assert request_fingerprint("h", b"/x", "m/a", b"body", "") == example_fingerprint()
+    for other in fingerprints - {example_fingerprint()}:
+        assert not context.suspects.contents.is_refused(other)
+
+
 @then("crash suspects clear a request that finished")
 def clears_finished(context):
     context.suspects.contents.finished(example_fingerprint(), NOW_S)
