Judge all shared parts of a prompt, whatever their number or form

Limits meant for memory decided what is judged: the first eight shared parts of a prompt were kept, one part that is no id of up to 32 digits hid all of them, and crash reports had room for eight.

All parts but the last are read now, bounded by the head of the request, and messages go on in further ones of the same form, so that earlier versions take them. Entries tell of more than 32 refused parts in turn, and agents keep them by part. Parts seen in one crash have a limit of their own, so that they don't displace one that comes back; a refused content is forgotten last.

The rows of tests/platform/adapter.feature that expected no parts beside a malformed one, or eight at most, were wrong: they asked for the fault. The new rows ask for each part, and a scenario for 1,300 of them.

Ruled out: late ends of engines (seen 0.1 s after each crash).

--- a/lentiltally/decisions/content_suspects.py
+++ b/lentiltally/decisions/content_suspects.py
@@ -188,9 +188,15 @@
         suspect = self._suspects.setdefault(content, _Suspect())
         self._suspects.move_to_end(content)
         while len(self._suspects) > MAX_SUSPECTS:
-            self._suspects.popitem(last=False)
+            del self._suspects[self._least_suspected()]
         return suspect
 
+    def _least_suspected(self) -> int:
+        """Return the content to forget: the oldest that is not refused, if any."""
+        oldest = next(iter(self._suspects))
+        contents = (c for c, s in self._suspects.items() if not s.is_refused)
+        return next(contents, oldest)
+
     def _has_finished(self, content: int, now_s: float) -> bool:
         return now_s - self._finished_at_s.get(content, -math.inf) < FINISHED_S
 
--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -24,6 +24,7 @@
 from lentiltally.decisions.content_suspects import ContentRefusal, ContentSuspects
 
 __all__ = [
+    "MAX_LOGGED_PARTS",
     "CrashSuspects",
     "PartChanges",
     "RequestTraits",
@@ -55,6 +56,11 @@
 # of them is let through soon, because its answer or its crash tells them apart.
 TIED_TRIAL_S = 1.0
 MAX_SUSPECTS = 2_000
+# Parts that were in one crash only. Dozens of requests may run at a target that ends,
+# and the head of each has room for over a thousand parts.
+MAX_SEEN_ONCE = 8_000
+# A log line names no more parts of a request or a crash.
+MAX_LOGGED_PARTS = 16
 # About 1 MB, and far more requests than an entry answers while a target restarts.
 MAX_FINISHED = 8_000
 MAX_CRASHES_OF_PART = 64
@@ -130,10 +136,13 @@
 
 @dataclass(slots=True)
 class _PartEvidence:
-    """Crashes by target start, and their requests' contents, since the last answer."""
+    """Crashes by target start, and their requests' contents, since the last answer.
 
-    crashes: OrderedDict[str, float] = field(default_factory=OrderedDict)
-    contents: set[int] = field(default_factory=set)
+    Both are in the order in which they became known.
+    """
+
+    crashes: dict[str, float] = field(default_factory=dict)
+    contents: tuple[int, ...] = ()
 
 
 @dataclass(slots=True)
@@ -167,10 +176,18 @@
         """
         self.contents = ContentSuspects(stagger)
         self._stagger = stagger
+        # Parts that were in several crashes, and those that were in one. Sound parts
+        # that pass by in single crashes must not displace one that comes back.
         self._parts: OrderedDict[int, _PartEvidence] = OrderedDict()
+        self._seen_once: OrderedDict[int, _PartEvidence] = OrderedDict()
         self._answered_at_s: OrderedDict[int, float] = OrderedDict()
         self._refused: OrderedDict[int, _PartRefusal] = OrderedDict()
 
+    @property
+    def suspected_parts(self) -> int:
+        """Return how many parts were in crashes since their last answer."""
+        return len(self._parts) + len(self._seen_once)
+
     @property
     def refused_parts(self) -> int:
         """Return how many parts are refused, with those whose trial is due."""
@@ -191,6 +208,7 @@
 
     def judge_parts(self, now_s: float) -> PartChanges:
         """Refuse the parts that best explain the crashes, and release the others."""
+        # One crash is not enough to refuse a part.
         starts = {
             part: self._recent_starts(evidence, now_s)
             for part, evidence in self._parts.items()
@@ -210,7 +228,10 @@
         released = [
             part
             for part in self._refused
-            if part not in causes and starts.get(part) and starts[part] <= explained
+            if part not in causes
+            and (evidence := self._evidence(part)) is not None
+            and (recent := self._recent_starts(evidence, now_s))
+            and recent <= explained
         ]
         for part in released:
             del self._refused[part]
@@ -226,6 +247,7 @@
             self._answered_at_s[part] = now_s
             self._answered_at_s.move_to_end(part)
             was_suspect = self._parts.pop(part, None) is not None
+            was_suspect |= self._seen_once.pop(part, None) is not None
             was_refused = self._refused.pop(part, None) is not None
             if was_suspect or was_refused:
                 cleared.append(part)
@@ -293,8 +315,8 @@
         return {
             start
             for part in self._refused
-            if part in self._parts
-            for start in self._parts[part].crashes
+            if (evidence := self._evidence(part)) is not None
+            for start in evidence.crashes
         }
 
     def refused_part(
@@ -343,24 +365,35 @@
     def _record_part(
         self, part: int, content: int, target_start: str, now_s: float
     ) -> bool:
-        evidence = self._parts.setdefault(part, _PartEvidence())
-        self._parts.move_to_end(part)
-        while len(self._parts) > MAX_SUSPECTS:
-            self._parts.popitem(last=False)
-        is_new = target_start not in evidence.crashes or (
-            content not in evidence.contents
-            and len(evidence.contents) < MAX_CONTENTS_OF_PART
-        )
-        if not is_new:
-            return False
-        if len(evidence.contents) < MAX_CONTENTS_OF_PART:
-            evidence.contents.add(content)
-        if target_start not in evidence.crashes:
+        evidence = self._evidence(part) or _PartEvidence()
+        is_new_start = target_start not in evidence.crashes
+        has_room = len(evidence.contents) < MAX_CONTENTS_OF_PART
+        is_new_content = has_room and content not in evidence.contents
+        if is_new_content:
+            evidence.contents = (*evidence.contents, content)
+        if is_new_start:
             evidence.crashes[target_start] = now_s
             if len(evidence.crashes) > MAX_CRASHES_OF_PART:
-                evidence.crashes.popitem(last=False)
+                del evidence.crashes[next(iter(evidence.crashes))]
+        self._keep(part, evidence)
+        if is_new_start:
             self._renew_refusal(part, now_s)
-        return True
+        return is_new_start or is_new_content
+
+    def _evidence(self, part: int) -> _PartEvidence | None:
+        return self._parts.get(part) or self._seen_once.get(part)
+
+    def _keep(self, part: int, evidence: _PartEvidence) -> None:
+        """Keep the evidence on a part as the newest; drop the oldest beyond limits."""
+        if len(evidence.crashes) == 1:
+            kept, limit = self._seen_once, MAX_SEEN_ONCE
+        else:
+            self._seen_once.pop(part, None)
+            kept, limit = self._parts, MAX_SUSPECTS
+        kept[part] = evidence
+        kept.move_to_end(part)
+        while len(kept) > limit:
+            kept.popitem(last=False)
 
     def _renew_refusal(self, part: int, now_s: float) -> None:
         """Refuse a part for longer, if a request that was let through has crashed."""
--- a/lentiltally/direct/crash_announcements.py
+++ b/lentiltally/direct/crash_announcements.py
@@ -3,6 +3,8 @@
 from __future__ import annotations
 
 import asyncio
+from collections.abc import Iterable, Iterator, Sequence
+from typing import TypeVar
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.content_suspects import ContentRefusal
@@ -25,6 +27,8 @@
 
 __all__ = ["CrashAnnouncements"]
 
+_T = TypeVar("_T")
+
 # The connections of a crashed target end within this time, so that its suspects can be
 # reported together.
 REPORT_DELAY_S = 0.02
@@ -33,8 +37,12 @@
 REFUSALS_INTERVAL_S = 1.0
 # A new refusal is told again this often, each time through other agents.
 NEW_REFUSAL_REPEATS = 3
-# One crash concerns at most a few dozen open requests of an entry.
-MAX_REPORTS_PER_CRASH = 4
+# One crash concerns at most a few dozen open requests of an entry. Their prompts have
+# up to about 1,500 different parts, if they fill the heads of requests.
+MAX_REPORTS_PER_CRASH = 16
+# Messages with refused parts that an entry sends at a time; it goes on with the others
+# the next time.
+MAX_REFUSAL_MESSAGES = 4
 
 
 class CrashAnnouncements:
@@ -50,6 +58,7 @@
         self._clock = clock
         self._told_refusals_at_s = 0.0
         self._repeats_left = 0
+        self._next_part = 0
         self._unreported: dict[str, list[RequestTraits]] = {}
         state.suspects.on_suspect = self._suspect_found
         state.suspects.on_parts_cleared = self._announce_cleared
@@ -97,11 +106,14 @@
             suspects.contents_cleared(message.contents)
 
     def _tell_refused_parts(self) -> None:
-        refused = self._state.suspects.refused_parts()[:MAX_REFUSALS_PER_MESSAGE]
-        if refused:
-            parts = [(p, int(1000 * t), int(1000 * w)) for p, t, w in refused]
-            message = RefusedParts(tuple(parts))
-            self._send_to_entries(message, refused[0][0])
+        """Tell of refused parts, of many ones some at a time and in turn."""
+        refused = self._state.suspects.refused_parts()
+        first = self._next_part if self._next_part < len(refused) else 0
+        size = MAX_REFUSALS_PER_MESSAGE
+        self._next_part = first + MAX_REFUSAL_MESSAGES * size
+        for some in _chunks(refused[first : self._next_part], size):
+            parts = [(p, int(1000 * t), int(1000 * w)) for p, t, w in some]
+            self._send_to_entries(RefusedParts(tuple(parts)), some[0][0])
 
     def _content_refused(self) -> None:
         """Tell of a new refusal or trial at once; ``tell_refusals`` repeats it."""
@@ -131,24 +143,19 @@
     def _report_crash(self, target_start: str) -> None:
         """Send the new suspects of a crash to the other entries."""
         suspects = self._unreported.pop(target_start)
-        # Those with parts first: they identify a cause that other requests share.
-        suspects.sort(key=lambda traits: not traits.parts)
+        requests = _report_requests(suspects)
         size = MAX_REQUESTS_PER_REPORT
-        for first in range(0, min(len(suspects), MAX_REPORTS_PER_CRASH * size), size):
-            requests = tuple(
-                (traits.content, *traits.parts)[:MAX_FINGERPRINTS]
-                for traits in suspects[first : first + size]
-            )
-            report = CrashReport(target_start, requests)
-            self._send_to_entries(report, requests[0][0])
+        for some in _chunks(requests[: MAX_REPORTS_PER_CRASH * size], size):
+            report = CrashReport(target_start, tuple(some))
+            self._send_to_entries(report, some[0][0])
 
     def _announce_cleared(self, parts: list[int]) -> None:
-        cleared = PartsCleared(tuple(parts[:MAX_FINGERPRINTS]))
-        self._send_to_entries(cleared, parts[0])
+        for some in _chunks(parts, MAX_FINGERPRINTS):
+            self._send_to_entries(PartsCleared(tuple(some)), some[0])
 
     def _announce_trial(self, parts: list[int]) -> None:
-        trial = PartTrial(tuple(parts[:MAX_FINGERPRINTS]))
-        self._send_to_entries(trial, parts[0])
+        for some in _chunks(parts, MAX_FINGERPRINTS):
+            self._send_to_entries(PartTrial(tuple(some)), some[0])
 
     def _send_to_entries(self, message: Message, fingerprint: int) -> None:
         """Send a message through agents that answer, as far as there are enough."""
@@ -167,3 +174,27 @@
             if now_s - choice.view(record.target_id).state_received_s
             <= choice.state_max_age_s
         }
+
+
+def _report_requests(suspects: Iterable[RequestTraits]) -> list[tuple[int, ...]]:
+    """Return the requests of a crash as a report has them, those with parts first.
+
+    Parts identify a cause that other requests share. Each is named with one request; a
+    request with many parts is named several times, with some of them each time.
+    """
+    requests: list[tuple[int, ...]] = []
+    without_parts: list[tuple[int, ...]] = []
+    named: set[int] = set()
+    for traits in suspects:
+        parts = [part for part in traits.parts if part not in named]
+        named.update(parts)
+        if not parts:
+            without_parts.append((traits.content,))
+        for some in _chunks(parts, MAX_FINGERPRINTS - 1):
+            requests.append((traits.content, *some))
+    return requests + without_parts
+
+
+def _chunks(items: Sequence[_T], size: int) -> Iterator[Sequence[_T]]:
+    """Return items in their order, ``size`` at a time."""
+    return (items[first : first + size] for first in range(0, len(items), size))
--- a/lentiltally/direct/entry_suspects.py
+++ b/lentiltally/direct/entry_suspects.py
@@ -4,10 +4,12 @@
 
 import logging
 from collections.abc import Callable, Iterable
+from itertools import islice
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.content_suspects import ContentRefusal
 from lentiltally.decisions.crash_suspects import (
+    MAX_LOGGED_PARTS,
     CrashSuspects,
     RequestTraits,
     fingerprint_texts,
@@ -97,7 +99,7 @@
                 "started_ms": started_ms,
                 "reason": reason,
                 "suspects": fingerprint_texts(traits.content for traits in new),
-                "parts": fingerprint_texts({p for traits in new for p in traits.parts}),
+                "parts": _part_texts(new),
             },
         )
 
@@ -119,7 +121,7 @@
                 extra={
                     "start": report.target_start,
                     "suspects": fingerprint_texts(t.content for t in new),
-                    "parts": fingerprint_texts({p for t in new for p in t.parts}),
+                    "parts": _part_texts(new),
                 },
             )
             self._judge_parts()
@@ -276,6 +278,12 @@
         return record is not None and record.stage is TargetStage.DRAINING
 
 
+def _part_texts(suspects: Iterable[RequestTraits]) -> list[str]:
+    """Return the parts of suspects for a log line, the first ones of many."""
+    parts = dict.fromkeys(part for traits in suspects for part in traits.parts)
+    return fingerprint_texts(islice(parts, MAX_LOGGED_PARTS))
+
+
 def _suspects_field(contents: Iterable[int]) -> dict[str, object]:
     return {"suspects": fingerprint_texts(contents)}
 
--- a/lentiltally/direct/explanation.py
+++ b/lentiltally/direct/explanation.py
@@ -195,7 +195,7 @@
         return [
             Obstacle(503, f"prompt part {part} has crashed targets")
             for part in question.parts
-            if part_fingerprint(part.lower()) in refused
+            if part_fingerprint(part.lower().lstrip("0") or part) in refused
         ]
 
     def _rank(self, service: Service, question: Question) -> list[Candidate]:
--- a/lentiltally/direct/handling_log.py
+++ b/lentiltally/direct/handling_log.py
@@ -5,7 +5,11 @@
 import logging
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.crash_suspects import RequestTraits, fingerprint_texts
+from lentiltally.decisions.crash_suspects import (
+    MAX_LOGGED_PARTS,
+    RequestTraits,
+    fingerprint_texts,
+)
 from lentiltally.decisions.target_choice import Candidate
 from lentiltally.direct.caller_answer import CallerAnswer
 from lentiltally.direct.request import CallerRequest
@@ -25,7 +29,7 @@
         self._request = request
         self._route = route
         self._clock = clock
-        self._shared_parts = fingerprint_texts(traits.parts)
+        self._shared_parts = fingerprint_texts(traits.parts[:MAX_LOGGED_PARTS])
 
     def sent(self, candidate: Candidate, left_s: float, attempt: int) -> None:
         """Log an attempt, with the target's cost and the age of its engine state."""
--- a/lentiltally/platform/http_headers.py
+++ b/lentiltally/platform/http_headers.py
@@ -39,11 +39,6 @@
 # Visible ASCII characters only; the name of the scheme is case-insensitive.
 _BEARER_KEY = re.compile(rb"(?i:bearer) +([\x21-\x7e]+)")
 
-# Prompts have a few parts with short ids. The limit bounds the memory and the datagrams
-# that one request takes as a crash suspect.
-MAX_SHARED_PARTS = 8
-_PROMPT_PART = re.compile(rb"\s*([0-9a-fA-F]{1,32}):[0-9]{1,9}\s*")
-
 # Hop-by-hop headers concern one connection only (RFC 9110, section 7.6.1).
 # ``Content-Length`` and ``Expect`` are removed as well: a new length is set for each
 # connection, and no ``Expect`` is sent on.
@@ -119,7 +114,7 @@
         adapter=_adapter(fields.get(_MODEL, b"")),
         prompt_tokens=prompt_tokens,
         last_event_id=None if last_event_id is None else int(last_event_id),
-        shared_parts=_shared_parts(fields.get(_PROMPT_PARTS, b"")),
+        shared_parts=_shared_parts(pairs),
         output_tokens=output_tokens,
         key=_key(pairs),
     )
@@ -224,16 +219,24 @@
     return AdapterRef(model, adapter)
 
 
-def _shared_parts(value: bytes) -> tuple[str, ...]:
+def _shared_parts(pairs: RawHeaders) -> tuple[str, ...]:
     """Return the ids of all parts of a prompt but the last, which no others share.
 
-    Returns an empty tuple if a part is malformed, and at most ``MAX_SHARED_PARTS``.
+    A part is written as ``ID:TOKENS``. The target gets all parts as they are, so an id
+    that is no hexadecimal number identifies a part as well. Several headers are one
+    list (RFC 9110, section 5.3). The size of a request's head bounds the list.
     """
-    shared = [_PROMPT_PART.fullmatch(part) for part in value.split(b",")]
-    ids = [part[1].decode().lower() for part in shared if part is not None]
-    if len(ids) < len(shared):
-        return ()
-    return tuple(dict.fromkeys(ids[:-1]))[:MAX_SHARED_PARTS]
+    values = [value for name, value in pairs if name.lower() == _PROMPT_PARTS]
+    parts = [part for value in values for part in value.split(b",") if part.strip()]
+    ids = (_part_id(part) for part in parts[:-1])
+    return tuple(dict.fromkeys(ids))
+
+
+def _part_id(part: bytes) -> str:
+    """Return the id of a part, the same for each way to write the same number."""
+    part_id = part.rpartition(b":")[0] or part
+    text = part_id.strip().decode("latin-1").lower()
+    return text.lstrip("0") or text
 
 
 def _number(value: bytes | None, name: str) -> float | None:
--- a/tests/decisions/crash_suspects.feature
+++ b/tests/decisions/crash_suspects.feature
@@ -93,3 +93,10 @@
   # Guards against memory that grows with the number of parts and crashes.
   Scenario: Crash suspects keep a bounded number of parts, crashes and refusals
     Then crash suspects keep at most 2000 parts of 5000, 64 crashes of 200 and 2000 refusals
+    And crash suspects keep at most 8000 parts of 20000 that were in one crash
+
+  # Guards against a part that is forgotten because of all the parts that are in crashes
+  # beside it.
+  Scenario: Crash suspects refuse a part beside thousands of others
+    When crash suspects get 5 crashes of requests with "p" beside 7000 other parts each
+    Then crash suspects refuse at 9 only the parts "p"
--- a/tests/direct/crash_evidence.feature
+++ b/tests/direct/crash_evidence.feature
@@ -17,3 +17,41 @@
       | another account, several keys   | /safe/x  | south | with different keys |
       | no account on a public route    | /open/x  | none  | with one key        |
       | an account on a public route    | /open/x  | south | with different keys |
+
+  # Guards against a part that crashes engine after engine, because it is not looked at where
+  # it stands, or is not known as the same part.
+  Scenario Outline: Crash evidence names each shared part of a prompt, <form>
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path engines have "a1" loaded
+    And crash evidence engines crash on the prompt part "<part>"
+    When crash evidence gets a sound stream with <others> other parts
+    And crash evidence gets 6 streams with "<written>" <where> <others> other parts, with crashed engines back
+    Then crash evidence has at most 5 crashes
+    And crash evidence refused the last stream for its part
+    And crash evidence has a stream with <others> other parts served within 3 s
+
+    Examples:
+      | form                  | part          | written       | where  | others |
+      | behind eight others   | deadbeef      | deadbeef:60   | behind | 8      |
+      | behind many others    | deadbeef      | deadbeef:60   | behind | 90     |
+      | before many others    | deadbeef      | deadbeef:60   | before | 90     |
+      | with a long id        | a SHA-256     | a SHA-256:60  | behind | 2      |
+      | beside a malformed id | deadbeef      | deadbeef:60,? | behind | 2      |
+      | without its tokens    | deadbeef      | deadbeef      | behind | 2      |
+
+  # Guards against other entries that never hear of a part because a message has no room.
+  Scenario: Crash evidence about many parts reaches the other entries
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path engines have "a1" loaded
+    And direct path has another entry
+    And crash evidence engines crash on the prompt part "deadbeef"
+    When crash evidence gets a sound stream with 90 other parts
+    And crash evidence gets 6 streams with "deadbeef:60" behind 90 other parts, with crashed engines back
+    Then direct path other entry refuses the prompt part "deadbeef" within 0.5 s
+
+  # Guards against refusals that entries are never told of, because there are many.
+  Scenario: Crash evidence of many refused parts is told to entries that start
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    When crash evidence has 200 parts refused
+    And direct path has another entry
+    Then crash evidence has the other entry refuse 200 parts within 6 s
--- a/tests/platform/adapter.feature
+++ b/tests/platform/adapter.feature
@@ -54,8 +54,8 @@
     Then platform codec passes on only "X-Own" of "Connection: X-Drop", "X-Drop: 1", "TE: x", "X-Own: 2"
 
   Scenario Outline: Platform codec reads the shared parts of a prompt
-    # Guards against a part that crashes engines and is not recognised in other requests,
-    # and against requests that fail, or take much memory, because of a malformed header.
+    # Guards against a part that crashes engines and is not recognised in other requests:
+    # behind many others, beside a malformed one, or written in another way.
     Then platform codec reads from prompt "<prompt>" the shared parts "<shared>"
 
     Examples:
@@ -63,15 +63,22 @@
       | 5c1e07a2:800,91bd3f06:410,e4402b7d:250      | 5c1e07a2 91bd3f06   |
       | 5C1E07a2:800, 91bd3f06:410 ,e4402b7d:250    | 5c1e07a2 91bd3f06   |
       | a:1,b:1,a:1,c:1                             | a b                 |
-      | a:1,b:1,c:1,d:1,e:1,f:1,0:1,1:1,2:1,3:1,4:1 | a b c d e f 0 1     |
+      | a:1,b:1,c:1,d:1,e:1,f:1,0:1,1:1,2:1,3:1,4:1 | a b c d e f 0 1 2 3 |
       | a:800                                       |                     |
       |                                             |                     |
-      | a:1,,b:1                                    |                     |
-      | a,b:1                                       |                     |
-      | a:1,x:1,b:1                                 |                     |
-      | a:-1,b:1,c:1                                |                     |
-      | a:12345678901,b:1                           |                     |
-      | 0123456789abcdef0123456789abcdef0:1,b:1     |                     |
+      | a:1,,b:1                                    | a                   |
+      | a:1,b:1,                                    | a                   |
+      | a,b:1                                       | a                   |
+      | a:1,x:1,b:1                                 | a x                 |
+      | a:-1,b:1,c:1                                | a b                 |
+      | a:12345678901,b:1                           | a                   |
+      | 00Ab:1,ab:1,0:1,c:1                         | ab 0                |
+      | f123456789abcdef0123456789abcdef0:1,b:1     | f123456789abcdef0123456789abcdef0 |
+
+  Scenario: Platform codec reads all parts of a prompt that fills the head of a request
+    # Guards against a part that is not recognised behind many others, or in another header.
+    Then platform codec reads 1300 shared parts of a prompt in 1 header
+    And platform codec reads 1300 shared parts of a prompt in 2 headers
 
   Scenario: Platform codec writes orders with all that engines check
     # Guards against orders that an engine rejects, or carries out twice, because the
--- a/tests/steps/adapter_steps.py
+++ b/tests/steps/adapter_steps.py
@@ -126,6 +126,19 @@
     reads_shared_parts(context, prompt, "")
 
 
+@then("platform codec reads {count:d} shared parts of a prompt in {headers:d} {noun}")
+def reads_many_parts(context, count, headers, noun):
+    parts = [f"{number + 0x10000000:08x}:1" for number in range(count + 1)]
+    size = len(parts) // headers + 1
+    values = [
+        ",".join(parts[n : n + size]).encode() for n in range(0, len(parts), size)
+    ]
+    assert len(values) == headers
+    pairs = [(b"X-Request-Id", b"r"), *((b"X-Prompt-Prefix", v) for v in values)]
+    request = decode_request(b"GET", b"/", pairs, b"", 0.0)
+    assert len(request.shared_parts) == count
+
+
 @then('platform codec reads from prompt "" the shared parts ""')
 def reads_empty_prompt(context):
     reads_shared_parts(context, "", "")
--- a/tests/steps/crash_evidence_steps.py
+++ b/tests/steps/crash_evidence_steps.py
@@ -3,17 +3,20 @@
 from __future__ import annotations
 
 import asyncio
+import hashlib
 import time
 
 from behave import given, then, when
 
+from lentiltally.decisions.crash_suspects import part_fingerprint
 from tests.fakes.direct import configuration, route
-from tests.steps.direct_crashes_steps import engines
+from tests.steps.direct_crashes_steps import engines, engines_back
 from tests.steps.direct_steps import start
 
 # The keys of each account; a request of the account may have any of them.
 KEYS = {"north": ["n1", "n2", "n3"], "south": ["s1"]}
 SOUND_PAUSE_S = 0.03
+LONG_ID = hashlib.sha256(b"a part").hexdigest()
 
 
 @given("crash evidence of a system with accounts and {count:d} plain targets")
@@ -103,3 +106,81 @@
     assert f"problem:{reason}".encode() in context.answer.body, context.answer.body
     answer = context.direct.run(request(context, sound, path))
     assert answer.status == 200, (answer.status, answer.body)
+
+
+def part_text(text):
+    return text.replace("a SHA-256", LONG_ID).replace("?", "not an id")
+
+
+@given('crash evidence engines crash on the prompt part "{part}"')
+def crash_on_part(context, part):
+    for engine in engines(context):
+        engine.poisoned_part = part_text(part)
+
+
+def stream(context, others, deadly="", is_behind=True):
+    """Send a stream with other parts, the deadly one and one of its own."""
+    context.numbers = getattr(context, "numbers", 0) + 1
+    common = [f"{number + 0x5C1E0700:08x}:80" for number in range(others)]
+    parts = [*common, deadly] if is_behind else [deadly, *common]
+    own = f"{context.numbers + 0x10000000:08x}:100"
+    headers = {
+        "X-Model": "m/a1",
+        "X-Token-Counts": "300,5",
+        "X-Prompt-Prefix": ",".join([*filter(None, parts), own]),
+    }
+    return context.direct.send(
+        f"/stream/{context.numbers}", request_id=f"r{context.numbers}", headers=headers
+    )
+
+
+@when("crash evidence gets a sound stream with {others:d} other parts")
+def sound_stream(context, others):
+    answer = stream(context, others)
+    assert answer.status == 200 and answer.is_complete, (answer.status, answer.body)
+
+
+@when(
+    'crash evidence gets {count:d} streams with "{written}" {where} {others:d} other '
+    "parts, with crashed engines back"
+)
+def deadly_streams(context, count, written, where, others):
+    for _ in range(count):
+        written = part_text(written)
+        context.answer = stream(context, others, written, where == "behind")
+        engines_back(context)
+
+
+@then("crash evidence refused the last stream for its part")
+def part_refused(context):
+    body = context.answer.body
+    assert b"problem:crash-suspect-part" in body, (context.answer.status, body)
+
+
+@then(
+    "crash evidence has a stream with {others:d} other parts served within "
+    "{within_s:d} s"
+)
+def stream_served(context, others, within_s):
+    until_s = time.monotonic() + within_s
+    while True:
+        answer = stream(context, others)
+        if answer.status == 200 and answer.is_complete:
+            return
+        assert time.monotonic() < until_s, (answer.status, answer.body)
+        time.sleep(0.05)
+
+
+@when("crash evidence has {count:d} parts refused")
+def parts_refused(context, count):
+    suspects = context.direct.entry._state.suspects
+    refusals = [(part_fingerprint(f"p{number}"), 60.0, 60.0) for number in range(count)]
+    context.direct.call(lambda: suspects.parts_refused_elsewhere(refusals))
+
+
+@then("crash evidence has the other entry refuse {count:d} parts within {within_s:d} s")
+def other_refuses(context, count, within_s):
+    suspects = context.direct.other_entry._state.suspects.decisions
+    assert context.direct.wait(lambda: suspects.refused_parts == count, within_s), (
+        suspects.refused_parts
+    )
--- a/tests/steps/crash_suspects_steps.py
+++ b/tests/steps/crash_suspects_steps.py
@@ -146,6 +146,27 @@
     assert suspects.refused_parts <= refusals
 
 
+@then("crash suspects keep at most {parts:d} parts of {many:d} that were in one crash")
+def keeps_bounded_once(context, parts, many):
+    suspects = CrashSuspects()
+    for number in range(many):
+        suspects.record_crash(RequestTraits(1, (number,)), "s", 1.0)
+    assert suspects.suspected_parts <= parts
+
+
+@when(
+    'crash suspects get {crashes:d} crashes of requests with "{part}" beside {many:d} '
+    "other parts each"
+)
+def crashes_beside_others(context, crashes, part, many):
+    context.suspects = CrashSuspects()
+    for crash in range(crashes):
+        others = range(1 + crash * many, 1 + (crash + 1) * many)
+        traits = RequestTraits(crash, (part_fingerprint(part), *others))
+        context.suspects.record_crash(traits, f"s{crash}", 1.0 + crash)
+        context.suspects.judge_parts(1.0 + crash)
+
+
 def fingerprints(parts):
     return tuple(part_fingerprint(part) for part in parts.split("+"))
 
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -62,6 +62,7 @@
 
 
 @given("direct path has another entry")
+@when("direct path has another entry")
 def other_entry(context):
     context.direct.start_other_entry()
 
@@ -139,7 +140,7 @@
 
 @then("direct path entry suspects no prompt part")
 def suspects_no_part(context):
-    assert not context.direct.entry._state.suspects.decisions._parts
+    assert context.direct.entry._state.suspects.decisions.suspected_parts == 0
 
 
 @when('direct path gets {count:d} streams with the prompt parts "{parts}"')
