Keep no entry waiting for agents where the store was never restored

The era of the store rises with each restore, so in era 0, or without the header, nothing is lost, and an entry that starts serves with its first read as before.

Besides, an agent reads at most twice a second because an entry names a newer version, which a restored store lacks. An entry that runs on refuses a route by a lost configuration: with a scenario.

--- a/lentiltally/decisions/peer_versions.py
+++ b/lentiltally/decisions/peer_versions.py
@@ -71,6 +71,10 @@
         self.is_usable = self._was_usable = False
         self.restored()
 
+    def never_restored(self) -> None:
+        """End the check, because the store can have lost nothing."""
+        self.is_settled = True
+
     def restored(self) -> None:
         """Begin a check, because the store may have lost what it had acknowledged."""
         self.is_settled = False
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -18,7 +18,6 @@
 )
 from lentiltally.decisions.engine_slots import EngineSlots
 from lentiltally.decisions.lost_notices import LostNotices
-from lentiltally.decisions.peer_versions import agent_settle_s
 from lentiltally.direct.agent_metrics import AgentMetrics
 from lentiltally.direct.agent_rights import RIGHT_MESSAGES, AgentRights
 from lentiltally.direct.entry_feeds import (
@@ -111,16 +110,9 @@
     """Creates the components of an agent and runs them until it is asked to stop."""
 
     def __init__(
-        self,
-        settings: HostSettings,
-        platform: AgentPlatform,
-        clock: Clock,
-        settle_s: Callable[[int], float] = agent_settle_s,
+        self, settings: HostSettings, platform: AgentPlatform, clock: Clock
     ) -> None:
-        """Create the components; sockets are opened by ``run``.
-
-        ``settle_s`` is as for ``StoreReader``.
-        """
+        """Create the components; sockets are opened by ``run``."""
         self._settings = settings
         self._platform = platform
         self._clock = clock
@@ -153,7 +145,6 @@
             platform.service,
             clock=clock,
             rng=random.Random(),
-            settle_s=settle_s,
         )
         self._lost_notices = LostNotices()
         self._configuration_era: int | None = None
--- a/lentiltally/direct/configuration_client.py
+++ b/lentiltally/direct/configuration_client.py
@@ -67,7 +67,8 @@
         self._era: int | None = None
         self._metrics = metrics
         self._clock = clock
-        self._was_confirmed = True
+        # None before the first proof.
+        self._was_confirmed: bool | None = None
         feed.on_end_read = self._read_reached_end
         feed.on_era = self._era_read
 
@@ -144,8 +145,13 @@
         self._metrics.configuration_proof_age.set(age_s)
 
     def _era_read(self, era: int) -> None:
-        """Begin a check if the store has come back from a copy."""
-        if self._era is not None and era > self._era:
+        """Begin a check if the store has come back from a copy.
+
+        The era rises with each restore, so there was none before the first one.
+        """
+        if self._era is None and era == 0:
+            self._peer_versions.never_restored()
+        elif self._era is not None and era > self._era:
             self._peer_versions.restored()
         self._era = era
 
@@ -201,9 +207,13 @@
         is_confirmed = self.is_confirmed
         if is_confirmed == self._was_confirmed:
             return
-        self._was_confirmed = is_confirmed
+        was_confirmed, self._was_confirmed = self._was_confirmed, is_confirmed
         if is_confirmed:
-            _log.info("configuration confirmed again")
+            if was_confirmed is not None:
+                _log.info("configuration confirmed again")
+            return
+        if was_confirmed is None:
+            self._was_confirmed = None
             return
         _log.warning(
             "configuration unconfirmed",
--- a/lentiltally/direct/store_reader.py
+++ b/lentiltally/direct/store_reader.py
@@ -5,7 +5,7 @@
 import logging
 import math
 import random
-from collections.abc import Callable, Container
+from collections.abc import Container
 from dataclasses import dataclass, replace
 
 from lentiltally.clock import Clock, elapsed_s
@@ -34,6 +34,8 @@
 
 # An agent without a desired state reads the configuration at this interval.
 FIRST_READ_INTERVAL_S = 1.0
+# Minimum interval between reads because entries know a newer configuration.
+REQUESTED_READ_INTERVAL_S = 0.5
 # While the start of the agent's engine is not in the list, it is read at this interval.
 UNLISTED_INTERVAL_S = 0.5
 # A silent engine's record lapses within this time if it has ended. The agent reads the
@@ -146,12 +148,10 @@
         *,
         clock: Clock,
         rng: random.Random,
-        settle_s: Callable[[int], float] = agent_settle_s,
     ) -> None:
         """Pass the configuration to ``listener``.
 
-        ``service`` is the service of the agent's engine. ``settle_s`` returns how long
-        an agent beside a number of engines needs to hear of all entries.
+        ``service`` is the service of the agent's engine.
         """
         self._clock = clock
         self._rng = rng
@@ -165,7 +165,7 @@
         # The newest version that an entry has named, and when one did last.
         self._heard_version = 0
         self._heard_at_s = -math.inf
-        self._settle_s = settle_s
+        self._next_requested_read_s = -math.inf
         self._settling_since_s = clock.monotonic_s()
         self._started_ms: int | None = None
         self._suspended_s = clock.suspended_s()
@@ -198,7 +198,9 @@
         now_s = self._clock.monotonic_s()
         if version >= self._recent_heard_version(now_s):
             self._heard_version, self._heard_at_s = version, now_s
-        if version > self._known_version:
+        if version > self._known_version and now_s >= self._next_requested_read_s:
+            # A store that has lost the version is asked again and again meanwhile.
+            self._next_requested_read_s = now_s + REQUESTED_READ_INTERVAL_S
             self.configuration.request_read()
 
     def newest_version(self) -> int:
@@ -212,7 +214,7 @@
     def settles_in_s(self) -> float:
         """Return how long until all entries have told the agent what they know."""
         engines = self._directory.usable(self._service) or self._directory.all()
-        until_s = self._settling_since_s + self._settle_s(len(engines))
+        until_s = self._settling_since_s + agent_settle_s(len(engines))
         return max(0.0, until_s - self._clock.monotonic_s())
 
     def _recent_heard_version(self, now_s: float) -> int:
--- a/tests/decisions/peer_versions.feature
+++ b/tests/decisions/peer_versions.feature
@@ -42,3 +42,9 @@
     And peer versions let a read of version 4 be proof
     When peer versions begin a check after a restore
     Then peer versions let no read of version 4 be proof
+
+  # Guards against a start that waits for what a store can't have lost.
+  Scenario: Peer versions of a store that was never restored
+    Given peer versions of a process that starts, with 3 agents
+    When peer versions learn that the store was never restored
+    Then peer versions make version 3 usable at 0.2 s, and usable at 0.3 s
--- a/tests/direct/store_eras.feature
+++ b/tests/direct/store_eras.feature
@@ -83,6 +83,19 @@
     And store eras have the other entry cut off from the store no more
     Then store eras have no request run with the key for 4 s, later than the bound
 
+  # Guards against an entry that runs on, missed a configuration and serves a route that it
+  # took away, because the store has lost it.
+  Scenario: Direct path serves no route by a configuration that was lost by the store while it runs
+    Given store eras of a system with agents
+    And store eras have two routes at all entries
+    And store eras have the other entry cut off from the store
+    And store eras have a copy, and a route was taken away after it at the first entry
+    When store eras restore the store after 1 s away
+    And store eras have the other entry cut off from the store no more
+    Then store eras have no request run on the route after 1 s for 2 s
+    When store eras have all written again without the route
+    Then store eras have all entries serve the first route within 3 s
+
   # Guards against a route that is served again by an entry that starts.
   Scenario Outline: Direct path entry that starts serves no route that was taken away, <who>
     Given store eras of a system with agents
--- a/tests/fakes/direct.py
+++ b/tests/fakes/direct.py
@@ -111,8 +111,6 @@
         self._failure = None
         self.bounds = HostBounds(leaving_s=0.4, stop_s=4.0, retry_slack=50.0)
         self.peer_port = free_port(ENTRY_IP)
-        # How long an agent that starts waits for entries; None takes the default.
-        self.settle_s = 0.0
         self.entry_address = None
         self.entry = None
         self.other_entry = None
@@ -281,9 +279,7 @@
 
         async def start():
             platform = agent_platform(settings, engine.service)
-            settle_s = self.settle_s
-            more = {} if settle_s is None else {"settle_s": lambda engines: settle_s}
-            agent = AgentProcess(settings, platform, SystemClock(), **more)
+            agent = AgentProcess(settings, platform, SystemClock())
             self.agents[engine_name] = agent
             self._run_process(agent)
 
--- a/tests/steps/peer_versions_steps.py
+++ b/tests/steps/peer_versions_steps.py
@@ -41,6 +41,11 @@
     context.versions.named(version, now_s)
 
 
+@when("peer versions learn that the store was never restored")
+def never_restored(context):
+    context.versions.never_restored()
+
+
 @when("peer versions begin a check after a restore")
 def check_begins(context):
     context.versions.restored()
--- a/tests/steps/store_eras_steps.py
+++ b/tests/steps/store_eras_steps.py
@@ -47,7 +47,6 @@
 def with_agents(context):
     begin(context)
     system = context.direct
-    system.settle_s = None
     for name in AGENTS:
         system.add_target(name, service="llm", model="m", slots=2)
     system.start_entry()
@@ -61,8 +60,6 @@
 def with_accounts_and_agents(context):
     begin(context, ["k1", "k2"])
     system = context.direct
-    # Agents that start wait for entries as long as in service.
-    system.settle_s = None
     system.bounds = replace(system.bounds, revocation_s=REVOCATION_S)
     for name in AGENTS:
         system.add_target(name, service="llm", model="m", slots=2)
@@ -252,6 +249,29 @@
     wait_for(context, "/two/x", 404, 5.0)
 
 
+@given("store eras have two routes at all entries")
+def two_routes(context):
+    context.direct.configure(document(SECOND))
+    wait_for(context, "/two/x", 200, 5.0)
+
+
+@given("store eras have a copy, and a route was taken away after it at the first entry")
+def route_taken_away_at_first(context):
+    system = context.direct
+    system.call(system.store.take_copy)
+    context.without_route = {**document(FIRST), "version": THIRD}
+    system.configure(context.without_route)
+    assert system.wait(lambda: system.entry._state.config_version == THIRD)
+    # The entry that runs on tells the agents.
+    time.sleep(2.2)
+
+
+@then("store eras have no request run on the route after 1 s for {for_s:d} s")
+def route_runs_nothing_later(context, for_s):
+    time.sleep(1.0)
+    runs_nothing(context, "/two/x", {}, for_s)
+
+
 @given(
     "store eras have a copy with version 1 of an adapter, and version 2 came after it"
 )
