--- a/lentiltally/decisions/recent_answers.py
+++ b/lentiltally/decisions/recent_answers.py
@@ -11,7 +11,7 @@
 from dataclasses import dataclass
 from typing import Generic, TypeVar
 
-__all__ = ["RecentAnswers"]
+__all__ = ["SURVIVAL_S", "RecentAnswers"]
 
 # An agent reads its engine's report every 0.1 s, and tells of its end at once.
 SURVIVAL_S = 0.3
--- a/lentiltally/direct/explanation.py
+++ b/lentiltally/direct/explanation.py
@@ -178,9 +178,12 @@
         self, route: Route, question: Question, account: ClientAccount | None
     ) -> list[Obstacle]:
         state = self._state
-        if route.is_public or not state.has_accounts:
-            return []
         obstacles = []
+        if not state.peer_versions.is_usable:
+            reason = "the store may have lost a newer configuration than it has"
+            obstacles.append(Obstacle(503, reason))
+        if route.is_public or not state.has_accounts:
+            return obstacles
         if not state.configuration_proof.is_valid(elapsed_s(self._clock)):
             reason = "the configuration is not confirmed to be the newest"
             obstacles.append(Obstacle(503, reason))
--- a/tests/decisions/crash_suspects.feature
+++ b/tests/decisions/crash_suspects.feature
@@ -1,7 +1,7 @@
 Feature: Refusal of prompt parts that crash targets
 
   Times are in seconds. A request is written as its name and its shared parts, as in
-  "r1:f+p". A crash names the target start and the requests whose answers had not begun.
+  "r1:f+p". A crash names the target start and the requests that it ran.
 
   # Guards against target after target that ends by one part of a prompt, in requests that
   # have nothing else in common.
@@ -16,8 +16,8 @@
       | 1 crash a r1:p, 2 crash b r2:p                            |       |
       | 1 crash a r1:p, 2 crash a r2:p, 3 crash a r3:p            |       |
       | 1 crash a r1:p, 2 crash b r1:p, 3 crash c r1:p            |       |
-      | 1 crash a r1:p, 2 crash b r2:p, 8 begun p, 8 crash c r3:p |       |
-      | 1 crash a r1:p, 2 crash b r2:p, 3 begun p, 4 crash c r3:p, 5 crash d r4:p, 6 crash e r5:p | |
+      | 1 crash a r1:p, 2 crash b r2:p, 8 answered p, 8 crash c r3:p |       |
+      | 1 crash a r1:p, 2 crash b r2:p, 3 answered p, 4 crash c r3:p, 5 crash d r4:p, 6 crash e r5:p | |
 
   # Guards against the refusal of parts that sound requests have, because they run at
   # targets that other requests crash.
@@ -27,11 +27,11 @@
 
     Examples:
       | events                                                                                    | parts |
-      | 0 begun f, 1 crash a r1:f+p, 2 crash b r2:f+p, 3 crash c r3:f+p                           | p     |
-      | 0 begun f, 1 crash a r1:f+p s1:f, 2 crash b r2:f+p s2:f, 3 crash c r3:f+p s3:f, 4 crash d s4:f, 5 crash e s5:f | p |
+      | 0 answered f, 1 crash a r1:f+p, 2 crash b r2:f+p, 3 crash c r3:f+p                           | p     |
+      | 0 answered f, 1 crash a r1:f+p s1:f, 2 crash b r2:f+p s2:f, 3 crash c r3:f+p s3:f, 4 crash d s4:f, 5 crash e s5:f | p |
       | 1 crash a r1:p s1:q, 2 crash b r2:p s2:q, 3 crash c r3:p, 4 crash d r4:p s4:q             | p     |
       | 1 crash a r1:p s1:q, 2 crash b r2:p s2:q, 3 crash c r3:p s3:q, 4 crash d r4:p             | p     |
-      | 0 begun f, 1 crash a r1:f+p, 1.2 crash b r2:f+q, 1.4 crash c r3:f+p, 1.6 crash d r4:f+q, 2 crash e r5:f+p, 3 crash g r6:f+q | p+q |
+      | 0 answered f, 1 crash a r1:f+p, 1.2 crash b r2:f+q, 1.4 crash c r3:f+p, 1.6 crash d r4:f+q, 2 crash e r5:f+p, 3 crash g r6:f+q | p+q |
 
   # Guards against sound parts refused because a failure domain, or all engines, end at
   # one moment.
@@ -42,8 +42,8 @@
     Examples:
       | events                                                                                     | parts |
       | 1 crash a r1:f, 1.01 crash b r2:f, 1.02 crash c r3:f, 1.05 crash d r4:f, 1.09 crash e r5:f |       |
-      | 0 begun f, 1 crash a r1:f, 1.3 crash b r2:f, 1.6 crash c r3:f, 1.9 crash d r4:f, 2 crash e r5:f, 3 crash g r6:f | |
-      | 0 begun f, 1 crash a r1:f, 2 crash b r2:f, 3 crash c r3:f, 4 crash d r4:f, 5 crash e r5:f  | f     |
+      | 0 answered f, 1 crash a r1:f, 1.3 crash b r2:f, 1.6 crash c r3:f, 1.9 crash d r4:f, 2 crash e r5:f, 3 crash g r6:f | |
+      | 0 answered f, 1 crash a r1:f, 2 crash b r2:f, 3 crash c r3:f, 4 crash d r4:f, 5 crash e r5:f  | f     |
 
   # Guards against the content of sound requests refused, because callers sent them again
   # beside a part that crashes targets.
@@ -60,7 +60,7 @@
     Then crash suspects let requests with "p" through at times "62.9 no, 63.1 yes, 63.2 no"
     When crash suspects get the events "64 crash d r4:p"
     Then crash suspects let requests with "p" through at times "183.9 no, 184.1 yes, 184.2 no"
-    When crash suspects get the events "185 begun p"
+    When crash suspects get the events "185 answered p"
     Then crash suspects refuse at 185 only the parts ""
 
   # Guards against all requests of a route refused for a minute after a start, because
@@ -69,7 +69,7 @@
     When crash suspects get the events "1 crash a r1:f+p, 2 crash b r2:f+p, 3 crash c r3:f+p"
     Then crash suspects let requests with "f+p" through at times "3.5 no, 4.1 no, 60 no"
     And crash suspects let requests with "f" through at times "3.9 no, 4.1 yes, 4.2 no"
-    When crash suspects get the events "5 begun f"
+    When crash suspects get the events "5 answered f"
     Then crash suspects refuse at 9 only the parts "p"
     And crash suspects let requests with "f+p" through at times "9 no, 62.9 no"
 
@@ -78,7 +78,7 @@
   Scenario: Crash suspects adopt the parts that another entry refuses
     When crash suspects get the events "1 crash a r1:p, 2 crash b r2:p, 3 crash c r3:p"
     Then crash suspects of another entry adopt at 9 the refusal of "p" until 63
-    And crash suspects of another entry that has begun answers with "p" clear it
+    And crash suspects of another entry that has completed answers with "p" clear it
 
   # Guards against a part that is refused for ever because of one malformed message.
   Scenario: Crash suspects adopt no refusal that is longer than their own
--- a/tests/steps/crash_suspects_steps.py
+++ b/tests/steps/crash_suspects_steps.py
@@ -11,6 +11,7 @@
     RequestTraits,
     part_fingerprint,
 )
+from lentiltally.decisions.recent_answers import SURVIVAL_S
 
 ENGINES = 10
 ENGINES_PER_DOMAIN = 3
@@ -21,12 +22,12 @@
 
 @when('crash suspects get the events "{events}"')
 def gets_events(context, events):
-    """Apply events: "TIME crash START REQUEST..." or "TIME begun PARTS"."""
+    """Apply events: "TIME crash START REQUEST..." or "TIME answered PARTS"."""
     if not hasattr(context, "suspects"):
         context.suspects = CrashSuspects()
     for event in events.split(", "):
         at, what, *rest = event.split()
-        if what == "begun":
+        if what == "answered":
             context.suspects.parts_answered(fingerprints(rest[0]), float(at))
             continue
         for request in rest[1:]:
@@ -93,7 +94,9 @@
     assert suspects.begin_trials(parts, trial_s) == list(parts)
 
 
-@then('crash suspects of another entry that has begun answers with "{part}" clear it')
+@then(
+    'crash suspects of another entry that has completed answers with "{part}" clear it'
+)
 def refutes(context, part):
     other = CrashSuspects()
     parts = fingerprints(part)
@@ -176,8 +179,9 @@
 
     All requests have a popular first part and one of the popular or rare second parts.
     The poisoned ones have one part more. A request begins its answer some time after it
-    was sent; a poisoned one ends its engine then. A failure domain ends at a random
-    time.
+    was sent, and ends it later; a poisoned one ends its engine in between. A sound one
+    counts as answered once its engine has run on for a moment. A failure domain ends at
+    a random time.
     """
 
     def __init__(self, seed):
@@ -197,6 +201,7 @@
         share = rng.choice((0.02, 0.05, 0.15))
         requests_per_step = rng.choice((0.5, 1.5, 3.0))
         begins_s = rng.choice((0.0, 2.0))
+        self._longest_answer_s = rng.choice((0.0, 0.5, 2.0))
         failure_s = rng.uniform(0.0, for_s)
         now_s = 0.0
         while now_s < for_s:
@@ -210,7 +215,7 @@
                 is_poisoned = now_s > begins_s and rng.random() < share
                 self._send(is_poisoned, now_s)
             for engine in range(ENGINES):
-                self._begin_answers(engine, now_s)
+                self._end_answers(engine, now_s)
             self._note_refusals(now_s)
 
     def poisoned_sent_later_than(self, after_s):
@@ -234,10 +239,12 @@
         if up:
             if is_poisoned:
                 self._poisoned_sent_at_s.append(now_s)
-            begins_at_s = now_s + rng.uniform(0.1, 0.6)
-            self._running[rng.choice(up)].append((begins_at_s, is_poisoned, traits))
+            done_at_s = now_s + rng.uniform(0.1, 0.6)
+            done_at_s += rng.uniform(0.0, self._longest_answer_s)
+            done_at_s += 0.0 if is_poisoned else SURVIVAL_S
+            self._running[rng.choice(up)].append((done_at_s, is_poisoned, traits))
 
-    def _begin_answers(self, engine, now_s):
+    def _end_answers(self, engine, now_s):
         due = [entry for entry in self._running[engine] if entry[0] <= now_s]
         for entry in sorted(due, key=lambda entry: entry[0]):
             _, is_poisoned, traits = entry
--- a/tests/steps/malformed_steps.py
+++ b/tests/steps/malformed_steps.py
@@ -17,6 +17,8 @@
 from lentiltally.direct.messages import (
     AcquireAdapter,
     EngineState,
+    KnownVersions,
+    PartsSurvived,
     StateSubscription,
     StoreReport,
     decode_message,
@@ -109,6 +111,8 @@
     messages = [
         StateSubscription("e", 100, 3),
         AcquireAdapter("r", "m", "a", 1, 2, 3, 4, 5, 6),
+        KnownVersions(7, 1300, (("m/a", 2),)),
+        PartsSurvived((1, 2)),
         EngineState(
             1, 2, 3, 4, 5, 6, (1,), (2,), (3,), 1, 1, 1, 1, StoreReport(1, 2, 3, 4)
         ),
