Split evidence about parts, request traits and lost versions into modules

What an agent tells of lost versions leaves agent_process.py. Three loops that divided items among messages are one function, and two ways to write the id of a part in the same form are one. The log of the proof reads plainly. No behaviour changes; the mutations follow the moved lines.

--- a/lentiltally/decisions/crash_suspects.py
+++ b/lentiltally/decisions/crash_suspects.py
@@ -16,24 +16,17 @@
 import math
 from collections import OrderedDict
 from collections.abc import Collection, Iterable
-from dataclasses import dataclass, field
-from heapq import nlargest
+from dataclasses import dataclass
 
-import xxhash
-
-from lentiltally.decisions._ring import rendezvous_weight
 from lentiltally.decisions.content_suspects import ContentRefusal, ContentSuspects
+from lentiltally.decisions.crash_traits import RequestTraits
+from lentiltally.decisions.part_evidence import (
+    EvidenceChange,
+    PartCrashes,
+    PartEvidence,
+)
 
-__all__ = [
-    "MAX_LOGGED_PARTS",
-    "CrashSuspects",
-    "PartChanges",
-    "RequestTraits",
-    "fingerprint_texts",
-    "part_fingerprint",
-    "request_fingerprint",
-    "suspect_relays",
-]
+__all__ = ["CrashSuspects", "PartChanges"]
 
 # Many requests have the same part, so it takes more evidence than one content, and of
 # different requests: each of them could crash targets by something else.
@@ -57,83 +50,8 @@
 # of them is let through soon, because its answer or its crash tells them apart.
 TIED_TRIAL_S = 1.0
 MAX_SUSPECTS = 2_000
-# Parts that were in one crash only. Dozens of requests may run at a target that ends,
-# and the head of each has room for over a thousand parts.
-MAX_SEEN_ONCE = 8_000
-# A log line names no more parts of a request or a crash.
-MAX_LOGGED_PARTS = 16
 # About 1 MB, and far more requests than an entry answers while a target restarts.
 MAX_FINISHED = 8_000
-MAX_CRASHES_OF_PART = 64
-MAX_CONTENTS_OF_PART = 16
-# Agents that forward a suspect to all entries: one may be down, and another datagram
-# may be lost.
-RELAYS_PER_SUSPECT = 3
-
-
-def request_fingerprint(
-    host: str, path: bytes, adapter: str, body: bytes, account: str = ""
-) -> int:
-    """Return the fingerprint of a request, the same each time a caller sends it.
-
-    The caller is its client account, as the target is told; callers without one are the
-    same to the target. Callers may send the request again for another adapter; that
-    only tells requests apart which have no body.
-    """
-    digest = xxhash.xxh3_64(host.encode())
-    digest.update(path)
-    digest.update(b"\0")
-    digest.update(body or adapter.encode())
-    if account:
-        # Without an account, the fingerprint is that of earlier versions.
-        digest.update(b"\0account:" + account.encode())
-    return digest.intdigest()
-
-
-def part_fingerprint(part_id: str) -> int:
-    """Return the fingerprint of a part of a prompt, the same in all requests."""
-    return xxhash.xxh3_64_intdigest(b"part:" + part_id.encode())
-
-
-def fingerprint_texts(fingerprints: Iterable[int]) -> list[str]:
-    """Return fingerprints as log lines show them."""
-    return [f"{fingerprint:016x}" for fingerprint in fingerprints]
-
-
-def suspect_relays(
-    agents: Iterable[str], fingerprint: int, answering: Collection[str] = ()
-) -> list[str]:
-    """Return the agents through which a suspect is announced to the other entries.
-
-    Those that are ``answering`` come first. Apart from that all entries choose the same
-    ones, and each suspect has others.
-    """
-    return nlargest(
-        RELAYS_PER_SUSPECT,
-        agents,
-        key=lambda agent: (agent in answering, rendezvous_weight(fingerprint, agent)),
-    )
-
-
-@dataclass(frozen=True, slots=True)
-class RequestTraits:
-    """Fingerprints by which a request may be the cause of a crash.
-
-    ``content`` is that of the whole request, ``parts`` are those of the shared parts of
-    its prompt.
-    """
-
-    content: int
-    parts: tuple[int, ...] = ()
-
-    def without_content(self) -> RequestTraits:
-        """Return traits that make suspects of the parts only.
-
-        Evidence about parts counts by different contents, so the content gets another
-        name, which no request has.
-        """
-        name = b"answered:" + self.content.to_bytes(8, "big")
-        return RequestTraits(xxhash.xxh3_64_intdigest(name), self.parts)
 
 
 @dataclass(frozen=True, slots=True)
@@ -144,17 +62,6 @@
     released: tuple[int, ...] = ()
 
 
-@dataclass(slots=True)
-class _PartEvidence:
-    """Crashes by target start, and their requests' contents, since the last answer.
-
-    Both are in the order in which they became known.
-    """
-
-    crashes: dict[str, float] = field(default_factory=dict)
-    contents: tuple[int, ...] = ()
-
-
 @dataclass(slots=True)
 class _PartRefusal:
     """A refused part; one request is let through after ``until_s``.
@@ -186,17 +93,14 @@
         """
         self.contents = ContentSuspects(stagger)
         self._stagger = stagger
-        # Parts that were in several crashes, and those that were in one. Sound parts
-        # that pass by in single crashes must not displace one that comes back.
-        self._parts: OrderedDict[int, _PartEvidence] = OrderedDict()
-        self._seen_once: OrderedDict[int, _PartEvidence] = OrderedDict()
+        self._parts = PartEvidence()
         self._answered_at_s: OrderedDict[int, float] = OrderedDict()
         self._refused: OrderedDict[int, _PartRefusal] = OrderedDict()
 
     @property
     def suspected_parts(self) -> int:
         """Return how many parts were in crashes since their last answer."""
-        return len(self._parts) + len(self._seen_once)
+        return len(self._parts)
 
     @property
     def refused_parts(self) -> int:
@@ -213,15 +117,18 @@
         """
         is_new = self.contents.record_crash(traits.content, target_start, now_s)
         for part in traits.parts:
-            is_new |= self._record_part(part, traits.content, target_start, now_s)
+            change = self._parts.record(part, traits.content, target_start, now_s)
+            if change is EvidenceChange.NEW_START:
+                self._renew_refusal(part, now_s)
+            is_new |= change is not EvidenceChange.NONE
         return is_new
 
     def judge_parts(self, now_s: float) -> PartChanges:
         """Refuse the parts that best explain the crashes, and release the others."""
         # One crash is not enough to refuse a part.
         starts = {
-            part: self._recent_starts(evidence, now_s)
-            for part, evidence in self._parts.items()
+            part: self._recent_starts(crashes, now_s)
+            for part, crashes in self._parts.repeated()
         }
         causes, explained = self._causes(starts, now_s)
         refused = [part for part in causes if part not in self._refused]
@@ -239,8 +146,8 @@
             part
             for part in self._refused
             if part not in causes
-            and (evidence := self._evidence(part)) is not None
-            and (recent := self._recent_starts(evidence, now_s))
+            and (crashes := self._parts.get(part)) is not None
+            and (recent := self._recent_starts(crashes, now_s))
             and recent <= explained
         ]
         for part in released:
@@ -256,8 +163,7 @@
         for part in parts:
             self._answered_at_s[part] = now_s
             self._answered_at_s.move_to_end(part)
-            was_suspect = self._parts.pop(part, None) is not None
-            was_suspect |= self._seen_once.pop(part, None) is not None
+            was_suspect = self._parts.forget(part)
             was_refused = self._refused.pop(part, None) is not None
             if was_suspect or was_refused:
                 cleared.append(part)
@@ -325,8 +231,8 @@
         return {
             start
             for part in self._refused
-            if (evidence := self._evidence(part)) is not None
-            for start in evidence.crashes
+            if (crashes := self._parts.get(part)) is not None
+            for start in crashes.at_s
         }
 
     def refused_part(
@@ -372,39 +278,6 @@
         is_cause_open = not others.isdisjoint(self._refused)
         return is_cause_open and now_s >= refusal.tied_until_s
 
-    def _record_part(
-        self, part: int, content: int, target_start: str, now_s: float
-    ) -> bool:
-        evidence = self._evidence(part) or _PartEvidence()
-        is_new_start = target_start not in evidence.crashes
-        has_room = len(evidence.contents) < MAX_CONTENTS_OF_PART
-        is_new_content = has_room and content not in evidence.contents
-        if is_new_content:
-            evidence.contents = (*evidence.contents, content)
-        if is_new_start:
-            evidence.crashes[target_start] = now_s
-            if len(evidence.crashes) > MAX_CRASHES_OF_PART:
-                del evidence.crashes[next(iter(evidence.crashes))]
-        self._keep(part, evidence)
-        if is_new_start:
-            self._renew_refusal(part, now_s)
-        return is_new_start or is_new_content
-
-    def _evidence(self, part: int) -> _PartEvidence | None:
-        return self._parts.get(part) or self._seen_once.get(part)
-
-    def _keep(self, part: int, evidence: _PartEvidence) -> None:
-        """Keep the evidence on a part as the newest; drop the oldest beyond limits."""
-        if len(evidence.crashes) == 1:
-            kept, limit = self._seen_once, MAX_SEEN_ONCE
-        else:
-            self._seen_once.pop(part, None)
-            kept, limit = self._parts, MAX_SUSPECTS
-        kept[part] = evidence
-        kept.move_to_end(part)
-        while len(kept) > limit:
-            kept.popitem(last=False)
-
     def _renew_refusal(self, part: int, now_s: float) -> None:
         """Refuse a part for longer, if a request that was let through has crashed."""
         refusal = self._refused.get(part)
@@ -421,9 +294,9 @@
         return wait_s * (1.0 + self._stagger)
 
     @staticmethod
-    def _recent_starts(evidence: _PartEvidence, now_s: float) -> set[str]:
-        crashes = evidence.crashes.items()
-        return {start for start, at_s in crashes if now_s - at_s < REFUSAL_S}
+    def _recent_starts(crashes: PartCrashes, now_s: float) -> set[str]:
+        times = crashes.at_s.items()
+        return {start for start, at_s in times if now_s - at_s < REFUSAL_S}
 
     def _causes(
         self, starts: dict[int, set[str]], now_s: float
@@ -458,11 +331,13 @@
             required, apart_s = ANSWERED_PART_CRASHES, ANSWERED_PART_MOMENT_S
         else:
             required, apart_s = PART_CRASHES_BEFORE_REFUSAL, MOMENT_S
-        evidence = self._parts[part]
-        if len(starts) < required or len(evidence.contents) < CONTENTS_BEFORE_REFUSAL:
+        crashes = self._parts.get(part)
+        if crashes is None or len(starts) < required:
+            return False
+        if len(crashes.contents) < CONTENTS_BEFORE_REFUSAL:
             return False
         moments, last_s = 0, -math.inf
-        for at_s in sorted(evidence.crashes[start] for start in starts):
+        for at_s in sorted(crashes.at_s[start] for start in starts):
             if at_s - last_s >= apart_s:
                 moments, last_s = moments + 1, at_s
         return moments >= required
--- a/lentiltally/direct/agent_process.py
+++ b/lentiltally/direct/agent_process.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import logging
-import math
 import random
 from collections.abc import Callable
 from dataclasses import dataclass
@@ -17,7 +16,6 @@
     EngineReport,
 )
 from lentiltally.decisions.engine_slots import EngineSlots
-from lentiltally.decisions.lost_notices import LostNotices
 from lentiltally.direct.agent_metrics import AgentMetrics
 from lentiltally.direct.agent_rights import RIGHT_MESSAGES, AgentRights
 from lentiltally.direct.entry_feeds import (
@@ -28,7 +26,6 @@
 from lentiltally.direct.feed_types import KeyedTopic
 from lentiltally.direct.http_connection import ConnectError
 from lentiltally.direct.messages import (
-    MAX_NOTICES_PER_MESSAGE,
     AcquireAdapter,
     AdapterAnswer,
     AdapterDecision,
@@ -36,7 +33,6 @@
     ContentsCleared,
     CrashReport,
     EngineEnded,
-    KnownVersions,
     Message,
     PartsCleared,
     PartsSurvived,
@@ -56,6 +52,7 @@
 from lentiltally.direct.state_publisher import MAX_PERMIT_WAIT_S, StatePublisher
 from lentiltally.direct.stop_signal import StopSignal
 from lentiltally.direct.store_reader import StoreReader, StoreTopics
+from lentiltally.direct.version_teller import VersionTeller
 from lentiltally.errors import LentiltallyError
 
 __all__ = ["AgentPlatform", "AgentProcess"]
@@ -146,9 +143,7 @@
             clock=clock,
             rng=random.Random(),
         )
-        self._lost_notices = LostNotices()
-        self._configuration_era: int | None = None
-        self._reader.configuration.on_era = self._configuration_era_read
+        self._versions = VersionTeller(self._reader, self._slots, self._peers)
         self._reader.targets.on_era = self._metrics.store_era.set
 
     def track_dropped_lines(self, dropped: Callable[[], float]) -> None:
@@ -215,14 +210,8 @@
             self._health_path = service.health_path
         _log.info("desired state applied", extra={"config_version": state.version})
 
-    def _configuration_era_read(self, era: int) -> None:
-        """Note the era of the newest records, which are processed after this."""
-        if self._configuration_era is not None and era > self._configuration_era:
-            self._lost_notices.store_restored(self._slots.newest_versions)
-        self._configuration_era = era
-
     def _notice_read(self, notice: AdapterNotice) -> None:
-        self._lost_notices.read(f"{notice.model}/{notice.adapter}", notice.version)
+        self._versions.notice_read(notice)
         self._version_announced(notice)
 
     def _version_announced(self, notice: AdapterNotice) -> None:
@@ -268,17 +257,7 @@
                 self._peers.send(sender, refusals)
         self._reader.version_seen(message.config_version)
         if message.asks_versions:
-            self._tell_versions(sender)
-
-    def _tell_versions(self, entry: SocketAddress) -> None:
-        """Tell an entry what is known here that the store may have lost."""
-        version = self._reader.newest_version()
-        settles_in_ms = math.ceil(1000 * self._reader.settles_in_s())
-        notices = self._lost_notices.all()
-        size = MAX_NOTICES_PER_MESSAGE
-        for first in range(0, max(1, len(notices)), size):
-            some = tuple(notices[first : first + size])
-            self._peers.send(entry, KnownVersions(version, settles_in_ms, some))
+            self._versions.tell(sender)
 
     def _confirmation_requested(
         self, message: ConfirmConfiguration, sender: SocketAddress
--- a/lentiltally/direct/configuration_client.py
+++ b/lentiltally/direct/configuration_client.py
@@ -204,16 +204,15 @@
         self._judge_versions(now_s)
 
     def _log_change(self) -> None:
-        is_confirmed = self.is_confirmed
-        if is_confirmed == self._was_confirmed:
-            return
-        was_confirmed, self._was_confirmed = self._was_confirmed, is_confirmed
-        if is_confirmed:
-            if was_confirmed is not None:
-                _log.info("configuration confirmed again")
+        """Log when the proof lapses or comes back; the first one is no news."""
+        is_confirmed, was_confirmed = self.is_confirmed, self._was_confirmed
+        if is_confirmed == was_confirmed or not (is_confirmed or was_confirmed):
             return
+        self._was_confirmed = is_confirmed
         if was_confirmed is None:
-            self._was_confirmed = None
+            return
+        if is_confirmed:
+            _log.info("configuration confirmed again")
             return
         _log.warning(
             "configuration unconfirmed",
--- a/lentiltally/direct/crash_announcements.py
+++ b/lentiltally/direct/crash_announcements.py
@@ -3,14 +3,14 @@
 from __future__ import annotations
 
 import asyncio
-from collections.abc import Iterable, Iterator, Sequence
-from typing import TypeVar
+from collections.abc import Iterable
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.content_suspects import ContentRefusal
-from lentiltally.decisions.crash_suspects import RequestTraits, suspect_relays
+from lentiltally.decisions.crash_traits import RequestTraits, suspect_relays
 from lentiltally.direct.agent_client import MessageSender
 from lentiltally.direct.entry_state import EntryState
+from lentiltally.direct.message_chunks import chunks
 from lentiltally.direct.messages import (
     MAX_FINGERPRINTS,
     MAX_REFUSALS_PER_MESSAGE,
@@ -27,8 +27,6 @@
 
 __all__ = ["CrashAnnouncements"]
 
-_T = TypeVar("_T")
-
 # The connections of a crashed target end within this time, so that its suspects can be
 # reported together.
 REPORT_DELAY_S = 0.02
@@ -111,7 +109,7 @@
         first = self._next_part if self._next_part < len(refused) else 0
         size = MAX_REFUSALS_PER_MESSAGE
         self._next_part = first + MAX_REFUSAL_MESSAGES * size
-        for some in _chunks(refused[first : self._next_part], size):
+        for some in chunks(refused[first : self._next_part], size):
             parts = [(p, int(1000 * t), int(1000 * w)) for p, t, w in some]
             self._send_to_entries(RefusedParts(tuple(parts)), some[0][0])
 
@@ -145,17 +143,17 @@
         suspects = self._unreported.pop(target_start)
         requests = _report_requests(suspects)
         size = MAX_REQUESTS_PER_REPORT
-        for some in _chunks(requests[: MAX_REPORTS_PER_CRASH * size], size):
-            report = CrashReport(target_start, tuple(some))
+        for some in chunks(requests[: MAX_REPORTS_PER_CRASH * size], size):
+            report = CrashReport(target_start, some)
             self._send_to_entries(report, some[0][0])
 
     def _announce_cleared(self, parts: list[int]) -> None:
-        for some in _chunks(parts, MAX_FINGERPRINTS):
-            self._send_to_entries(PartsSurvived(tuple(some)), some[0])
+        for some in chunks(parts, MAX_FINGERPRINTS):
+            self._send_to_entries(PartsSurvived(some), some[0])
 
     def _announce_trial(self, parts: list[int]) -> None:
-        for some in _chunks(parts, MAX_FINGERPRINTS):
-            self._send_to_entries(PartTrial(tuple(some)), some[0])
+        for some in chunks(parts, MAX_FINGERPRINTS):
+            self._send_to_entries(PartTrial(some), some[0])
 
     def _send_to_entries(self, message: Message, fingerprint: int) -> None:
         """Send a message through agents that answer, as far as there are enough."""
@@ -190,11 +188,6 @@
         named.update(parts)
         if not parts:
             without_parts.append((traits.content,))
-        for some in _chunks(parts, MAX_FINGERPRINTS - 1):
+        for some in chunks(parts, MAX_FINGERPRINTS - 1):
             requests.append((traits.content, *some))
     return requests + without_parts
-
-
-def _chunks(items: Sequence[_T], size: int) -> Iterator[Sequence[_T]]:
-    """Return items in their order, ``size`` at a time."""
-    return (items[first : first + size] for first in range(0, len(items), size))
--- a/lentiltally/direct/entry_suspects.py
+++ b/lentiltally/direct/entry_suspects.py
@@ -8,9 +8,9 @@
 
 from lentiltally.clock import Clock
 from lentiltally.decisions.content_suspects import ContentRefusal
-from lentiltally.decisions.crash_suspects import (
+from lentiltally.decisions.crash_suspects import CrashSuspects
+from lentiltally.decisions.crash_traits import (
     MAX_LOGGED_PARTS,
-    CrashSuspects,
     RequestTraits,
     fingerprint_texts,
 )
--- a/lentiltally/direct/explanation.py
+++ b/lentiltally/direct/explanation.py
@@ -10,7 +10,7 @@
 
 from lentiltally.clock import Clock, elapsed_s
 from lentiltally.decisions.allotment_holders import allotment_holders
-from lentiltally.decisions.crash_suspects import part_fingerprint
+from lentiltally.decisions.crash_traits import canonical_part_id, part_fingerprint
 from lentiltally.decisions.target_choice import Candidate
 from lentiltally.direct.entry_state import EntryState
 from lentiltally.direct.model import ClientAccount, Route, Service, TargetRecord
@@ -198,7 +198,7 @@
         return [
             Obstacle(503, f"prompt part {part} has crashed targets")
             for part in question.parts
-            if part_fingerprint(part.lower().lstrip("0") or part) in refused
+            if part_fingerprint(canonical_part_id(part)) in refused
         ]
 
     def _rank(self, service: Service, question: Question) -> list[Candidate]:
--- a/lentiltally/direct/handling_log.py
+++ b/lentiltally/direct/handling_log.py
@@ -5,7 +5,7 @@
 import logging
 
 from lentiltally.clock import Clock
-from lentiltally.decisions.crash_suspects import (
+from lentiltally.decisions.crash_traits import (
     MAX_LOGGED_PARTS,
     RequestTraits,
     fingerprint_texts,
--- a/lentiltally/direct/refusal_relay.py
+++ b/lentiltally/direct/refusal_relay.py
@@ -4,6 +4,7 @@
 
 from collections import OrderedDict
 
+from lentiltally.direct.message_chunks import chunks
 from lentiltally.direct.messages import (
     MAX_REFUSALS_PER_MESSAGE,
     ContentsCleared,
@@ -69,12 +70,6 @@
             if now_s - told_at_s < CONTENTS_RETENTION_S
         ]
         size = MAX_REFUSALS_PER_MESSAGE
-        messages: list[Message] = [
-            RefusedParts(tuple(parts[first : first + size]))
-            for first in range(0, len(parts), size)
-        ]
-        messages += [
-            RefusedContents(tuple(contents[first : first + size]))
-            for first in range(0, len(contents), size)
-        ]
+        messages: list[Message] = [RefusedParts(some) for some in chunks(parts, size)]
+        messages += [RefusedContents(some) for some in chunks(contents, size)]
         return messages
--- a/lentiltally/direct/request_suspicion.py
+++ b/lentiltally/direct/request_suspicion.py
@@ -4,7 +4,7 @@
 
 from collections.abc import Callable
 
-from lentiltally.decisions.crash_suspects import (
+from lentiltally.decisions.crash_traits import (
     RequestTraits,
     fingerprint_texts,
     part_fingerprint,
--- a/lentiltally/platform/http_headers.py
+++ b/lentiltally/platform/http_headers.py
@@ -6,6 +6,7 @@
 import re
 from collections.abc import Iterable
 
+from lentiltally.decisions.crash_traits import canonical_part_id
 from lentiltally.direct.request import (
     AdapterRef,
     AnswerHead,
@@ -233,10 +234,9 @@
 
 
 def _part_id(part: bytes) -> str:
-    """Return the id of a part, the same for each way to write the same number."""
+    """Return the id of a part that is written as ``ID:TOKENS``."""
     part_id = part.rpartition(b":")[0] or part
-    text = part_id.strip().decode("latin-1").lower()
-    return text.lstrip("0") or text
+    return canonical_part_id(part_id.decode("latin-1"))
 
 
 def _number(value: bytes | None, name: str) -> float | None:
--- a/tests/steps/crash_evidence_steps.py
+++ b/tests/steps/crash_evidence_steps.py
@@ -8,7 +8,7 @@
 
 from behave import given, then, when
 
-from lentiltally.decisions.crash_suspects import part_fingerprint
+from lentiltally.decisions.crash_traits import part_fingerprint
 from lentiltally.direct.messages import PartsCleared
 from lentiltally.direct.settings import SocketAddress
 from tests.fakes.direct import configuration, route
--- a/tests/steps/crash_suspects_steps.py
+++ b/tests/steps/crash_suspects_steps.py
@@ -6,11 +6,8 @@
 
 from behave import then, when
 
-from lentiltally.decisions.crash_suspects import (
-    CrashSuspects,
-    RequestTraits,
-    part_fingerprint,
-)
+from lentiltally.decisions.crash_suspects import CrashSuspects
+from lentiltally.decisions.crash_traits import RequestTraits, part_fingerprint
 from lentiltally.decisions.recent_answers import SURVIVAL_S
 
 ENGINES = 10
@@ -144,8 +141,8 @@
     for start in range(many_crashes):
         suspects.record_crash(RequestTraits(start, (7,)), f"t{start}", 1.0)
     suspects.judge_parts(1.0)
-    assert len(suspects._parts) <= parts
-    assert len(suspects._parts[7].crashes) <= crashes
+    assert suspects.suspected_parts <= parts
+    assert len(suspects._parts.get(7).at_s) <= crashes
     assert suspects.refused_parts <= refusals
 
 
--- a/tests/steps/direct_crashes_steps.py
+++ b/tests/steps/direct_crashes_steps.py
@@ -10,10 +10,7 @@
 from behave import given, then, when
 
 from lentiltally.decisions.content_suspects import ContentRefusal
-from lentiltally.decisions.crash_suspects import (
-    part_fingerprint,
-    request_fingerprint,
-)
+from lentiltally.decisions.crash_traits import part_fingerprint, request_fingerprint
 from lentiltally.direct.agent_process import NEW_ENTRY_MS
 from lentiltally.direct.entry_process import TICK_INTERVAL_S
 from lentiltally.direct.messages import StateSubscription, encode_message
--- a/tests/steps/direct_limits_steps.py
+++ b/tests/steps/direct_limits_steps.py
@@ -6,8 +6,8 @@
 
 from behave import given, then, when
 
-from lentiltally.decisions.crash_suspects import (
-    CrashSuspects,
+from lentiltally.decisions.crash_suspects import CrashSuspects
+from lentiltally.decisions.crash_traits import (
     RequestTraits,
     request_fingerprint,
     suspect_relays,
--- a/tools/_mutations_decisions.py
+++ b/tools/_mutations_decisions.py
@@ -65,7 +65,7 @@
     ),
     Mutation(
         "relays that answer",
-        "decisions/crash_suspects.py",
+        "decisions/crash_traits.py",
         "(agent in answering, rendezvous_weight(fingerprint, agent))",
         "rendezvous_weight(fingerprint, agent)",
         "decisions/direct_limits",
@@ -224,9 +224,9 @@
         "refuse a part after crashes of different requests",
     ),
     Mutation(
-        "answers that begin clear their parts",
+        "whole answers clear their parts",
         "decisions/crash_suspects.py",
-        "            was_suspect = self._parts.pop(part, None) is not None\n",
+        "            was_suspect = self._parts.forget(part)\n",
         "            was_suspect = False\n",
         "decisions/crash_suspects",
         "refuse a part after crashes of different requests",
@@ -289,7 +289,7 @@
     ),
     Mutation(
         "relays of crash suspects",
-        "decisions/crash_suspects.py",
+        "decisions/crash_traits.py",
         "        RELAYS_PER_SUSPECT,\n",
         "        100,\n",
         "decisions/direct_limits",
--- a/tools/_mutations_wiring.py
+++ b/tools/_mutations_wiring.py
@@ -285,8 +285,8 @@
     ),
     Mutation(
         "lost notices of adapters",
-        "direct/agent_process.py",
-        "            self._lost_notices.store_restored(self._slots.newest_versions)\n",
+        "direct/version_teller.py",
+        "            self._lost.store_restored(self._slots.newest_versions)\n",
         "            pass\n",
         "direct/store_eras",
         "agent that starts loads no adapter version",
