Give the two mechanisms without a test a form in which only they help

Two mutations stayed green: the end of a resumed answer was also voided by the engine's own end, and an entry that lacks a named version also refuses everything.

--- a/standins/platform_engine.py
+++ b/standins/platform_engine.py
@@ -155,12 +155,12 @@
     ``born`` the starts.
     ``poisoned_part`` crashes the engine ``crash_after_s`` after the head of an answer
     to a request whose prompt has this part, or after ``poisoned_events`` events of it,
-    at the latest after its end. A request of ``poisoned_accounts``, or with
-    a body of ``poisoned_bodies``, crashes it ``crash_after_s`` after it has begun to
-    run the request, also if the caller has left by then. It is down until
-    ``recover``, as ``is_stopped`` says, and ``crashes`` counts this. While
-    ``is_frozen``, it answers no report. Between ``silence.begin`` and ``silence.end``
-    it sends nothing at all, and then goes on; it stays sound.
+    at the latest after its end unless ``poisoned_rest`` is False. A request of
+    ``poisoned_accounts``, or with a body of ``poisoned_bodies``, crashes it
+    ``crash_after_s`` after it has begun to run the request, also if the caller has left
+    by then. It is down until ``recover``, as ``is_stopped`` says, and ``crashes``
+    counts this. While ``is_frozen``, it answers no report. Between ``silence.begin``
+    and ``silence.end`` it sends nothing at all, and then goes on; it stays sound.
     ``has_crashed`` is set when an order would load more adapters than there are slots.
     """
 
@@ -195,6 +195,7 @@
     has_crashed: bool = False
     poisoned_part: str = ""
     poisoned_events: int = 0
+    poisoned_rest: bool = True
     poisoned_bodies: frozenset[bytes] = frozenset()
     poisoned_accounts: frozenset[str] = frozenset()
     crash_after_s: float = 0.15
@@ -422,7 +423,7 @@
             writer.write(b"b\r\n: the end\n\n\r\n")
         writer.write(b"0\r\n\r\n")
         await writer.drain()
-        if self._is_poisoned(request):
+        if self.poisoned_rest and self._is_poisoned(request):
             self._crash_later()
         return True
 
--- a/tests/direct/crash_evidence.feature
+++ b/tests/direct/crash_evidence.feature
@@ -80,6 +80,18 @@
       | the second, resumed by callers      | 2      | callers who resume     |
       | the first event, callers leave      | 1      | callers who leave      |
 
+  # Guards against a part that is cleared by an engine which writes the rest of an answer that
+  # others have begun, and survives that.
+  Scenario: Crash evidence on a part is not cleared by the rest of an answer
+    Given direct path with a store, a configuration and two engines of 2 adapter slots
+    And direct path engines have "a1" loaded
+    And crash evidence engines crash on the prompt part "deadbeef" after 4 events
+    And crash evidence engines survive the rest of an answer
+    When crash evidence gets a sound stream with 2 other parts
+    And crash evidence gets 6 streams with "deadbeef:60" behind 2 other parts, callers who wait
+    Then crash evidence has at most 5 crashes
+    And crash evidence refused the last stream for its part
+
   # Guards against a refused part that goes on to the next engine with the rest of an answer.
   Scenario: Crash evidence holds for the rest of an answer that has begun
     Given direct path with a store, a configuration and two engines of 2 adapter slots
--- a/tests/steps/crash_evidence_steps.py
+++ b/tests/steps/crash_evidence_steps.py
@@ -133,6 +133,12 @@
         engine.crash_after_s = CRASH_AFTER_S
 
 
+@given("crash evidence engines survive the rest of an answer")
+def survive_rest(context):
+    for engine in engines(context):
+        engine.poisoned_rest = False
+
+
 def stream(context, others, deadly="", is_behind=True, **more):
     """Send a stream with other parts, the deadly one and one of its own."""
     context.numbers = getattr(context, "numbers", 0) + 1
--- a/tools/_mutations_crashes.py
+++ b/tools/_mutations_crashes.py
@@ -134,7 +134,7 @@
         "is_proof = record.target_id not in self._continuing",
         "is_proof = True",
         "direct/crash_evidence",
-        "lasts until an engine has survived",
+        "not cleared by the rest of an answer",
     ),
     Mutation(
         "answers that a target does not survive",
--- a/tools/_mutations_wiring.py
+++ b/tools/_mutations_wiring.py
@@ -256,7 +256,7 @@
         "direct/entry_process.py",
         "            self._confirmations.versions_received(message, sender.ip)\n",
         "            pass\n",
-        "direct/store_eras",
+        "direct/lost_configuration",
         "agent that starts loads no adapter version",
     ),
     Mutation(
@@ -264,7 +264,7 @@
         "direct/entry_process.py",
         "        self._confirmations.version_named(report.config_version)\n",
         "",
-        "direct/store_eras",
+        "direct/lost_configuration",
         "lost by the store while it runs",
     ),
     Mutation(
@@ -272,7 +272,7 @@
         "direct/agent_process.py",
         "        self._reader.version_seen(message.config_version)\n",
         "",
-        "direct/store_eras",
+        "direct/lost_configuration",
         "accepts no key that was taken away in the lost seconds",
     ),
     Mutation(
@@ -280,7 +280,7 @@
         "direct/store_reader.py",
         "        return max(0.0, until_s - self._clock.monotonic_s())",
         "        return 0.0",
-        "direct/store_eras",
+        "direct/lost_configuration",
         "accepts no key that was taken away in the lost seconds",
     ),
     Mutation(
@@ -288,7 +288,7 @@
         "direct/version_teller.py",
         "            self._lost.store_restored(self._slots.newest_versions)\n",
         "            pass\n",
-        "direct/store_eras",
+        "direct/lost_configuration",
         "agent that starts loads no adapter version",
     ),
     Mutation(
@@ -298,8 +298,8 @@
         "            self._state.config_version, now_s\n"
         "        )",
         "return self._listener.is_newest_applied",
-        "direct/store_eras",
-        "did not read before the restore accepts no lost key",
+        "direct/lost_configuration",
+        "was cut off accepts no lost key",
     ),
     Mutation(
         "answers whose targets have run on",
